--- /dev/null
+++ b/linnetstile/control.py
@@ -0,0 +1,450 @@
+"""Every decision of a relay. Vocabulary: linnetstile/interface.py; memory: linnetstile/state.py.
+
+Messages for one destination wait in a queue; what was seen of it is in its `Lane` (of each route, if apart).
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+from .interface import (
+    Action, AttemptEnded, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message, Outcome,
+    Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
+)
+from .state import NEVER, Board, Door, Held, Lane
+
+MARGIN_MS = 20.0  # messages are closed so long before their time is up
+LOOK_MS = 500.0  # a queue that waits for something is looked at again at least so often
+FADE_MS = 10000.0  # older evidence counts no more: an answer or a failure of so long ago
+HOLD_MS, HOLD_MAX_MS = 4000.0, 16000.0  # a refusal paces for so long: a clump's time; doubles while refused
+RETRY_MS = 120.0  # first pause before another try: about one round trip; doubles from try to try
+RETRY_MAX_MS = 4000.0  # no pause is longer: beyond it a message's aim is lost anyway
+USUAL_MS = 500.0, 250.0  # latency and its mean deviation, until destinations have answered
+DEVIATIONS = 10.0  # a time-out lies so many mean deviations above the mean: answers have a long tail
+LAST = 3.0  # the last try a message can have waits so many times longer: a late answer still saves it
+OVERDUE = 4.0  # an answer is overdue so many mean deviations above the mean
+STRETCH_MAX = 8.0  # time-outs double while calls time out (slow is not down), up to this factor
+BURST_S, BURST = 2.0, 3.0  # calls saved up for a clump: seconds of the pace, and at least so many
+START = 0.5  # calls a second that one of many relays may send unpaced, until one is refused
+RISE, GROWTH = 0.5, 0.1  # pace gained with each success that finds it bound: unrefused of late, or paced
+CUT = 0.7  # pace kept after a refusal above the limit
+ROUGH = 1.5  # a rough listed rate may be this much too high
+BLAME = 0.3  # weight of one failure: two in a row make an outage
+SICK = 0.5  # blame above which a destination is taken as out
+TRUSTED = 0.25  # blame below which an unsafe message may be risked again
+SHUT_MS = 2500.0  # told waits and refusals without a break longer than any span of a limit mean shut
+MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
+CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
+
+
+def averaged(mean: float, dev: float, took: float, gain: float) -> tuple[float, float]:
+    return mean + gain * (took - mean), dev + gain * (abs(took - mean) - dev)
+
+
+def doubt(door: Door, now: float, class_: int) -> float:
+    """Guards against an endpoint that fails, or fails one class: others go first until that fades."""
+    recent = [c for c, at in door.faults.items() if now - at < FADE_MS]
+    return 8.0 * (class_ in recent) + 2.0 * len(recent)
+
+
+def suspect(lane: Lane, now: float) -> bool:
+    """Out, or each endpoint owes an answer that is overdue, and none came since: hung, gone or slow."""
+    if lane.sick or not lane.out:
+        return lane.sick
+    overdue = now - (lane.mean + OVERDUE * lane.dev) * lane.stretch
+    late = [held.out for held in lane.out.values() if held.out and lane.last_ok <= held.out_since < overdue]
+    return bool(late) and {door.entry.id for door in late}.issuperset(lane.doors)
+
+
+Choice = tuple[float, Held, Door]  # worth per slot time, message, endpoint
+
+
+class Relay:
+    """Decides for one relay: feed it events with `handle`, carry out the actions that it returns."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.s = settings
+        self.rng = random.Random(seed)
+        self.board = Board()
+        self.ends: list[tuple[float, int]] = []  # heap: when a message can no longer be delivered
+        self.lanes: dict[int, dict[int, Lane]] = {}  # destination -> its lanes
+        self.doors: dict[int, Door] = {}
+        self.key_rest: dict[int, float] = {}  # in-order key -> end of its rest
+        self.shares = [(2 * tenant.quota_per_s / settings.relays, 0.0) for tenant in settings.tenants]
+        self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
+        self.busy = 0
+        self.timer_at = 0.0
+        self.ask_at: float | None = 0.0 if settings.ask_for_list else None
+        self.ask_fails = 0
+
+    def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
+        acts: list[Action] = []
+        for event in events:
+            match event:
+                case Message():
+                    self._accept(now_ms, event)
+                case AttemptEnded():
+                    self._ended(now_ms, event)
+                case EndpointList():
+                    self._listed(now_ms, event)
+                case Withdrawn():
+                    self._withdraw(event.id)
+                case TimerFired():
+                    self.timer_at = 0.0
+        if self.ask_at is not None and now_ms >= self.ask_at:
+            acts.append(WatchList())
+            self.ask_at = now_ms + self.s.safety.ask_within_ms / 2  # asks again should no answer come
+        self._close_late(now_ms, acts)
+        self._dispatch(now_ms, acts)
+        self._make_room(acts, now_ms)
+        wakes = [at for at in self.board.look_at.values() if at > now_ms] + [end[0] for end in self.ends[:1]]
+        wake = min(wakes + ([self.ask_at] if self.ask_at is not None else []), default=None)
+        if wake is not None and (self.timer_at <= now_ms or wake < self.timer_at):
+            self.timer_at = max(wake, now_ms + self.s.tick_ms)
+            acts.append(SetTimer(self.timer_at - now_ms, 0))
+        return acts
+
+    # -- discovery ---------------------------------------------------------------------------------------
+
+    def _listed(self, now: float, event: EndpointList) -> None:
+        if event.kind is ListKind.FAILED:
+            # Guards against failing or overloaded discovery: asks again after growing, jittered pauses.
+            pause = min(RETRY_MS * 4 * 2**self.ask_fails, self.s.safety.ask_within_ms / 4)
+            self.ask_fails, self.ask_at = min(self.ask_fails + 1, 5), now + pause * self.rng.uniform(0.5, 1.0)
+            return
+        if event.kind is not ListKind.CACHED:
+            self.ask_fails, self.ask_at = 0, None
+        ready = {entry.id: entry for entry in event.entries if entry.listing is Listing.READY}
+        named = {entry.id for entry in event.entries} if event.kind is ListKind.CHANGES else set(self.doors)
+        for ident in sorted(named & set(self.doors)):
+            if ident not in ready or self._lane_key(ready[ident]) != self._lane_key(self.doors[ident].entry):
+                self._drop(now, self.doors.pop(ident))
+        for entry in ready.values():
+            self._add(now, entry)
+
+    def _drop(self, now: float, door: Door) -> None:
+        """Nothing new goes to an endpoint that drains or is gone; a lane goes with its last trace."""
+        del door.lane.doors[door.entry.id]
+        if not door.lane.doors and door.lane.bad_since is None:
+            door.lane.bad_since = now
+        for dest in [d for d in self.lanes if d not in self.board.queues and d != door.entry.destination]:
+            kept = {k: lane for k, lane in self.lanes[dest].items() if lane.doors or lane.out
+                    or now <= max(lane.wait_until, (lane.bad_since or 0.0) + FADE_MS)}
+            self.lanes[dest] = kept
+        self.lanes = {dest: lanes for dest, lanes in self.lanes.items() if lanes}
+
+    def _add(self, now: float, entry: Endpoint) -> None:
+        dest, key = self._lane_key(entry)
+        lanes = self.lanes.setdefault(dest, {})
+        listed = entry.rate if self.s.rates is not Rates.NONE and entry.rate > 0 else 0.0
+        if key not in lanes:
+            total = listed or START * self.s.relays
+            lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now)
+        lane, door = lanes[key], self.doors.get(entry.id)
+        if listed and listed != lane.total:
+            lane.pace, lane.total = lane.pace * listed / lane.total, listed  # keeps what was learned
+        if door is None:
+            if not lane.doors and lane.bad_since is not None:  # replaced late: the new endpoint is cold
+                self._cold(now, lane)
+            self.doors[entry.id] = lane.doors[entry.id] = Door(entry, lane)
+            self.board.look(dest)
+        else:
+            door.entry = entry
+
+    def _lane_key(self, entry: Endpoint) -> tuple[int, int]:
+        apart = entry.kind < len(self.s.kinds) and self.s.kinds[entry.kind].routes_apart
+        return entry.destination, entry.id if apart else -1
+
+    # -- message life ------------------------------------------------------------------------------------
+
+    def _accept(self, now: float, msg: Message) -> None:
+        cls = self.s.classes[msg.class_]
+        # An unmarked first try is new however little time it has left: some clients are just in a hurry.
+        old = msg.again or msg.from_dead_relay or not self.s.marks_repeats
+        since = now + msg.left_ms - cls.deadline_ms if old else now
+        held = Held(msg, cls, since, now + msg.left_ms, cls.worth, now)
+        if msg.tenant < len(self.shares):
+            left, at = self.shares[msg.tenant]
+            quota = self.s.tenants[msg.tenant].quota_per_s / self.s.relays
+            left = min(2 * quota, left + quota * (now - at) / 1000)
+            held.worth *= 1.0 if left >= 1 else self.s.over_share_worth
+            self.shares[msg.tenant] = left - (left >= 1), now
+        self.board.add(held)
+        self._wait(held)
+
+    def _wait(self, held: Held) -> None:
+        """Puts a message into its queue, until a send or its last moment, whichever comes first."""
+        close = min(self._until(held), held.due - MARGIN_MS - 2 * self.s.tick_ms)
+        heapq.heappush(self.ends, (close, held.msg.id))
+        self.board.queue(held)
+
+    def _may_refuse(self, held: Held) -> bool:
+        """A refusal promises that coming again is harmless: after an unclear attempt, only by effect."""
+        if held.first_risk is None or held.cls.effect is Effect.SAFE:
+            return True
+        return held.cls.effect is Effect.KEYED and held.cls.key_scope is Scope.ALL
+
+    def _turn(self, held: Held) -> float:
+        """When a message may go by the order of its key: the first of its key after the key's rest."""
+        if held.key and self.board.lines[held.key][0] != held.msg.id:
+            return float("inf")
+        return self.key_rest.get(held.key, 0.0)
+
+    def _may_send(self, now: float, held: Held, door: Door) -> bool:
+        """The one gate of every send: attempts, drain, told wait, time, order, effect and key window."""
+        lane, entry = door.lane, door.entry
+        if held.out is not None or entry.id not in self.doors or now >= self._until(held):
+            return False
+        if now < max(lane.wait_until, held.ready, self._turn(held)) or now + lane.mean / 4 >= held.due:
+            return False
+        if held.risk is None or held.cls.effect is not Effect.KEYED or held.cls.key_scope is Scope.ALL:
+            return True
+        return entry.id == held.risk.id or held.cls.key_scope is Scope.ZONE and entry.zone == held.risk.zone
+
+    def _until(self, held: Held) -> float:
+        """Until when another try is allowed: not past the attempts, nor where it could take effect twice."""
+        if held.tries >= self.s.attempts or held.first_risk is not None and held.cls.effect is Effect.UNSAFE:
+            return NEVER
+        if held.first_risk is None or held.cls.effect is Effect.SAFE:
+            return held.due
+        return held.first_risk + held.cls.key_window_ms - self.s.tick_ms
+
+    def _end(self, held: Held, acts: list[Action]) -> None:
+        acts.append(Refuse(held.msg.id) if self._may_refuse(held) else Fail(held.msg.id))
+        self.board.remove(held)
+
+    def _withdraw(self, ident: int) -> None:
+        if held := self.board.held.get(ident):
+            held.withdrawn = True  # one that is out waits for its outcome
+            if held.out is None:
+                self.board.remove(held)
+
+    def _close_late(self, now: float, acts: list[Action]) -> None:
+        """The deadline timer: ends what can no longer be delivered in time."""
+        while self.ends and self.ends[0][0] <= now:
+            held = self.board.held.get(heapq.heappop(self.ends)[1])
+            if held and held.out is None:
+                self._end(held, acts)
+
+    def _make_room(self, acts: list[Action], now: float) -> None:
+        """Before the hold fills (a full one turns newcomers away), refuses what will be worth least when
+        its queue has drained, so that a destination that is out or slow pays for itself."""
+        for _ in range(len(self.board.held) - int(CROWDED * self.s.hold)):
+            least: tuple[float, float, Held] | None = None
+            for dest, queue in self.board.queues.items():
+                drained = now + 1000 * len(queue) / self._speed(now, dest)
+                for held in queue.values():
+                    worth = held.worth_at(drained, self.s.decay), held.worth_at(now, self.s.decay), held
+                    if self._may_refuse(held) and (least is None or worth[:2] < least[:2]):
+                        least = worth
+            if least is not None:
+                self._end(least[2], acts)
+
+    def _speed(self, now: float, dest: int) -> float:
+        """Calls a second that this relay may expect to place at a destination."""
+        lanes = self.lanes.get(dest, {}).values()
+        return sum(self._pace(now, lane, suspect(lane, now))[0] for lane in lanes) or 0.01
+
+    # -- outcomes ----------------------------------------------------------------------------------------
+
+    def _ended(self, now: float, event: AttemptEnded) -> None:
+        held = self.board.held.get(event.id)
+        if held is None or held.out is None:
+            return
+        door, held.out = held.out, None
+        self.busy -= 1
+        door.out -= 1
+        door.lane.out.pop(event.id, None)
+        self.board.look(held.msg.destination)
+        if not event.outcome.proves_no_effect and held.first_risk is None:
+            held.first_risk, held.risk = held.out_since, door.entry
+        if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED) and held.key:
+            self.key_rest = {key: at for key, at in self.key_rest.items() if at > now}
+            self.key_rest[held.key] = now + self.s.safety.key_rest_ms + self.s.tick_ms
+        door.warm = [*door.warm, now] if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) else []
+        # Both layers pause before the next try: growing and jittered after any told wait.
+        pause = min(RETRY_MAX_MS, RETRY_MS * 2 ** (held.tries - 1)) * self.rng.uniform(0.7, 1.3)
+        held.ready = now + pause
+        if event.outcome is Outcome.OK:
+            self._answered(now, door, held, event.latency_ms)
+        elif event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
+            self._failed(now, door, held, event)
+        if self.s.limit_report and len(event.report) > max(self.s.limit_report):
+            self._reported(door.lane, *(event.report[n] for n in self.s.limit_report))
+        if event.finished or held.withdrawn:
+            self.board.remove(held)
+        else:
+            self._wait(held)
+
+    def _answered(self, now: float, door: Door, held: Held, took: float) -> None:
+        lane = door.lane
+        self.usual = averaged(*self.usual, took, 0.05)
+        lane.answers += 1
+        lane.mean, lane.dev = averaged(lane.mean, lane.dev, took, max(0.15, 1 / (lane.answers + 1)))
+        lane.last_ok, lane.stretch, lane.hold = now, 1.0, lane.hold / 2
+        lane.blame *= 1 - BLAME
+        door.faults.pop(held.msg.class_, None)
+        if lane.sick and lane.blame < SICK:
+            self._cold(now, lane)
+        lane.bad_since = None
+        if lane.credit < 1:
+            lane.pace = min(lane.total, lane.pace * (1 + (RISE if now > lane.free_at else GROWTH)))
+
+    def _cold(self, now: float, lane: Lane) -> None:
+        """It is back: from here on the cold budget holds, shared by the relays that may know of it."""
+        lane.knowers = self._knowers(now, lane)
+        lane.sick, lane.cold_since, lane.credit, lane.bad_since = False, now, 0.0, None
+
+    def _failed(self, now: float, door: Door, held: Held, event: AttemptEnded) -> None:
+        lane, shut = door.lane, event.wait_ms > SHUT_MS
+        lane.bad_since = held.out_since if lane.bad_since is None else lane.bad_since
+        lane.ran_nothing = event.outcome.proves_no_effect
+        if event.wait_ms > 0:  # told to many relays at once: the growing, jittered pause comes after it
+            lane.wait_until = max(lane.wait_until, held.ready + event.wait_ms)
+        if event.outcome is Outcome.FULL:
+            part, cut = lane.total / self.s.relays, lane.pace * CUT
+            paced = now < lane.free_at or part > START  # if not, the equal part is the first guess
+            lane.pace = max(part / 3, min(cut, (lane.pace * part) ** 0.5)) if paced else part
+            lane.hold = min(HOLD_MAX_MS, max(HOLD_MS, 2 * lane.hold))
+            lane.free_at = now + lane.hold * self.rng.uniform(0.5, 1.5)
+            lane.credit = min(lane.credit, self.rng.uniform(-0.5, 0.5))
+            if not shut:
+                return
+        else:
+            door.faults[held.msg.class_] = lane.failed_at = now
+        if event.outcome is Outcome.TIMEOUT:
+            lane.stretch = min(STRETCH_MAX, lane.stretch * 2)
+        # A recent answer or an endpoint that has not failed vouches for a destination: without either, one
+        # failure is an outage. Guards relays that call it too seldom to see two in a row.
+        vouched = held.out_since if event.outcome is Outcome.CONNECT_FAILED else now - FADE_MS
+        alone = lane.last_ok <= vouched and all(other.faults for other in lane.doors.values())
+        lane.blame += (1.0 - lane.blame) * (SICK + 0.05 if alone or shut else BLAME)
+        if lane.blame > SICK and lane.doors:
+            lane.next_trickle = lane.next_trickle if lane.sick else now
+            lane.sick, lane.blame = True, min(lane.blame, 0.7)
+        if shut:  # the first calls after it are spread over what it can take cold
+            gap = 1000 / self._pace(lane.wait_until, lane, True)[0]
+            lane.next_trickle = lane.wait_until + gap * self.rng.random()
+
+    def _reported(self, lane: Lane, left: float, limit: float) -> None:
+        if limit > 0:
+            part, lane.pace, lane.total = limit / self.s.relays, lane.pace * limit / lane.total, limit
+            change = 1 + GROWTH * (4 * left - 2)
+            if change < 1 or lane.credit < 1:
+                lane.pace = min(limit, max(lane.pace * change, part / 3))
+
+    # -- pace, health and return -------------------------------------------------------------------------
+
+    def _knowers(self, now: float, lane: Lane) -> float:
+        """How many relays may have met the outage: no more than there are, nor than calls it failed."""
+        since = now if lane.bad_since is None else lane.bad_since
+        since = max(min(since, lane.last_ok), since - FADE_MS)  # it may have begun at the last answer
+        return min(float(self.s.relays), 1 + MET * lane.total * (now - since) / 1000)
+
+    def _pace(self, now: float, lane: Lane, out: bool) -> tuple[float, float]:
+        """Calls a second and in one go: the learned pace; for a destination that is out or cold, this relay's
+        part of what it can take cold, so that all relays that know of the outage stay within the budget."""
+        safety, total = self.s.safety, lane.total / (ROUGH if self.s.rates is Rates.ROUGH else 1.0)
+        cold = max(safety.fall_multiple * safety.cold_share, 0.01) * total
+        # Failed, or refused again, and no answer for long: shut, full or out, and back at any moment.
+        bad = lane.bad_since is not None and now - lane.bad_since > SHUT_MS
+        if out or bad and (lane.failed_at > lane.last_ok or lane.hold > HOLD_MS):
+            return cold / self._knowers(now, lane), 1.0
+        pace = max(lane.pace, START) if now > lane.free_at else lane.pace  # rare calls fit a limit unpaced
+        if now < lane.cold_since + safety.cold_ms:
+            warmth = (1 - safety.cold_share) * (now - lane.cold_since) / safety.cold_ms
+            return min(pace, cold * (1 + warmth / max(safety.cold_share, 0.01)) / lane.knowers), 1.0
+        return pace, max(BURST, pace * BURST_S)
+
+    def _room_at(self, now: float, lane: Lane, out: bool) -> tuple[float, float]:
+        """When this lane takes another call, and when it takes one that overdraws its pace."""
+        pace, burst = self._pace(now, lane, out)
+        lane.credit, lane.credit_at = min(burst, lane.credit + pace * (now - lane.credit_at) / 1000), now
+        if out:
+            if now > lane.next_trickle + 2 * LOOK_MS:  # turns are not saved up while slots are busy
+                lane.next_trickle = now + 1000 / pace * self.rng.random()
+            return lane.next_trickle, lane.next_trickle
+        at = now + max(0.0, 1 - lane.credit) / pace * 1000
+        return at, at if burst == 1.0 else at - BURST / pace * 1000
+
+    # -- slots and choice --------------------------------------------------------------------------------
+
+    def _door(self, now: float, held: Held, lane: Lane) -> Door | None:
+        """The endpoint to use: not doubted, little busy, with a warm connection, cheap."""
+        def rank(door: Door) -> tuple[float, float, int]:
+            zone = door.entry.zone
+            fee = self.s.route_fees[zone] if zone < len(self.s.route_fees) else 0.0
+            fee += self.s.cross_zone_price * (zone != self.s.zone)
+            door.warm = [at for at in door.warm if now - at < self.s.idle_ms * 0.9]
+            load = door.out + doubt(door, now, held.msg.class_) + 0.9 * (not door.warm) + 1.5 * (fee > 0)
+            return load, fee, door.entry.id
+
+        able = [door for door in lane.doors.values() if self._may_send(now, held, door)]
+        return min(able, key=rank) if able else None
+
+    def _dispatch(self, now: float, acts: list[Action]) -> None:
+        """Sends what has most worth per slot time while there are slots; reads only queues that are due."""
+        picks: dict[int, Choice] = {}
+        due = [dest for dest, at in self.board.look_at.items() if at <= now]
+        while self.busy < self.s.slots:
+            found = {dest: self._pick(now, dest) for dest in due if dest in self.board.queues}
+            picks.update({dest: choice for dest, choice in found.items() if choice is not None})
+            if not picks:
+                return
+            dest = max(picks, key=lambda d: picks[d][0])
+            _, held, door = picks.pop(dest)
+            self._send(now, held, door, acts)
+            due = [dest]
+
+    def _pick(self, now: float, dest: int) -> Choice | None:
+        """The message of this queue with most worth still to win per slot time, if any may be sent at all."""
+        best: Choice | None = None
+        look = now + LOOK_MS
+        for lane in self.lanes.get(dest, {}).values():
+            out = suspect(lane, now)
+            cap = max(1, self.s.slots // (4 if out else 2))
+            if len(lane.out) >= cap and (out or len(self.board.queues) > 1):
+                continue
+            room_at, overdraw_at = self._room_at(now, lane, out)
+            # Slot time for one delivery, failed calls counted: scarce slots go to destinations that answer.
+            cost = lane.mean + lane.blame * (lane.mean + DEVIATIONS * lane.dev) / (1 - lane.blame)
+            barred = (out or lane.blame > TRUSTED) and not lane.ran_nothing
+            for held in self.board.queues[dest].values():
+                # The pace is a guess: overdrawn for a client that won't wait, or a message its key waits for.
+                hurried = held.due < held.since + held.cls.aim_ms or self.board.followed(held)
+                at = max(held.ready, lane.wait_until, overdraw_at if hurried else room_at, self._turn(held))
+                if barred and held.cls.effect is Effect.UNSAFE:
+                    at = max(at, lane.failed_at + FADE_MS)  # an unclear outcome would be final
+                if at > now:
+                    look = min(look, at)
+                    continue
+                soon = held.worth_at(now + lane.mean, self.s.decay)
+                later = held.worth_at(now + lane.mean + 1000.0, self.s.decay)
+                value = (2 * soon - later) / cost
+                if best is None or value > best[0]:
+                    door = self._door(now, held, lane)
+                    best = best if door is None else (value, held, door)
+        self.board.look_at[dest] = look if best is None else 0.0
+        return best
+
+    def _send(self, now: float, held: Held, door: Door, acts: list[Action]) -> None:
+        lane, until = door.lane, held.due
+        patience = (lane.mean + DEVIATIONS * lane.dev) * lane.stretch
+        last = held.tries + 1 >= self.s.attempts or held.cls.effect is Effect.UNSAFE
+        if held.cls.effect is Effect.KEYED:
+            risk = held.first_risk if held.first_risk is not None else now
+            last = last or now + patience + RETRY_MS * 2**held.tries > risk + held.cls.key_window_ms
+        if last or now + 2 * patience < held.due:
+            until = min(held.due, now + patience * (LAST if last else 1.0))
+        if door.warm:
+            door.warm.pop()
+        if suspect(lane, now):  # the next call there: spread, and rarer the longer it lasts
+            lane.next_trickle = now + 1000 / self._pace(now, lane, True)[0] * self.rng.uniform(0.7, 1.3)
+        self.board.unqueue(held)
+        held.out, held.out_since, held.tries = door, now, held.tries + 1
+        door.out += 1
+        lane.out[held.msg.id] = held
+        lane.credit -= 1
+        self.busy += 1
+        acts.append(Send(held.msg.id, door.entry.id, until))
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,96 @@
+"""Helpers that drive a `Relay` by hand; they play no servers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from hypothesis import settings as hypothesis_settings
+
+from linnetstile import interface as api
+from linnetstile.control import Relay
+
+hypothesis_settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
+hypothesis_settings.load_profile("fixed")
+
+CLASSES = tuple(
+    api.MessageClass(effect.value, effect, 1000.0, 10000.0, 1.0, 0.5, 3000.0) for effect in api.Effect
+)
+SAFE, KEYED, UNSAFE = range(3)
+UNCLEAR = (api.Outcome.ERROR, api.Outcome.TIMEOUT, api.Outcome.RESET)
+
+
+def make_settings(**more: Any) -> api.Settings:
+    values: dict[str, Any] = {
+        "classes": CLASSES, "kinds": (api.DestinationKind("k"),), "slots": 8, "hold": 40, "attempts": 5,
+        "relays": 2, "rates": api.Rates.NOMINAL, "idle_ms": 10000.0, "tick_ms": 5.0,
+        "safety": api.Safety(20.0, 250.0, 0.2, 9000.0, 2.0, 1500.0, 10000.0, 100.0),
+    }
+    return api.Settings(**{**values, **more})
+
+
+@dataclass
+class Driver:
+    """A relay, a clock, and what has been sent and ended so far."""
+
+    settings: api.Settings = field(default_factory=make_settings)
+    now: float = 1000.0
+    seed: int = 1
+    sent: list[tuple[float, api.Send]] = field(default_factory=list)
+    ended: dict[int, api.Action] = field(default_factory=dict)
+    other: list[tuple[float, api.Action]] = field(default_factory=list)
+    tries: dict[int, int] = field(default_factory=dict)
+    ids: int = 0
+    out: dict[int, api.Send] = field(default_factory=dict)  # calls without an outcome
+
+    def __post_init__(self) -> None:
+        self.relay = Relay(self.settings, self.seed)
+
+    def feed(self, *events: api.Event) -> list[api.Action]:
+        acts = self.relay.handle(self.now, list(events))
+        for act in acts:
+            if isinstance(act, api.Send):
+                self.sent.append((self.now, act))
+                self.tries[act.id] = self.tries.get(act.id, 0) + 1
+                self.out[act.id] = act
+            elif isinstance(act, api.Refuse | api.Fail):
+                assert act.id not in self.ended, "a message ended twice"
+                self.ended[act.id] = act
+            else:
+                self.other.append((self.now, act))
+        return acts
+
+    def listed(self, *entries: tuple[int, int], rate: float = 20.0, kind: int = 0) -> None:
+        self.feed(api.EndpointList(api.ListKind.CACHED, tuple(
+            api.Endpoint(ident, dest, api.Listing.READY, kind, 0, rate) for ident, dest in entries)))
+
+    def message(
+        self, class_: int = SAFE, dest: int = 1, left: float = 1e4, key: int = 0, tenant: int = 0
+    ) -> int:
+        self.ids += 1
+        self.feed(api.Message(self.ids, dest, class_, left, tenant, key))
+        return self.ids
+
+    def pass_time(self, ms: float, step: float = 5.0) -> None:
+        end = self.now + ms
+        while self.now < end:
+            self.now += step
+            self.feed(api.TimerFired(0))
+
+    def last(self, ident: int) -> tuple[float, api.Send]:
+        return [entry for entry in self.sent if entry[1].id == ident][-1]
+
+    def answer(self, ident: int, outcome: api.Outcome = api.Outcome.OK, wait: float = 0.0,
+               took: float = 100.0, report: tuple[float, ...] = ()) -> list[api.Action]:
+        send = self.out.pop(ident)
+        return self.feed(api.AttemptEnded(ident, self.tries[ident] - 1, send.endpoint, outcome, took,
+                                          outcome is api.Outcome.OK, wait, report=report))
+
+    def warm_up(self, dest: int = 1, calls: int = 6) -> None:
+        """Some quick answers, so that the destination is known and well."""
+        for _ in range(calls):
+            ident = self.message(SAFE, dest)
+            while not self.tries.get(ident):
+                self.pass_time(20)
+            self.pass_time(100)
+            self.answer(ident)
--- /dev/null
+++ b/tests/test_symptoms.py
@@ -0,0 +1,336 @@
+"""What the module does, and must not do, under each kind of symptom."""
+
+from linnetstile import interface as api
+
+from .conftest import KEYED, SAFE, UNSAFE, Driver, make_settings
+
+
+def test_lost_answers_do_not_hold_slots_until_the_deadline() -> None:
+    d = Driver()
+    d.listed((11, 1))
+    d.warm_up(calls=20)
+    ident = d.message(UNSAFE)
+    d.pass_time(50)
+    at, send = d.last(ident)
+    assert at < send.give_up_at_ms < at + 5000.0  # its deadline is 10 s away
+
+
+def test_short_patience_is_not_old_age() -> None:
+    d = Driver(make_settings(marks_repeats=True))
+    d.listed((11, 1), rate=1.0)
+    d.warm_up()
+    late = d.message(SAFE, left=9000.0)
+    d.pass_time(1200)  # past its aim; the pace holds it back or it was sent
+    hurry = d.message(SAFE, left=800.0)
+    d.pass_time(400)
+    assert d.tries.get(hurry) == 1
+    assert late not in d.ended
+
+
+def test_sick_destination_pays_for_the_room_it_takes() -> None:
+    d = Driver(make_settings(hold=20))
+    d.listed((11, 1), (12, 2))
+    d.warm_up(1)
+    d.warm_up(2)
+    for _ in range(2):
+        ident = d.message(SAFE, 1)
+        d.pass_time(400)
+        d.answer(ident, api.Outcome.CONNECT_FAILED)
+    stuck = [d.message(KEYED, 1) for _ in range(14)]
+    well = [d.message(SAFE, 2) for _ in range(8)]
+    assert not set(well) & set(d.ended) and set(d.ended) & set(stuck)
+    assert all(isinstance(d.ended[ident], api.Refuse) for ident in set(d.ended) & set(stuck))
+
+
+def test_silent_destination_gets_a_trickle_and_no_unsafe_message() -> None:
+    d = Driver()
+    d.listed((11, 1))
+    d.warm_up()
+    for _ in range(2):
+        d.message(SAFE)
+    d.pass_time(2000)
+    before = len(d.sent)
+    unsafe = [d.message(UNSAFE) for _ in range(4)]
+    for _ in range(6):
+        d.message(SAFE)
+    d.pass_time(1500)
+    assert not set(unsafe) & {send.id for _, send in d.sent}
+    assert len(d.sent) - before <= 3
+
+
+def test_sick_destination_holds_at_most_half_the_slots() -> None:
+    d = Driver()
+    d.listed((11, 1), (12, 2), rate=200.0)
+    d.warm_up(1)
+    d.warm_up(2)
+    d.message(SAFE, 1)
+    d.pass_time(2000)
+    for _ in range(20):
+        d.message(SAFE, 1)
+    d.message(SAFE, 2)
+    d.pass_time(3000)
+    assert len([send for send in d.out.values() if send.endpoint == 11]) <= 4
+    assert any(send.endpoint == 12 for at, send in d.sent[-20:])
+
+
+def test_scarce_slots_go_to_the_destination_that_answers() -> None:
+    d = Driver(make_settings(slots=4))
+    d.listed((11, 1), (12, 2), (13, 3), rate=200.0)
+    for dest in (1, 2, 3):
+        d.warm_up(dest)
+    ident = d.message(SAFE, 1)
+    d.pass_time(50)
+    d.answer(ident, api.Outcome.ERROR)  # one failed call at destination 1 is no outage
+    d.feed(api.Withdrawn(ident))
+    busy = [d.message(SAFE, 3) for _ in range(4)]
+    failing, well = d.message(SAFE, 1), d.message(SAFE, 2)
+    d.pass_time(50)
+    d.answer(busy[0])
+    assert d.tries.get(well) == 1 and failing not in d.tries
+
+
+def test_one_bad_endpoint_among_good_ones_is_left() -> None:
+    d = Driver()
+    d.listed((11, 1), (12, 1))
+    d.warm_up()
+    start = len(d.sent)
+    for _ in range(20):
+        ident = d.message(SAFE)
+        d.pass_time(100)
+        if d.tries.get(ident):
+            bad = d.last(ident)[1].endpoint == 11
+            d.answer(ident, api.Outcome.RESET if bad else api.Outcome.OK)
+        d.pass_time(200)
+    later = [send.endpoint for _, send in d.sent[start + 10:]]
+    assert later.count(12) > 4 * later.count(11)
+
+
+def test_slow_is_not_down() -> None:
+    d = Driver()
+    d.listed((11, 1))
+    d.warm_up()
+    first = d.message(SAFE)
+    quick = d.out[first].give_up_at_ms - d.now
+    d.pass_time(600)
+    d.answer(first, api.Outcome.TIMEOUT)
+    d.pass_time(1000)
+    at, again = d.last(first)
+    assert again.give_up_at_ms - at >= 2 * quick  # it is asked again soon, and given more time
+
+
+def calls_in(d: Driver, ms: float, outcome: api.Outcome = api.Outcome.OK) -> int:
+    """Keeps messages coming for a while, answering each call after 50 ms; how many calls were made."""
+    start, end = len(d.sent), d.now + ms
+    while d.now < end:
+        if len(d.out) < 3:
+            d.message()
+        d.pass_time(50)
+        for ident in list(d.out):
+            d.answer(ident, outcome)
+    return len(d.sent) - start
+
+
+def test_refusals_slow_the_pace_and_success_brings_it_back() -> None:
+    d = Driver()
+    d.listed((11, 1), rate=8.0)
+    d.warm_up()
+    calls_in(d, 4000)
+    before = calls_in(d, 4000)
+    calls_in(d, 1000, api.Outcome.FULL)
+    slowed = calls_in(d, 2000)
+    calls_in(d, 15000)
+    assert 2 * slowed < 0.7 * before and calls_in(d, 4000) > 0.9 * before
+
+
+def test_settings_that_make_no_sense_name_their_field() -> None:
+    for field, value in (("classes", ()), ("slots", 0), ("hold", 0), ("tick_ms", -1.0)):
+        try:
+            make_settings(**{field: value})
+        except ValueError as error:
+            assert field in str(error)
+        else:
+            raise AssertionError(f"{field}={value} was taken")
+
+
+def test_load_reports_steer_the_pace_both_ways() -> None:
+    paces = []
+    for left in (0.0, 1.0):
+        d = Driver(make_settings(limit_report=(0, 1)))
+        d.listed((11, 1), rate=8.0)
+        d.warm_up()
+        for _ in range(100):
+            d.message()
+            d.pass_time(50)
+            for ident in list(d.out):
+                d.answer(ident, report=(left, 8.0))
+        paces.append(len(d.sent))
+    assert paces[0] < 0.9 * paces[1]
+
+
+def test_a_rare_call_that_fails_is_an_outage_and_a_recent_answer_vouches() -> None:
+    """Guards one of many relays: it calls a destination too seldom to see two failures in a row."""
+    for idle, wary in ((4000.0, False), (20000.0, True)):
+        d = Driver(make_settings(relays=100))
+        d.listed((11, 1), rate=100.0)
+        d.warm_up()
+        d.pass_time(idle, 500)
+        lost = d.message()
+        d.pass_time(500)
+        d.answer(lost, api.Outcome.TIMEOUT)
+        d.pass_time(200)
+        assert d.tries[lost] == 2
+        later = d.message()
+        d.pass_time(200)
+        assert (later not in d.tries) == wary
+
+
+def test_one_class_failing_at_one_endpoint_goes_to_the_other() -> None:
+    d = Driver()
+    d.listed((11, 1), (12, 1))
+    d.warm_up()
+    used = []
+    for turn in range(24):
+        ident = d.message(KEYED if turn % 2 else SAFE)
+        d.pass_time(100)
+        send = d.out.get(ident)
+        if send is None:
+            continue
+        used.append((turn % 2, send.endpoint))
+        swallowed = turn % 2 and send.endpoint == 11
+        d.pass_time(900 if swallowed else 10)
+        d.answer(ident, api.Outcome.TIMEOUT if swallowed else api.Outcome.OK)
+        d.feed(api.Withdrawn(ident))
+    keyed = [endpoint for odd, endpoint in used if odd]
+    assert len(used) >= 22 and keyed.count(11) <= 3  # no false outage, and the class stays away
+
+
+def test_first_calls_after_a_told_shut_are_spread_over_the_relays() -> None:
+    firsts = []
+    for seed in range(40):
+        d = Driver(make_settings(relays=40), seed=seed)
+        d.listed((11, 1), rate=10.0)
+        ident = d.message()
+        d.answer(ident, api.Outcome.FULL, wait=6000.0)
+        told = d.now + 6000
+        d.pass_time(9900, 50)
+        firsts += [at - told for at, _ in d.sent if at > d.now - 9900 + 1]
+    assert min(firsts) > 0 and len([at for at in firsts if at <= 1500]) <= 2.0 * 0.2 * 10.0 * 1.5 + 3
+
+
+def test_a_rare_call_is_not_paced_by_the_equal_part() -> None:
+    """Guards many relays: rate / relays is a fraction of a call a second."""
+    d = Driver(make_settings(relays=200))
+    d.listed((11, 1), rate=10.0)
+    for _ in range(6):
+        ident = d.message()
+        d.pass_time(50)
+        assert ident in d.out
+        d.answer(ident)
+        d.pass_time(2500)
+
+
+def test_an_idle_relay_is_not_woken_for_nothing() -> None:
+    d = Driver()
+    d.listed((11, 1))
+    ident = d.message()
+    d.pass_time(100)
+    d.answer(ident)
+    d.pass_time(20000, 500)
+    before = len(d.other)
+    d.pass_time(20000, 500)
+    assert len(d.other) == before
+
+
+def test_replaced_endpoints_leave_nothing_behind() -> None:
+    import pickle
+
+    d = Driver()
+    sizes = []
+    for generation in range(60):
+        d.feed(api.EndpointList(api.ListKind.WHOLE, tuple(
+            api.Endpoint(100 * generation + n, 50 * generation + n, api.Listing.READY, 0, 0, 20.0)
+            for n in range(5))))
+        ident = d.message(dest=50 * generation)
+        d.pass_time(50)
+        d.answer(ident)
+        d.pass_time(30000, 5000)
+        sizes.append(len(pickle.dumps(d.relay)))
+    assert sizes[-1] < 1.5 * sizes[10]
+
+
+def test_a_listed_rate_that_changes_a_little_keeps_what_was_learned() -> None:
+    d = Driver()
+    d.listed((11, 1), rate=8.0)
+    d.warm_up()
+    calls_in(d, 4000)
+    calls_in(d, 1000, api.Outcome.FULL)
+    slowed = calls_in(d, 1000)
+    d.listed((11, 1), rate=8.2)
+    assert calls_in(d, 1000) <= slowed + 3
+
+
+def test_an_endpoint_that_replaces_the_last_one_late_is_taken_as_cold() -> None:
+    sends = []
+    for gap in (0.0, 4000.0):
+        d = Driver()
+        d.listed((11, 1))
+        d.warm_up()
+        if gap:
+            d.feed(api.EndpointList(api.ListKind.CHANGES, (api.Endpoint(11, 1, api.Listing.GONE),)))
+        for _ in range(12):
+            d.message()
+        d.pass_time(gap)
+        start = len(d.sent) if gap else 0
+        d.feed(api.EndpointList(api.ListKind.CHANGES, (api.Endpoint(12, 1, api.Listing.READY, 0, 0, 20.0),)))
+        d.pass_time(600)
+        sends.append(len([1 for _, send in d.sent[start:] if send.id > 6]))
+    assert 1 <= sends[1] < sends[0]
+
+
+def test_a_head_that_others_of_its_key_wait_for_goes_before_the_pace_allows() -> None:
+    ordered = api.MessageClass("o", api.Effect.UNSAFE, 1000.0, 10000.0, 1.0, 0.5, 0.0, in_order=True)
+    waits = []
+    for followers in (0, 2):
+        d = Driver(make_settings(classes=(ordered,), relays=200))
+        d.listed((11, 1), rate=10.0)
+        head = d.message(0, key=7)
+        for _ in range(followers):
+            d.message(0, key=7)
+        d.answer(head, api.Outcome.FULL)
+        refused = d.now
+        d.pass_time(4000)
+        waits.append(d.last(head)[0] - refused)
+    assert waits[1] < 500 and waits[0] <= 0  # without followers it has not gone again yet
+
+
+def test_many_refused_relays_do_not_come_back_in_step() -> None:
+    agains = []
+    for seed in range(30):
+        d = Driver(make_settings(relays=200), seed=seed)
+        d.listed((11, 1), rate=10.0)
+        ident = d.message()
+        d.answer(ident, api.Outcome.FULL)
+        refused = d.now
+        d.pass_time(9900, 50)
+        agains.append(d.last(ident)[0] - refused)
+    assert min(agains) > 1000 and max(agains) - min(agains) > 3000
+
+
+def test_turns_at_a_destination_that_is_out_are_not_saved_up() -> None:
+    """Guards a returning destination: many relays whose turn is long past get a message at once."""
+    at_once = 0
+    for seed in range(40):
+        d = Driver(make_settings(relays=40), seed=seed)
+        d.listed((11, 1), rate=10.0)
+        for _ in range(2):
+            ident = d.message()
+            d.pass_time(3000, 50)
+            if ident in d.out:
+                d.answer(ident, api.Outcome.CONNECT_FAILED)
+            d.feed(api.Withdrawn(ident))
+        d.pass_time(30000, 500)
+        start = len(d.sent)
+        d.message()
+        d.pass_time(200, 50)
+        at_once += len(d.sent) - start
+    assert at_once <= 20
--- /dev/null
+++ b/tests/test_wirehost.py
@@ -0,0 +1,167 @@
+"""The adapter: the wire document's bytes, a conversation with a child process, and bad input."""
+
+import json
+import os
+import struct
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+from linnetstile import interface as api
+from linnetstile import wirehost
+
+SETTINGS: dict[str, Any] = {
+    "az": 0,
+    "balancers": 2,
+    "classes": [
+        {"aim-ms": 400.0, "deadline-ms": 4000.0, "dedup-scope": "all", "effect": "by_key", "late-share": 0.5,
+         "name": "a", "window-ms": 2000.0, "worth": 2.0},
+    ],
+    "extra": {"call-slots": 4, "loses-worth": "halves", "per-call": [1], "separate-routes": [False]},
+    "kinds": ["k"],
+    "limits": {"open-cap": 20, "try-limit": 5, "probing": False, "streams-per-conn": 1, "conn-idle-ms": 1e4},
+    "registry-mode": "push",
+    "safety": {"answer-slack-ms": 20.0, "cold-from": 0.2, "cold-ms": 9000.0, "drain-grace-ms": 250.0,
+               "fall-ms": 1500.0, "fall-multiple": 2.0},
+    "tick-ms": 5.0,
+    "weight-kind": "nominal",
+    "a-key-nobody-knows": {"x": 1},
+}
+
+
+def record(code: int, body: bytes) -> bytes:
+    return struct.pack("<BI", code, len(body)) + body
+
+
+def frame(now: float, *records: bytes) -> bytes:
+    body = b"".join(records)
+    return struct.pack("<IdI", len(body), now, len(records)) + body
+
+
+def enlist(settings: dict[str, Any] = SETTINGS, instance: int = 3) -> bytes:
+    text = json.dumps(settings).encode()
+    return record(80, struct.pack("<IQI", instance, 7, len(text)) + text)
+
+
+def listing() -> bytes:
+    entries = wirehost.ENTRY.pack(1, 8.0, 0.0, 0, 0, 57, 11) + wirehost.ENTRY.pack(1, 8.0, 0.0, 0, 0, 57, 12)
+    return record(20, struct.pack("<BI", 0, 2) + entries) + b""
+
+
+def announce() -> bytes:
+    return record(30, struct.pack("<IBQB", 3, 2, 41, 0))
+
+
+def request(ident: int) -> bytes:
+    return record(110, struct.pack("<IIBIQddfB", 3, ident, 0, 0, 0, 4000.0, 0.0, 57.0, 0))
+
+
+def run(data: bytes, **env: str) -> subprocess.CompletedProcess[bytes]:
+    return subprocess.run([sys.executable, "-m", "linnetstile.wirehost"], input=data, capture_output=True,
+                          timeout=60, env={**os.environ, **env})
+
+
+def test_documented_events_are_decoded() -> None:
+    host = wirehost.Host()
+    data = bytes.fromhex("03000000c4913a5d0000000000640ad2557c3bf091"
+                         "0000000000006e4000000000000028400000644201")
+    assert host._event(110, data) == api.Message(
+        0x5D3A91C4, 57, 0, 240.0, 0, 0x91F03B7C55D20A64, 12.0, False, False)
+    assert host._event(40, bytes.fromhex("030000004d00000000000000")) == api.TimerFired(77)
+    assert host._event(70, bytes.fromhex("05000000192b6f0e")) == api.Withdrawn(0x0E6F2B19)
+    done = bytes.fromhex("03000000c4913a5d0000074a12030100000000008032400100000000" + "00")
+    assert host._event(100, done) == api.AttemptEnded(
+        0x5D3A91C4, 0, 0x03124A07, api.Outcome.OK, 18.5, True, 0.0, False, ())
+    events: dict[int, list[api.Event]] = {}
+    rows = "020000000" + "1" + "0000803f00000000000000000000003900074a1203"
+    rows += "01" + "0000c03f0000000000d4b740000000" + "3900f211902c"
+    host._take(20, b"\0" + bytes.fromhex(rows), events)
+    host._take(30, bytes.fromhex("0300000002290000000000000000"), events)
+    assert events[3] == [api.EndpointList(api.ListKind.CACHED, (
+        api.Endpoint(0x03124A07, 57, api.Listing.READY, 0, 0, 1.0),
+        api.Endpoint(0x2C9011F2, 57, api.Listing.READY, 0, 0, 1.5)))]
+
+
+@pytest.mark.parametrize(
+    ("action", "wire"),
+    [
+        (api.Send(0x5D3A91C4, 0x03124A07, 8512.25), None),
+        (api.Refuse(0x0E6F2B19, 250.0), "1410000000030000 00192b6f0e0000000000406f40"),
+        (api.Fail(0x0E6F2B19), "1e0800000003000000192b6f0e"),
+        (api.Cancel(0x5D3A91C4, 0), "280a00000003000000c4913a5d0000"),
+        (api.SetTimer(500.0, 77), "3214000000030000000000000000407f404d00000000000000"),
+        (api.Probe(0x2C9011F2), "3c0800000003000000f211902c"),
+        (api.WatchList(), "6e050000000300000001"),
+    ],
+)
+def test_documented_actions_are_encoded(action: api.Action, wire: str | None) -> None:
+    coded = wirehost.encode(3, 0.0, action)
+    if wire is None:
+        assert coded.hex() == "0a1400000003000000c4913a5d074a1203" + struct.pack("<d", 8512.25).hex()
+    else:
+        assert coded == bytes.fromhex(wire)
+
+
+def test_debug_line_is_encoded() -> None:
+    wire = "5a1700000005000000110074776f2073657276657273206b6e6f776e"
+    assert wirehost.encode(5, 0.0, api.Log("two servers known")).hex() == wire
+
+
+def conversation() -> bytes:
+    done = struct.pack("<IIHIBdBIB", 3, 1, 0, 11, 1, 120.0, 1, 0, 0)
+    return b"".join([
+        frame(0.0),
+        frame(100.0, enlist(), listing(), announce()),
+        frame(110.0, request(1)),
+        frame(1240.0, record(100, done), *(request(n) for n in range(2, 9))),
+        frame(1260.0, record(40, struct.pack("<IQ", 3, 0))),
+    ])
+
+
+def replies(data: bytes) -> list[list[tuple[int, bytes]]]:
+    out, at = [], 0
+    while at < len(data):
+        size, count = struct.unpack_from("<II", data, at)
+        at += 8
+        records = list(wirehost.Host._records(count, data[at : at + size]))
+        out.append(records)
+        at += size
+    return out
+
+
+def test_conversation_with_a_child_process() -> None:
+    done = run(conversation())
+    assert done.returncode == 0 and done.stderr == b""
+    batches = replies(done.stdout)
+    assert len(batches) == 5 and batches[0] == []
+    sends = [struct.unpack("<IIId", body) for code, body in batches[2] if code == 10]
+    assert [send[:2] for send in sends] == [(3, 1)] and sends[0][2] in (11, 12)
+    assert any(code == 10 for code, _ in batches[3])
+
+
+def test_same_actions_whatever_the_hash_seed() -> None:
+    first, second = run(conversation(), PYTHONHASHSEED="1"), run(conversation(), PYTHONHASHSEED="2")
+    assert first.stdout == second.stdout and len(first.stdout) > 100
+
+
+@pytest.mark.parametrize(
+    ("data", "says"),
+    [
+        (b"\x01\x02\x03", "frame header"),
+        (struct.pack("<IdI", 40, 0.0, 1) + b"xx", "inside a frame"),
+        (frame(0.0, record(251, b"\3\0\0\0")), "unknown event code 251"),
+        (frame(0.0, record(80, struct.pack("<IQI", 3, 7, 4) + b"{no}")), "settings"),
+        (frame(0.0, enlist({**SETTINGS, "classes": []})), "classes"),
+        (frame(0.0, enlist({k: v for k, v in SETTINGS.items() if k != "limits"})), "limits"),
+        (frame(0.0, enlist(), record(110, b"\3\0\0\0\1")), "malformed"),
+        (frame(0.0, announce()), "list 0 was never sent"),
+        (frame(0.0, enlist(), request(1)[:13] + b"\x09" + request(1)[14:]), "class 9"),
+        (frame(0.0, record(70, b"\3\0\0\0\1\0\0\0") + b"left"), "after its last record"),
+    ],
+)
+def test_malformed_input_ends_with_one_plain_line(data: bytes, says: str) -> None:
+    done = run(data)
+    text = done.stderr.decode()
+    assert done.returncode == 1 and text.count("\n") == 1 and "Traceback" not in text and says in text
