--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -9,8 +9,8 @@
 import random
 
 from .interface import (
-    Action, AttemptEnded, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message, Outcome,
-    Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
+    Action, AttemptEnded, Closing, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message,
+    Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
 )
 from .state import NEVER, Board, Door, Held, Lane
 
@@ -77,6 +77,7 @@
         self.timer_at = 0.0
         self.ask_at: float | None = 0.0 if settings.ask_for_list else None
         self.ask_fails = 0
+        self.closing_at = float("inf")  # a planned restart: no call may still be out then
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
         acts: list[Action] = []
@@ -92,6 +93,8 @@
                     self._withdraw(event.id)
                 case TimerFired():
                     self.timer_at = 0.0
+                case Closing():
+                    self.closing_at = event.at_ms
         if self.ask_at is not None and now_ms >= self.ask_at:
             acts.append(WatchList())
             self.ask_at = now_ms + self.s.safety.ask_within_ms / 2  # asks again should no answer come
@@ -163,7 +166,10 @@
         # An unmarked first try is new however little time it has left: some clients are just in a hurry.
         old = msg.again or msg.from_dead_relay or not self.s.marks_repeats
         since = now + msg.left_ms - cls.deadline_ms if old else now
-        held = Held(msg, cls, since, now + msg.left_ms, cls.worth, now)
+        since = since if msg.age_ms is None else now - msg.age_ms
+        risk = None if msg.risk_age_ms is None else now - msg.risk_age_ms
+        held = Held(msg, cls, since, now + msg.left_ms, cls.worth, now, msg.tries)
+        held.first_risk, held.risk = risk, msg.risk
         if msg.tenant < len(self.shares):
             left, at = self.shares[msg.tenant]
             quota = self.s.tenants[msg.tenant].quota_per_s / self.s.relays
@@ -198,10 +204,23 @@
             return False
         if now < max(lane.wait_until, held.ready, self._turn(held)) or now + lane.mean / 4 >= held.due:
             return False
+        if now + (lane.mean + OVERDUE * lane.dev) * lane.stretch > self.closing_at:
+            return False
         if held.risk is None or held.cls.effect is not Effect.KEYED or held.cls.key_scope is Scope.ALL:
             return True
         return entry.id == held.risk.id or held.cls.key_scope is Scope.ZONE and entry.zone == held.risk.zone
 
+    def may_write(self, now: float, ident: int) -> bool:
+        """Asked right before a call's first byte: connecting took time, in which its endpoint may have
+        drained, its destination told us to wait, or the message's time or key window run out."""
+        held = self.board.held.get(ident)
+        if held is None or held.out is None or held.withdrawn:
+            return False
+        keyed = held.cls.effect is Effect.KEYED and held.first_risk is not None
+        window = (held.first_risk or 0.0) + held.cls.key_window_ms - self.s.tick_ms if keyed else held.due
+        door, until = held.out, min(held.due, window, self.closing_at)
+        return self.doors.get(door.entry.id) is door and door.lane.wait_until <= now < until
+
     def _until(self, held: Held) -> float:
         """Until when another try is allowed: not past the attempts, nor where it could take effect twice."""
         if held.tries >= self.s.attempts or held.first_risk is not None and held.cls.effect is Effect.UNSAFE:
@@ -437,6 +456,7 @@
             last = last or now + patience + RETRY_MS * 2**held.tries > risk + held.cls.key_window_ms
         if last or now + 2 * patience < held.due:
             until = min(held.due, now + patience * (LAST if last else 1.0))
+        until = min(until, self.closing_at)
         if door.warm:
             door.warm.pop()
         if suspect(lane, now):  # the next call there: spread, and rarer the longer it lasts
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -203,6 +203,11 @@
     work_ms: float | None = None
     again: bool = False
     from_dead_relay: bool = False
+    # Resumed after a restart of this relay: what the journal knows of it.
+    age_ms: float | None = None  # since it was first handed in
+    tries: int = 0
+    risk_age_ms: float | None = None  # since the first try that may have run
+    risk: Endpoint | None = None  # and where that went
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,7 +241,14 @@
     token: int
 
 
-Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired]
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """The process ends soon: a call still out then would have no known outcome."""
+
+    at_ms: float
+
+
+Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Closing]
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/linnetstile/net/agent.py
@@ -0,0 +1,57 @@
+"""Requests to the platform's agent: a kept connection, one request at a time, never longer than told."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from .config import Address
+from .link import Link, LinkLost
+
+ANSWER_BYTES = 1 << 20
+
+
+class AgentError(Exception):
+    """No answer came in time, or none that can be used."""
+
+
+class Agent:
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.link: Link | None = None
+
+    async def ask(self, method: str, target: str, body: bytes, seconds: float) -> tuple[int, bytes]:
+        """Safe to repeat at will: the agent takes each of its requests any number of times."""
+        try:
+            async with asyncio.timeout(seconds):
+                if self.link is None or not self.link.usable:
+                    self.link = await Link.open(self.address, ANSWER_BYTES)
+                host = f"{self.address[0]}:{self.address[1]}"
+                head, answer = await self.link.ask(method, target, [("Host", host)], body)
+                return head.status, answer
+        except TimeoutError as error:
+            self.close()
+            raise AgentError(f"no answer within {seconds:.1f} s") from error
+        except LinkLost as error:
+            self.close()
+            raise AgentError(str(error)) from error
+
+    def close(self) -> None:
+        if self.link is not None:
+            self.link.close()
+            self.link = None
+
+
+class Backoff:
+    """Growing, jittered pauses between failed requests, so that a returning agent is not hammered."""
+
+    def __init__(self, first_s: float, most_s: float) -> None:
+        self.first_s, self.most_s, self.fails = first_s, most_s, 0
+
+    async def pause(self) -> None:
+        wait = min(self.most_s, self.first_s * 2.0 ** min(self.fails, 16))
+        self.fails += 1
+        await asyncio.sleep(wait * random.uniform(0.7, 1.3))
+
+    def reset(self) -> None:
+        self.fails = 0
--- /dev/null
+++ b/linnetstile/net/egress.py
@@ -0,0 +1,162 @@
+"""Calls to endpoints: one at a time on a connection, and what each one's end proves."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..interface import Outcome
+from .config import Address
+from .link import Head, Link, LinkLost
+
+IDLE_SHARE = 0.8  # of the idle limit: an older connection may be closed while a call is written to it
+BODY_S = 1.0  # an answer's body means nothing; one that takes longer costs its connection
+BODY_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    endpoint: int
+    address: Address
+    trace_id: str
+    key: str | None
+    body: bytes
+    give_up_at: float  # on the loop's clock, in seconds
+    may_write: Callable[[], bool]  # asked right before the first byte
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    outcome: Outcome
+    wait_ms: float = 0.0
+    no_slot: bool = False
+    over: bool = False  # the endpoint says that nothing more is owed
+
+
+def answer_of(head: Head) -> Answer:
+    """Each row of the protocol's table in which an answer came back."""
+    match head.status:
+        case 200:
+            return Answer(Outcome.OK, over=True)
+        case 429:
+            return Answer(Outcome.FULL, wait_ms=told_wait(head.headers.get("x-ratelimit-wait-ms", "")))
+        case 503 if head.headers.get("x-over-slots") == "1":
+            return Answer(Outcome.NOT_SENT, no_slot=True)
+        case 503:
+            return Answer(Outcome.FULL)
+        case 504:
+            return Answer(Outcome.NOT_SENT)
+        case 410:
+            return Answer(Outcome.NOT_SENT, over=True)
+        case _:  # 500, and whatever else the protocol does not name: it may have run
+            return Answer(Outcome.ERROR)
+
+
+def told_wait(text: str) -> float:
+    try:
+        wait = float(text)
+    except ValueError:
+        return 0.0
+    return wait if 0 < wait < 3_600_000 else 0.0  # also drops nan and inf
+
+
+class Egress:
+    def __init__(self, idle_ms: float, connect_timeout_ms: float, most_idle: int) -> None:
+        self.idle_s = IDLE_SHARE * idle_ms / 1000
+        self.connect_s = connect_timeout_ms / 1000 or None
+        self.most_idle = most_idle
+        self.idle: dict[int, list[Link]] = {}
+
+    async def call(self, call: Call) -> Answer:
+        """Makes one call; giving up closes its connection, which frees the slot at the endpoint."""
+        link: Link | None = None
+        written = False
+        try:
+            async with asyncio.timeout_at(call.give_up_at):
+                link = self._pooled(call.endpoint) or await self._connect(call.address)
+                if not call.may_write():
+                    self._keep(call.endpoint, link)
+                    link = None
+                    return Answer(Outcome.NOT_SENT)
+                await link.send("POST", "/inbox", self._headers(call), call.body)
+                written = True
+                head = await link.head
+            self._after_body(call.endpoint, link)
+            link = None
+            return answer_of(head)
+        except TimeoutError:
+            # Connecting or writing took all the time: the endpoint never had the whole call.
+            return Answer(Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED)
+        except LinkLost:
+            return Answer(Outcome.RESET if written else Outcome.CONNECT_FAILED)
+        finally:
+            if link is not None:
+                link.close()
+
+    def forget(self, endpoint: int) -> None:
+        """Closes the idle connections of an endpoint that is gone or has moved."""
+        for link in self.idle.pop(endpoint, []):
+            link.close()
+
+    def sweep(self) -> None:
+        """Drops connections that have ended or stood idle too long; endpoints hold only so many."""
+        for endpoint, links in list(self.idle.items()):
+            fresh = [link for link in links if self._fresh(link)]
+            for link in links:
+                if link not in fresh:
+                    link.close()
+            self.idle[endpoint] = fresh
+            if not fresh:
+                del self.idle[endpoint]
+
+    def close(self) -> None:
+        for endpoint in list(self.idle):
+            self.forget(endpoint)
+
+    @staticmethod
+    def _headers(call: Call) -> list[tuple[str, str]]:
+        left = max(1, int((call.give_up_at - asyncio.get_running_loop().time()) * 1000))
+        headers = [("Host", f"{call.address[0]}:{call.address[1]}"), ("X-Trace-Id", call.trace_id),
+                   ("X-Expires-In-Ms", str(left))]
+        return headers if call.key is None else [*headers, ("Idempotency-Key", call.key)]
+
+    def _fresh(self, link: Link) -> bool:
+        return link.usable and asyncio.get_running_loop().time() - link.idle_since < self.idle_s
+
+    def _pooled(self, endpoint: int) -> Link | None:
+        links = self.idle.get(endpoint, [])
+        while links:
+            link = links.pop()
+            if self._fresh(link):
+                return link
+            link.close()
+        return None
+
+    async def _connect(self, address: Address) -> Link:
+        async with asyncio.timeout(self.connect_s):
+            return await Link.open(address, BODY_BYTES)
+
+    def _keep(self, endpoint: int, link: Link) -> None:
+        if not link.usable:
+            link.close()
+            return
+        if sum(map(len, self.idle.values())) >= self.most_idle:
+            oldest = min((e for e, links in self.idle.items() if links),
+                         key=lambda e: self.idle[e][0].idle_since)
+            self.idle[oldest].pop(0).close()
+        self.idle.setdefault(endpoint, []).append(link)
+
+    def _after_body(self, endpoint: int, link: Link) -> None:
+        """The outcome is known with the first line; the connection is free once the body has come."""
+        if link.whole.done():
+            self._keep(endpoint, link)
+            return
+        cut = asyncio.get_running_loop().call_later(BODY_S, link.close)
+
+        def ended(whole: asyncio.Future[bytes]) -> None:
+            cut.cancel()
+            if not whole.cancelled() and whole.exception() is None:
+                self._keep(endpoint, link)
+
+        link.whole.add_done_callback(ended)
--- /dev/null
+++ b/linnetstile/net/link.py
@@ -0,0 +1,158 @@
+"""One HTTP/1.1 connection as its client: a request at a time, and exactly how far it got."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import h11
+
+from .config import Address
+
+HEAD_BYTES = 16 * 1024  # an answer's first line and headers, at most
+Headers = list[tuple[str, str]]
+
+
+class LinkLost(Exception):
+    """The connection cannot be used, or broke, or the other side does not speak HTTP."""
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    status: int
+    headers: dict[str, str]  # names in lower case
+
+
+def named(headers: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """By name in lower case; HTTP headers are Latin-1."""
+    return {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in headers}
+
+
+class Link(asyncio.Protocol):
+    """Built on a bare protocol: streams hide when the last byte was written, and keep stray answers."""
+
+    def __init__(self, body_bytes: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
+        self.body_bytes = body_bytes
+        self.transport: asyncio.Transport | None = None
+        self.idle_since = loop.time()
+        self.busy = False
+        self.head: asyncio.Future[Head] = loop.create_future()
+        self.whole: asyncio.Future[bytes] = loop.create_future()
+        self.flushed: asyncio.Future[None] | None = None
+        self.body = bytearray()
+
+    @classmethod
+    async def open(cls, address: Address, body_bytes: int) -> Link:
+        try:
+            loop = asyncio.get_running_loop()
+            _, link = await loop.create_connection(lambda: cls(body_bytes), *address)
+            return link
+        except OSError as error:
+            raise LinkLost(f"cannot connect to {address[0]}:{address[1]}: {error}") from error
+
+    @property
+    def usable(self) -> bool:
+        """Open, between requests, and nothing has come on it that nobody asked for."""
+        return self.transport is not None and not self.transport.is_closing() and not self.busy
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Returns once the last byte is written; LinkLost means that it was not."""
+        if not self.usable or self.transport is None:
+            raise LinkLost("the connection is closed")
+        loop = asyncio.get_running_loop()
+        self.busy, self.head, self.whole = True, loop.create_future(), loop.create_future()
+        self.body.clear()
+        request = h11.Request(method=method, target=target,
+                              headers=[*headers, ("Content-Length", str(len(body)))])
+        events = [request, h11.Data(data=body), h11.EndOfMessage()]
+        self.transport.write(b"".join(self.http.send(event) or b"" for event in events))
+        # A first write that fails closes the transport at once, and has not taken the whole request.
+        if self.transport.is_closing():
+            raise LinkLost("the connection broke while the request was written")
+        if self.transport.get_write_buffer_size():
+            self.flushed = loop.create_future()
+            await self.flushed
+
+    async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> tuple[Head, bytes]:
+        """One request and its whole answer."""
+        await self.send(method, target, headers, body)
+        head = await self.head
+        return head, await self.whole
+
+    # -- called by the loop ------------------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(high=0)  # so that resume_writing means: all is written
+
+    def pause_writing(self) -> None:
+        pass
+
+    def resume_writing(self) -> None:
+        if self.flushed is not None and not self.flushed.done():
+            self.flushed.set_result(None)
+
+    def data_received(self, data: bytes) -> None:
+        if not self.busy:
+            # Guards the next call: what comes unasked would be taken for its answer.
+            self.close()
+            return
+        self._feed(data)
+
+    def eof_received(self) -> None:
+        if self.busy:
+            self._feed(b"")
+        self._lose("the connection ended")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._lose("the connection broke" if exc else "the connection was closed")
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self.http.receive_data(data)
+            while True:
+                event = self.http.next_event()
+                match event:
+                    case h11.Response() if not self.head.done():
+                        self.head.set_result(Head(event.status_code, named(event.headers)))
+                    case h11.Data(data=chunk):
+                        self.body += chunk
+                        if len(self.body) > self.body_bytes:
+                            self._lose("the answer is too long")
+                            return
+                    case h11.EndOfMessage():
+                        self._answered()
+                        return
+                    case h11.InformationalResponse():
+                        pass
+                    case _:
+                        return
+        except h11.RemoteProtocolError as error:
+            self._lose(f"not an HTTP answer: {error}")
+
+    def _answered(self) -> None:
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            stray = bool(self.http.trailing_data[0])
+            self.http.start_next_cycle()
+            self.busy, self.idle_since = stray, asyncio.get_running_loop().time()
+            if stray:
+                self.close()
+        else:
+            self.close()
+        if not self.whole.done():
+            self.whole.set_result(bytes(self.body))
+
+    def _lose(self, why: str) -> None:
+        self.close()
+        for future in (self.flushed, self.head, self.whole):
+            if future is not None and not future.done():
+                future.set_exception(LinkLost(why))
+                future.exception()  # nobody may be waiting for it
--- /dev/null
+++ b/linnetstile/net/outcomes.py
@@ -0,0 +1,61 @@
+"""Notices: how the platform learns the end of a message that was taken on and not delivered."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+
+from .agent import Agent, AgentError, Backoff
+
+log = logging.getLogger(__name__)
+
+BATCH = 200  # lines in one request
+ANSWER_S = 1.0  # the agent answers at once
+
+
+class Notices:
+    """Sends each notice until it is answered 204: at least once, also over a restart (see the journal)."""
+
+    def __init__(self, agent: Agent, told: Callable[[list[str]], None]) -> None:
+        self.agent, self.told = agent, told
+        self.waiting: dict[str, str] = {}
+        self.wake = asyncio.Event()
+        self.batch = BATCH
+
+    def add(self, ident: str, state: str, after_ms: float = 0.0) -> None:
+        line: dict[str, object] = {"id": ident, "state": state}
+        if after_ms > 0:
+            line["after_ms"] = round(after_ms)
+        self.waiting[ident] = json.dumps(line) + "\n"
+        self.wake.set()
+
+    async def run(self) -> None:
+        backoff = Backoff(0.05, 0.5)
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            while self.waiting:
+                try:
+                    await self._send(list(self.waiting)[: self.batch])
+                    backoff.reset()
+                except AgentError as error:
+                    log.warning("notices: %s", error)
+                    await backoff.pause()
+                except Exception:
+                    log.exception("notices: a batch could not be sent")
+                    await backoff.pause()
+
+    async def _send(self, idents: list[str]) -> None:
+        body = "".join(self.waiting[ident] for ident in idents).encode()
+        status, _ = await self.agent.ask("POST", "/v1/outcomes", body, ANSWER_S)
+        if status != 204:
+            # Guards the others against one line that is not taken: from here on, one by one and in turn.
+            self.batch = 1
+            self.waiting[idents[0]] = self.waiting.pop(idents[0])
+            raise AgentError(f"{len(idents)} notices answered {status}")
+        self.batch = min(BATCH, 2 * self.batch)
+        for ident in idents:
+            del self.waiting[ident]
+        self.told(idents)
