--- /dev/null
+++ b/tests/test_egress.py
@@ -0,0 +1,204 @@
+"""Each row of the protocol's table of outcomes, and what a pooled connection may and may not be used for."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from linnetstile.interface import Outcome
+from linnetstile.net.egress import Answer, Call, Egress
+
+from .loopback import OK, Server, answer, run, until
+
+
+def call(address: tuple[str, int], seconds: float = 20.0, may: Callable[[], bool] = lambda: True,
+         body: bytes = b"b") -> Call:
+    until = asyncio.get_running_loop().time() + seconds
+    return Call(1, address, "id", "key", body, until, may)
+
+
+def egress(idle_ms: float = 60000.0, connect_ms: float = 20000.0, most: int = 10) -> Egress:
+    return Egress(idle_ms, connect_ms, most)
+
+
+@pytest.mark.parametrize(("reply", "expected"), [
+    (OK, Answer(Outcome.OK, over=True)),
+    (answer(500), Answer(Outcome.ERROR)),
+    (answer(429, "X-RateLimit-Wait-Ms: 350"), Answer(Outcome.FULL, wait_ms=350.0)),
+    (answer(429), Answer(Outcome.FULL)),
+    (answer(429, "X-RateLimit-Wait-Ms: nan"), Answer(Outcome.FULL)),
+    (answer(503), Answer(Outcome.FULL)),
+    (answer(503, "X-Over-Slots: 1"), Answer(Outcome.NOT_SENT, no_slot=True)),
+    (answer(504), Answer(Outcome.NOT_SENT)),
+    (answer(410), Answer(Outcome.NOT_SENT, over=True)),
+    (answer(400), Answer(Outcome.ERROR)),
+    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, Answer(Outcome.OK, over=True)),
+    (b"rubbish\r\n\r\n", Answer(Outcome.RESET)),
+    (b"HTTP/1.1 200 X\r\nContent-Length: x\r\n\r\n", Answer(Outcome.RESET)),
+    ("reset", Answer(Outcome.RESET)),
+    ("close", Answer(Outcome.RESET)),
+])
+def test_an_answer_or_an_end_after_the_last_byte(reply: bytes | str, expected: Answer) -> None:
+    async def work() -> None:
+        server = await Server().start()
+        server.script.append(reply)
+        assert await egress().call(call(server.address)) == expected
+        assert server.seen[0].headers["x-trace-id"] == "id"
+        assert server.seen[0].headers["idempotency-key"] == "key" and server.seen[0].body == b"b"
+        assert 0 < int(server.seen[0].headers["x-expires-in-ms"]) <= 20000
+    run(work())
+
+
+def test_a_silent_endpoint_is_timed_out_and_its_connection_closed() -> None:
+    async def work() -> None:
+        server = await Server(usual=None).start()
+        calls = egress()
+        assert (await calls.call(call(server.address, 0.2))).outcome is Outcome.TIMEOUT
+        assert not calls.idle
+    run(work())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def work() -> None:
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            got = await egress().call(call(closed.getsockname()))
+        assert got.outcome is Outcome.CONNECT_FAILED
+    run(work())
+
+
+@pytest.mark.parametrize(("give_up_s", "connect_ms"), [(20.0, 100.0), (0.1, 20000.0)])
+def test_a_connection_that_never_comes_up_never_ran(give_up_s: float, connect_ms: float) -> None:
+    async def work() -> None:
+        with socket.socket() as full:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            fill = [socket.socket() for _ in range(4)]  # the queue is full: further ones get no reply
+            for sock in fill:
+                sock.setblocking(False)
+                sock.connect_ex(full.getsockname())
+            got = await egress(connect_ms=connect_ms).call(call(full.getsockname(), give_up_s))
+            for sock in fill:
+                sock.close()
+        assert got.outcome is Outcome.CONNECT_FAILED
+    run(work())
+
+
+def test_a_break_before_the_last_byte_is_written_never_ran() -> None:
+    async def work() -> None:
+        async def drop(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(10)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(drop, "127.0.0.1", 0)
+        big = b"x" * (64 << 20)  # more than the sockets between can hold
+        got = await egress().call(call(server.sockets[0].getsockname(), body=big))
+        assert got.outcome is Outcome.CONNECT_FAILED
+    run(work())
+
+
+def test_giving_up_before_the_last_byte_is_written_never_ran() -> None:
+    async def work() -> None:
+        async def deaf(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(60)
+
+        server = await asyncio.start_server(deaf, "127.0.0.1", 0)
+        big = b"x" * (64 << 20)
+        got = await egress().call(call(server.sockets[0].getsockname(), 0.3, body=big))
+        assert got.outcome is Outcome.CONNECT_FAILED
+    run(work())
+
+
+def test_what_changed_while_connecting_stops_the_call_before_its_first_byte() -> None:
+    """Guards drains, told waits and deadlines: a connect takes time. The connection is kept for the next."""
+    async def work() -> None:
+        server, calls = await Server().start(), egress()
+        got = await calls.call(call(server.address, may=lambda: False))
+        assert got == Answer(Outcome.NOT_SENT)
+        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert len(server.seen) == 1 and server.opened == 1
+    run(work())
+
+
+def test_one_connection_serves_call_after_call() -> None:
+    async def work() -> None:
+        server, calls = await Server().start(), egress()
+        for _ in range(5):
+            assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert server.opened == 1
+    run(work())
+
+
+def test_calls_at_once_each_have_a_connection_and_the_pool_is_bounded() -> None:
+    async def work() -> None:
+        server, calls = await Server().start(), egress(most=2)
+        got = await asyncio.gather(*(calls.call(call(server.address)) for _ in range(5)))
+        assert {each.outcome for each in got} == {Outcome.OK}
+        assert server.opened == 5 and len(calls.idle[1]) == 2
+    run(work())
+
+
+def test_a_pooled_connection_that_was_closed_is_not_used() -> None:
+    """Guards against resets for nothing: a request on it would count as sent, and may have run."""
+    async def work() -> None:
+        opened: list[asyncio.StreamWriter] = []
+
+        async def once(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            opened.append(writer)
+            await reader.readuntil(b"\r\n\r\nb")
+            writer.write(OK)
+
+        server, calls = await asyncio.start_server(once, "127.0.0.1", 0), egress()
+        address = server.sockets[0].getsockname()
+        assert (await calls.call(call(address))).outcome is Outcome.OK
+        (link,) = calls.idle[1]
+        opened[0].close()
+        await until(lambda: not link.usable)
+        assert (await calls.call(call(address))).outcome is Outcome.OK
+        assert len(opened) == 2
+    run(work())
+
+
+def test_an_answer_that_closes_leaves_nothing_in_the_pool() -> None:
+    async def work() -> None:
+        server, calls = await Server().start(), egress()
+        server.script.append(answer(200, "Connection: close"))
+        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert not calls.idle.get(1)
+    run(work())
+
+
+def test_a_connection_idle_for_long_is_not_used() -> None:
+    async def work() -> None:
+        server, calls = await Server().start(), egress()
+        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        (link,) = calls.idle[1]
+        link.idle_since -= 0.81 * 60
+        calls.sweep()
+        assert not calls.idle and not link.usable
+        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert server.opened == 2
+    run(work())
+
+
+@pytest.mark.parametrize("stray", [OK, b"x"])
+def test_an_answer_that_nobody_asked_for_is_not_the_next_calls(stray: bytes) -> None:
+    async def work() -> None:
+        server, calls = await Server().start(), egress()
+        server.script += [OK + stray, answer(500)]
+        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert (await calls.call(call(server.address))).outcome is Outcome.ERROR
+        assert server.opened == 2
+    run(work())
+
+
+def test_a_body_that_comes_late_keeps_its_connection_busy() -> None:
+    async def work() -> None:
+        server, calls = await Server().start(), egress()
+        server.script.append(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\na")
+        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert not calls.idle  # the outcome is known; the connection is not free before the body is whole
+    run(work())
--- /dev/null
+++ b/tests/test_host.py
@@ -0,0 +1,372 @@
+"""The relay on loopback sockets: clients, endpoints, discovery and notices, and its restarts."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linnetstile.net import discovery
+from linnetstile.net.agent import Agent as AgentLink
+from linnetstile.net.host import Host, unix_ms
+from linnetstile.net.journal import Entry, Journal
+from linnetstile.net.outcomes import Notices
+
+from .loopback import Agent, Client, Server, answer, host_of, listing, message, run, until
+
+
+@pytest.fixture
+def state(tmp_path: Path) -> Path:
+    folder = tmp_path / "state"
+    folder.mkdir()
+    return folder
+
+
+@asynccontextmanager
+async def relay(state: Path, agent: Agent, *servers: Server, **more: Any) -> AsyncIterator[Host]:
+    host = host_of(state, agent, *servers, **more)
+    await host.start()
+    try:
+        yield host
+    finally:
+        await host.close()
+
+
+async def pair() -> tuple[Agent, Server]:
+    agent, server = Agent(), Server()
+    await agent.start()
+    await server.start()
+    return agent, server
+
+
+def test_a_message_is_taken_on_delivered_unchanged_and_journaled(state: Path) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            assert await client.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n") == 200
+            body = bytes(range(256)) * 256
+            assert await client.ask(message("m1", "keyed", body)) == 202
+            seen = await server.came.get()
+            assert (seen.target, seen.body) == ("/inbox", body)
+            assert (seen.headers["x-trace-id"], seen.headers["idempotency-key"]) == ("m1", "k-m1")
+            await until(lambda: host.journal.entries["m1"].end == "delivered")
+            assert not host.held and agent.notices.empty()
+    run(work())
+
+
+@pytest.mark.parametrize(("request_", "status", "says"), [
+    (message("m", "safe", X_Qos="unsafe"), 400, "class"),
+    (message("m", "other"), 400, "class"),
+    (message("m", X_Customer="nobody"), 400, "X-Customer"),
+    (message("m", X_Addressing="dest=8"), 400, "destination 8"),
+    (message("m", X_Addressing="dest=-1"), 400, "dest=NUMBER"),
+    (message("m", X_Expires_In_Ms="soon"), 400, "X-Expires-In-Ms"),
+    (message("m", "keyed", Idempotency_Key=""), 400, "Idempotency-Key"),
+    (message("", ), 400, "X-Trace-Id"),
+    (message("m" * 201), 400, "X-Trace-Id"),
+    (message("m", body=b"x" * 65537), 413, "65536"),
+    (b"GET /safe HTTP/1.1\r\nHost: x\r\n\r\n", 405, "POST"),
+    (b"nonsense\r\n\r\n", 400, ""),
+    (b"GET / HTTP/1.1\r\nHost: x\r\nX-A: " + b"a" * 40000, 431, ""),
+])
+def test_what_cannot_be_taken_is_answered_with_its_reason(
+    state: Path, request_: bytes, status: int, says: str
+) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            assert await client.ask(request_) == status and says in client.text
+            assert not host.held and not host.journal.entries
+        assert not server.seen
+    run(work())
+
+
+def test_a_repeated_id_gets_the_same_answer_and_is_one_message(state: Path) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            assert await client.ask(message("m") + message("m")) == 202
+            assert await client.status() == 202
+            await until(lambda: host.journal.entries["m"].end == "delivered")
+            assert await client.ask(message("m")) == 202
+            assert await client.ask(message("n")) == 202
+            await until(lambda: host.journal.entries["n"].end == "delivered")
+        assert [seen.headers["x-trace-id"] for seen in server.seen] == ["m", "n"]
+    run(work())
+
+
+def test_a_full_hold_and_a_full_disk_refuse(state: Path) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        server.usual = None
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            got = [await client.ask(message(f"m{n}")) for n in range(host.settings.hold + 1)]
+            assert got[:15] == [202] * 15  # from there on the module makes room by refusing some itself
+            host.held.update({-n: next(iter(host.held.values())) for n in range(1, host.settings.hold)})
+            assert await client.ask(message("more")) == 503
+        tight = {"sockets": 256, "disk_mb": 0.3}
+        (state / "journal").unlink()
+        async with relay(state, agent, server, limits=tight) as host, Client(host.ingress.port) as client:
+            assert await client.ask(message("a", body=b"x" * 60000)) == 202
+            assert await client.ask(message("b", body=b"x" * 60000)) == 503
+            assert "b" not in host.journal.entries and await client.ask(message("c")) == 202
+    run(work())
+
+
+def test_a_record_that_cannot_be_written_is_not_promised(
+    state: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            def no_space(*_: object) -> int:
+                raise OSError(errno.ENOSPC, "no space")
+
+            with monkeypatch.context() as patch:
+                patch.setattr(os, "write", no_space)
+                assert await client.ask(message("m")) == 503
+            assert not host.held and await client.ask(message("n")) == 202
+            await until(lambda: host.journal.entries["n"].end == "delivered")
+        assert [seen.headers["x-trace-id"] for seen in server.seen] == ["n"]
+    run(work())
+
+
+def test_a_client_that_hangs_up_unanswered_leaves_no_message(state: Path) -> None:
+    """Guards against second copies: it hands the message in again, under another id."""
+    async def work() -> None:
+        agent, server = await pair()
+        async with relay(state, agent, server) as host:
+            # Nothing is awaited in between: the relay finds the request and the end of it together.
+            with socket.create_connection(("127.0.0.1", host.ingress.port)) as gone:
+                gone.sendall(message("gone"))
+            async with Client(host.ingress.port) as client:
+                assert await client.ask(message("here")) == 202
+                await until(lambda: host.journal.entries["here"].end == "delivered")
+            await until(lambda: not host.ingress.connections)
+            assert list(host.journal.entries) == ["here"]
+        assert [seen.headers["x-trace-id"] for seen in server.seen] == ["here"]
+    run(work())
+
+
+def test_a_client_that_only_ends_its_sending_is_answered(state: Path) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        async with relay(state, agent, server) as host:
+            with socket.create_connection(("127.0.0.1", host.ingress.port)) as half:
+                half.sendall(message("half"))
+                half.shutdown(socket.SHUT_WR)
+                half.setblocking(False)
+                reply = await asyncio.get_running_loop().sock_recv(half, 1000)
+            assert reply.startswith(b"HTTP/1.1 503 ")
+    run(work())
+
+
+def test_an_answer_that_is_never_read_withdraws_its_message(state: Path) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        server.usual = None
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            assert await client.ask(message("m")) == 202
+            await server.came.get()
+            (connection,) = host.ingress.connections
+            connection.unsent.append("m")  # as when the socket does not take the answer
+            client.writer.transport.abort()
+            await until(lambda: not host.ingress.connections)
+            assert not host.held and "m" not in host.journal.entries
+    run(work())
+
+
+def test_a_told_wait_is_kept_for_every_message(state: Path) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        server.script.append(answer(429, "X-RateLimit-Wait-Ms: 400"))
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            assert await client.ask(message("a")) == 202
+            told = (await server.came.get()).at
+            await until(lambda: host.journal.entries["a"].out is None)
+            assert await client.ask(message("b")) == 202
+            assert min((await server.came.get()).at, (await server.came.get()).at) >= told + 0.4
+    run(work())
+
+
+def test_an_endpoint_that_drains_gets_nothing_new(state: Path) -> None:
+    async def work() -> None:
+        agent, old = await pair()
+        new = await Server().start()
+        async with relay(state, agent, old) as host, Client(host.ingress.port) as client:
+            assert await client.ask(message("a")) == 202
+            await old.came.get()
+            raw = listing(old, generation=2, reset=False, state="draining")
+            raw["instances"] += listing(new)["instances"]
+            agent.tell(raw)
+            await until(lambda: host.directory.version == 2)
+            for n in range(5):
+                assert await client.ask(message(f"b{n}")) == 202
+            await until(lambda: len(new.seen) == 5)
+            agent.tell(listing(new, generation=3, reset=True))
+            await until(lambda: host.directory.version == 3)
+            assert len(host.directory.by_name) == 1
+        assert len(old.seen) == 1
+    run(work())
+
+
+def test_discovery_keeps_its_version_over_malformed_answers_and_silence(
+    state: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(discovery, "HOLD_MS", 100)
+    monkeypatch.setattr(discovery, "SILENT_S", 0.1)
+
+    async def work() -> None:
+        agent, server = await pair()
+        bad = listing(server, generation=9)
+        del bad["instances"][0]["cell"]
+        async with relay(state, agent, server) as host:
+            for reply in (answer(500), answer(200, body="{"), answer(200, body="[]")):
+                agent.changes.put_nowait(reply)
+            agent.tell(bad)
+            await until(lambda: len(agent.seen) >= 6)  # and one that was never answered
+            assert {seen.target for seen in agent.seen} == {"/v1/servers?from=1&hold_ms=100"}
+            agent.tell(listing(server, generation=4))  # an earlier call, given up, takes it away
+            while host.directory.version != 4:
+                agent.tell(listing(server, generation=4))
+                await asyncio.sleep(0.02)
+            assert len(host.directory.by_name) == 1
+    run(work())
+
+
+def test_a_notice_is_repeated_until_it_is_taken(state: Path) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        server.usual = answer(500)
+        agent.script += [answer(503), "reset", answer(400)]
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            assert await client.ask(message("m", "unsafe")) == 202
+            assert await agent.notices.get() == {"id": "m", "state": "failed"}
+            await until(lambda: host.journal.entries["m"].told)
+        assert len(server.seen) == 1
+    run(work())
+
+
+def test_one_notice_that_is_not_taken_does_not_hold_up_the_others(state: Path) -> None:
+    async def work() -> None:
+        agent = Agent()
+        await agent.start()
+        told: list[str] = []
+        notices = Notices(AgentLink(agent.address), told.extend)
+        for n in range(3):
+            notices.add(f"m{n}", "returned", 250.0)
+        agent.script += [answer(400), answer(204), answer(204), answer(204)]
+        task = asyncio.get_running_loop().create_task(notices.run())
+        await until(lambda: len(told) == 3)
+        task.cancel()
+        assert sorted(told) == ["m0", "m1", "m2"]
+        assert agent.seen[0].body.splitlines()[0] == b'{"id": "m0", "state": "returned", "after_ms": 250}'
+    run(work())
+
+
+# -- restarts: what each step leaves in the journal, and what the next process makes of it -----------------
+
+
+def entry(class_: str, age_ms: float = 1000.0, left_ms: float = 8000.0) -> Entry:
+    now = unix_ms()
+    return Entry("m", class_, "t", 7, "k-m" if class_ == "keyed" else None, now - age_ms, now + left_ms, "",
+                 b"kept")
+
+
+STEPS: list[tuple[str, str, dict[str, float], str]] = [
+    ("safe", "taken", {}, "delivered"),
+    ("unsafe", "taken", {}, "delivered"),
+    ("safe", "tried", {}, "delivered"),
+    ("keyed", "tried", {"tried_ago": 500.0}, "delivered"),
+    ("keyed", "tried", {"tried_ago": 4500.0}, "returned"),  # its key may be forgotten by now
+    ("unsafe", "tried", {}, "failed"),  # a call that was out may have run
+    ("unsafe", "refused", {}, "delivered"),  # proof of no effect
+    ("unsafe", "errored", {}, "failed"),
+    ("safe", "tried out", {}, "returned"),  # all its attempts are used up
+    ("safe", "taken", {"left_ms": -5.0}, "returned"),  # expired meanwhile
+    ("unsafe", "tried", {"left_ms": -5.0}, "failed"),
+    ("safe", "ended", {}, ""),
+    ("unsafe", "failed", {}, "failed"),  # its notice was not confirmed
+    ("unsafe", "told", {}, ""),
+]
+
+
+@pytest.mark.parametrize(("class_", "step", "more", "end"), STEPS)
+def test_a_restart_at_each_step(
+    state: Path, class_: str, step: str, more: dict[str, float], end: str
+) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        name, before = f"s-{server.address[1]}", Journal(state, 3_000_000)
+        it = entry(class_, left_ms=more.get("left_ms", 8000.0))
+        before.take(it)
+        for _ in range({"taken": 0, "tried out": 8}.get(step, 1)):
+            before.tried(it, unix_ms() - more.get("tried_ago", 100.0), name, 0)
+            if step not in ("tried", "tried out"):
+                before.outcome(it, step != "refused")
+            elif step == "tried out":
+                before.outcome(it, False)
+        if step in ("ended", "failed", "told"):
+            before.ended(it, "delivered" if step == "ended" else "failed")
+        if step == "told":
+            before.told(["m"])
+        before.close()
+        async with relay(state, agent, server) as host:
+            if end == "delivered":
+                assert (await server.came.get()).body == b"kept"
+                await until(lambda: host.journal.entries["m"].end == "delivered")
+            elif end:
+                assert await agent.notices.get() == {"id": "m", "state": end}
+                await until(lambda: host.journal.entries["m"].told)
+            assert not host.held and bool(server.seen) == (end == "delivered")
+            assert agent.notices.empty()
+    run(work())
+
+
+def test_a_stop_lets_the_call_that_is_out_end_and_finishes_requests_in_use(
+    state: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("linnetstile.net.host.SERVE_ON_S", 0.05)
+
+    async def work() -> None:
+        agent, server = await pair()
+        server.hold = asyncio.Event()
+        host = host_of(state, agent, server)
+        await host.start()
+        async with Client(host.ingress.port) as client, Client(host.ingress.port) as half:
+            assert await client.ask(message("m")) == 202
+            await server.came.get()
+            late = message("late", "unsafe")
+            half.writer.write(late[:50])
+            await until(lambda: any(not each.idle for each in host.ingress.connections))
+            stopping = asyncio.get_running_loop().create_task(host.stop())
+            assert await client.reader.read() == b""  # the idle one is closed
+            half.writer.write(late[50:])
+            assert await half.status() == 202 and "connection: close" in half.head
+            server.hold.set()
+            await stopping
+        after = Journal(state, 3_000_000).entries
+        assert after["m"].end == after["late"].end == "delivered"
+    run(work())
+
+
+def test_what_cannot_end_before_the_stop_stays_in_the_journal(state: Path) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        server.usual = None
+        host = host_of(state, agent, server)
+        await host.start()
+        async with Client(host.ingress.port) as client:
+            assert await client.ask(message("out")) == 202
+            await server.came.get()
+            await host.stop()
+        (left,) = Journal(state, 3_000_000).entries.values()
+        assert left.end == "" and left.tries == 1 and left.risk is not None and left.body == b"hello"
+    run(work())
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,140 @@
+"""The program as it is started: signals, exit codes, and a kill at any moment."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linnetstile.net.journal import Journal
+
+from .loopback import Agent, Client, Server, answer, message, raw_config, run, until
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class Process:
+    """`python -m linnetstile`, started again at will on one folder and one port."""
+
+    def __init__(self, folder: Path, agent: Agent, *servers: Server) -> None:
+        self.port, self.config, self.state = free_port(), folder / "config.json", folder / "state"
+        self.state.mkdir()
+        self.config.write_text(json.dumps(raw_config(
+            self.state, agent, *servers, listen=f"127.0.0.1:{self.port}")))
+
+    async def start(self) -> None:
+        env = {**os.environ, "RELAY_CONFIG": str(self.config)}
+        self.process = await asyncio.create_subprocess_exec(sys.executable, "-m", "linnetstile", env=env)
+        while True:
+            try:
+                async with Client(self.port) as client:
+                    assert await client.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n") == 200
+                    return
+            except OSError:
+                assert self.process.returncode is None
+                await asyncio.sleep(0.02)
+
+    async def end(self, how: signal.Signals) -> int:
+        self.process.send_signal(how)
+        return await self.process.wait()
+
+    async def hand_in(self, *requests: bytes) -> None:
+        async with Client(self.port) as client:
+            for request in requests:
+                assert await client.ask(request) == 202
+
+
+async def world(folder: Path) -> tuple[Agent, Server, Process]:
+    agent, server = Agent(), Server()
+    await agent.start()
+    await server.start()
+    return agent, server, Process(folder, agent, server)
+
+
+def test_a_kill_while_calls_are_out_repeats_only_what_may_be_repeated(tmp_path: Path) -> None:
+    async def work() -> None:
+        agent, server, process = await world(tmp_path)
+        server.usual = None
+        await process.start()
+        await process.hand_in(message("u", "unsafe"), message("s", "safe"))
+        out = {(await server.came.get()).headers["x-trace-id"] for _ in range(2)}
+        assert out == {"u", "s"} and await process.end(signal.SIGKILL) == -signal.SIGKILL
+        server.usual = answer(200)
+        await process.start()
+        assert await agent.notices.get() == {"id": "u", "state": "failed"}
+        assert (await server.came.get()).headers["x-trace-id"] == "s"
+        assert await process.end(signal.SIGTERM) == 0
+        assert len(server.seen) == 3 and agent.notices.empty()
+    run(work())
+
+
+def test_a_kill_right_after_the_answer_loses_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        _, server, process = await world(tmp_path)
+        for turn in range(3):
+            await process.start()
+            await process.hand_in(message(f"m{turn}"))
+            await process.end(signal.SIGKILL)
+        await process.start()
+        await until(lambda: {seen.headers["x-trace-id"] for seen in server.seen} == {"m0", "m1", "m2"})
+        await process.end(signal.SIGTERM)
+        assert all(each.end == "delivered" for each in Journal(process.state, 3_000_000).entries.values())
+    run(work())
+
+
+def test_an_unsent_notice_is_sent_after_a_kill(tmp_path: Path) -> None:
+    async def work() -> None:
+        agent, server, process = await world(tmp_path)
+        server.usual = answer(500)
+        agent.script.extend([answer(503)] * 100)
+        await process.start()
+        await process.hand_in(message("u", "unsafe"))
+        await until(lambda: len(agent.script) < 100)
+        await process.end(signal.SIGKILL)
+        agent.script.clear()
+        await process.start()
+        assert await agent.notices.get() == {"id": "u", "state": "failed"}
+        assert await process.end(signal.SIGTERM) == 0
+    run(work())
+
+
+def test_sigterm_ends_an_idle_relay_with_0(tmp_path: Path) -> None:
+    async def work() -> None:
+        _, _, process = await world(tmp_path)
+        await process.start()
+        assert await process.end(signal.SIGTERM) == 0
+    run(work())
+
+
+@pytest.mark.parametrize(("change", "says"), [
+    ({"listen": "nowhere"}, "HOST:PORT"),
+    ({"settings": {}}, "settings"),
+    ({"settings": None}, "config.json"),
+    ({"seed": "xyz"}, "config.json"),
+    ({"state": ""}, "state is missing"),
+    (None, "config.json"),
+])
+def test_bad_configuration_ends_with_one_line_and_2(
+    tmp_path: Path, change: dict[str, Any] | None, says: str
+) -> None:
+    path = tmp_path / "config.json"
+    if change is not None:
+        raw = raw_config(tmp_path, Agent(address=("127.0.0.1", 1)))
+        path.write_text(json.dumps({**raw, **change}))
+    env = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
+    done = subprocess.run([sys.executable, "-m", "linnetstile"], capture_output=True, text=True, timeout=60,
+                          env={**env, "RELAY_CONFIG": str(path)})
+    assert done.returncode == 2 and done.stderr.count("\n") == 1
+    assert says in done.stderr and "Traceback" not in done.stderr
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -334,3 +334,81 @@
         d.pass_time(200, 50)
         at_once += len(d.sent) - start
     assert at_once <= 20
+
+
+def test_what_comes_up_while_a_call_connects_stops_it() -> None:
+    """Guards drains, told waits, the stop and the deadline: all are asked again before the first byte."""
+    for change in ("none", "drained", "told", "closing", "late", "withdrawn"):
+        d = Driver()
+        d.listed((11, 1))
+        d.warm_up()
+        ident, other = d.message(left=9000.0), d.message()
+        d.pass_time(50)
+        assert {ident, other} <= set(d.out) and d.relay.may_write(d.now, ident)
+        if change == "drained":
+            d.feed(api.EndpointList(api.ListKind.CHANGES, (api.Endpoint(11, 1, api.Listing.DRAINING),)))
+        elif change == "told":
+            d.answer(other, api.Outcome.FULL, wait=300.0)
+        elif change == "closing":
+            d.feed(api.Closing(d.now))
+        elif change == "withdrawn":
+            d.feed(api.Withdrawn(ident))
+        assert d.relay.may_write(d.now + 9000 * (change == "late"), ident) == (change == "none")
+
+
+def test_a_key_window_that_ends_while_connecting_stops_the_call() -> None:
+    d = Driver()
+    d.listed((11, 1))
+    d.warm_up()
+    ident = d.message(KEYED)
+    at, _ = d.last(ident)
+    d.answer(ident, api.Outcome.ERROR)
+    d.pass_time(1000)
+    assert d.tries[ident] == 2
+    assert d.relay.may_write(at + 2990, ident) and not d.relay.may_write(at + 3000, ident)
+
+
+def test_a_resumed_message_keeps_to_what_was_tried_before() -> None:
+    """Guards duplicates over a restart: tries, the first risk and the key window hold on."""
+    d = Driver()
+    d.listed((11, 1))
+    resumed = {
+        "fresh": api.Message(1, 1, UNSAFE, 8000.0, age_ms=2000.0, tries=1),
+        "risky": api.Message(2, 1, UNSAFE, 8000.0, age_ms=2000.0, tries=1, risk_age_ms=1000.0),
+        "in its window": api.Message(3, 1, KEYED, 8000.0, age_ms=2000.0, tries=1, risk_age_ms=1000.0),
+        "past its window": api.Message(4, 1, KEYED, 8000.0, age_ms=4000.0, tries=1, risk_age_ms=3000.0),
+        "used up": api.Message(5, 1, SAFE, 8000.0, age_ms=2000.0, tries=5),
+        "expired": api.Message(6, 1, SAFE, -10.0, age_ms=10010.0),
+    }
+    for event in resumed.values():
+        d.feed(event)
+    d.pass_time(100)
+    assert set(d.out) == {1, 3}
+    ends = {ident: type(act) for ident, act in d.ended.items()}
+    assert ends == {2: api.Fail, 4: api.Refuse, 5: api.Refuse, 6: api.Refuse}
+
+
+def test_a_resumed_key_stays_in_its_scope() -> None:
+    keyed = api.MessageClass("k", api.Effect.KEYED, 1000.0, 10000.0, 1.0, 0.5, 3000.0, api.Scope.ENDPOINT)
+    d = Driver(make_settings(classes=(keyed,)))
+    d.listed((11, 1), (12, 1))
+    d.feed(api.Message(1, 1, 0, 8000.0, age_ms=1000.0, tries=1, risk_age_ms=500.0,
+                       risk=api.Endpoint(12, 1, api.Listing.READY)))
+    d.feed(api.Message(2, 1, 0, 8000.0, age_ms=1000.0, tries=1, risk_age_ms=500.0,
+                       risk=api.Endpoint(99, 1, api.Listing.READY)))
+    d.pass_time(100)
+    assert {ident: send.endpoint for ident, send in d.out.items()} == {1: 12}
+
+
+def test_no_call_starts_that_cannot_end_before_a_stop() -> None:
+    d = Driver()
+    d.listed((11, 1))
+    d.warm_up()
+    d.feed(api.Closing(d.now + 3000))
+    soon = d.message(UNSAFE)
+    assert d.out[soon].give_up_at_ms <= d.now + 3000
+    d.answer(soon)
+    d.pass_time(2950)
+    late = d.message(UNSAFE)
+    d.pass_time(200)
+    assert late not in d.tries and late not in d.ended
