--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -35,15 +36,16 @@
 
 def answer_of(head: Head) -> Answer:
     """Each row of the protocol's table in which an answer came back."""
+    wait = told_wait(head.headers.get("x-ratelimit-wait-ms", ""))
     match head.status:
         case 200:
             return Answer(Outcome.OK, over=True)
         case 429:
-            return Answer(Outcome.FULL, wait_ms=told_wait(head.headers.get("x-ratelimit-wait-ms", "")))
+            return Answer(Outcome.FULL, wait_ms=wait)
         case 503 if head.headers.get("x-over-slots") == "1":
             return Answer(Outcome.NOT_SENT, no_slot=True)
-        case 503:
-            return Answer(Outcome.FULL)
+        case 503:  # the protocol names no wait here, but one that is told is kept
+            return Answer(Outcome.FULL, wait_ms=wait)
         case 504:
             return Answer(Outcome.NOT_SENT)
         case 410:
@@ -57,7 +59,7 @@
         wait = float(text)
     except ValueError:
         return 0.0
-    return wait if 0 < wait < 3_600_000 else 0.0  # also drops nan and inf
+    return wait if wait > 0 and math.isfinite(wait) else 0.0
 
 
 class Egress:
--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -150,6 +150,7 @@
 
     def close(self) -> None:
         os.close(self.file)
+        self.file = -1  # Guards whatever gets this descriptor next against a late record
 
     # -- memory ------------------------------------------------------------------------------------------
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -70,6 +70,15 @@
     assert set(Journal(tmp_path, DISK).entries) == {"m0", "m1", "m2", "kept"}
 
 
+def test_a_closed_journal_writes_nothing(tmp_path: Path) -> None:
+    """Guards the end of the process: its descriptor's number may be a socket's by then."""
+    journal = fill(tmp_path)
+    journal.close()
+    with open(tmp_path / "other", "wb"), pytest.raises(JournalError):
+        journal.ended(journal.entries["m0"], "failed")
+    assert (tmp_path / "other").read_bytes() == b""
+
+
 def disk(folder: Path) -> int:
     return sum(-(-path.stat().st_size // BLOCK) * BLOCK for path in folder.iterdir())
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -110,6 +110,24 @@
     run(work())
 
 
+def test_sigterm_lets_a_call_that_is_out_end(tmp_path: Path) -> None:
+    async def work() -> None:
+        agent, server, process = await world(tmp_path)
+        server.hold = asyncio.Event()
+        await process.start()
+        await process.hand_in(message("u", "unsafe"))
+        await server.came.get()
+        process.process.send_signal(signal.SIGTERM)
+        await process.hand_in(message("v", "unsafe"))  # clients still come for a while
+        await server.came.get()
+        server.hold.set()
+        assert await process.process.wait() == 0
+        assert {ident: each.end for ident, each in Journal(process.state, 3_000_000).entries.items()} == {
+            "u": "delivered", "v": "delivered"}
+        assert len(server.seen) == 2 and agent.notices.empty()
+    run(work())
+
+
 def test_sigterm_ends_an_idle_relay_with_0(tmp_path: Path) -> None:
     async def work() -> None:
         _, _, process = await world(tmp_path)
