SIGHUP moves the watch and the notices to the agent that the file names

Cause: __main__.serve handled SIGTERM and SIGINT only, so the default action of SIGHUP ended the process. Checked: config.load let RELAY_DISCOVERY go before the file, so a handler alone would have read the old address again; Notices.run waits on `wake`, so a batch whose ask is cut off must set it again. Now the handler is there before the file is read; a reload cancels the watch and the ask that is out, closes their connections, asks the new agent for the whole list (its versions are its own) and resends what waits. A file that cannot be read is one log line. Tests on the real process: two SIGHUPs with a notice unanswered, bad files, SIGHUP while it stops.

--- a/linnetstile/__main__.py
+++ b/linnetstile/__main__.py
@@ -1,4 +1,4 @@
-"""The real relay: `python -m linnetstile`, configured by the RELAY_ variables."""
+"""The real relay: `python -m linnetstile`, configured by the RELAY_ variables; SIGHUP reads them anew."""
 
 from __future__ import annotations
 
@@ -7,30 +7,46 @@
 import signal
 import sys
 
-from .net.config import Config, ConfigError, load
+from .net.config import ConfigError, load
 from .net.host import Host
 
+log = logging.getLogger(__name__)
 
-async def serve(config: Config) -> None:
-    host = Host(config)
-    stopping = asyncio.Event()
+
+async def serve() -> None:
+    stopping, changed = asyncio.Event(), asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, changed.set)  # before the file is read: no change is missed
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(number, stopping.set)
+    host = Host(load())
     await host.start()
-    logging.info("%s serves on %s:%d", config.name, *config.listen)
+    logging.info("%s serves on %s:%d", host.config.name, *host.config.listen)
+    host.tasks.start(follow(host, changed))
     await stopping.wait()
     await host.stop()
 
 
+async def follow(host: Host, changed: asyncio.Event) -> None:
+    """Takes over what a replaced configuration says, also while the relay is stopping."""
+    while True:
+        await changed.wait()
+        changed.clear()
+        try:
+            host.reload(load())
+        except ConfigError as error:
+            log.error("the new configuration is passed over: %s", error)
+
+
 def main() -> int:
+    # Guards against the default action, which ends the process, until the loop has a handler of its own.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
-        config = load()
+        asyncio.run(serve())
     except ConfigError as error:
         print(f"linnetstile: {error}", file=sys.stderr)
         return 2
-    try:
-        asyncio.run(serve(config))
     except OSError as error:
         print(f"linnetstile: {error}", file=sys.stderr)
         return 1
--- a/linnetstile/net/config.py
+++ b/linnetstile/net/config.py
@@ -41,14 +41,16 @@
 
 
 def load(env: Mapping[str, str] = os.environ) -> Config:
-    """Reads the file that RELAY_CONFIG names; the other RELAY_ variables go before what it says."""
+    """Reads the file that RELAY_CONFIG names; the other RELAY_ variables go before what it says, but for
+    discovery: there the file is what gets replaced in service, and a process keeps its old environment."""
     path = env.get("RELAY_CONFIG", "")
     if not path:
         raise ConfigError("RELAY_CONFIG is not set")
     try:
         raw = json.loads(Path(path).read_text())
         told = {key: env.get(f"RELAY_{key.upper()}") or raw.get(key) for key in
-                ("name", "listen", "discovery", "state")}
+                ("name", "listen", "state")}
+        told["discovery"] = raw.get("discovery") or env.get("RELAY_DISCOVERY")
         missing = [key for key, value in told.items() if not value]
         if missing:
             raise ConfigError(f"{path}: {missing[0]} is missing")
--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -90,6 +90,10 @@
     def __init__(self, agent: Agent, directory: Directory, told: Callable[[EndpointList], None]) -> None:
         self.agent, self.directory, self.told = agent, directory, told
 
+    def move(self, agent: Agent) -> None:
+        """Another agent counts its versions anew: what it has is asked for whole."""
+        self.agent, self.directory.version = agent, -1
+
     async def run(self) -> None:
         backoff = Backoff(0.05, 0.5)
         while True:
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .. import interface as api
 from ..control import Relay
@@ -57,10 +57,11 @@
         self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms,
                              max(1, config.sockets // 8))
         self.ingress = Ingress(self.take, self.withdraw, max(1, config.sockets // 2))
-        self.watch_agent, self.notice_agent = Agent(config.discovery), Agent(config.discovery)
-        self.watch = Watch(self.watch_agent, self.directory, self.listed)
-        self.notices = Notices(self.notice_agent, self.noticed)
+        self.watch = Watch(Agent(config.discovery), self.directory, self.listed)
+        self.notices = Notices(Agent(config.discovery), self.noticed)
         self.tasks = Tasks()
+        self.talks: list[asyncio.Task[None]] = []  # with the agent: the watch and the notices
+        self.closed = False
         self.held: dict[int, Held] = {}
         self.numbers: dict[str, int] = {}
         self.last_number = 0
@@ -84,12 +85,29 @@
                 log.warning("the known list of endpoints is passed over: %s", error)
         self._resume()
         self._step()
-        self.tasks.start(self.watch.run())
-        self.tasks.start(self.notices.run())
+        self._talk()
         self.tasks.start(self._sweep())
         self.ready = True
         await self.ingress.listen(*self.config.listen)
 
+    def _talk(self) -> None:
+        self.talks = [self.tasks.start(self.watch.run()), self.tasks.start(self.notices.run())]
+
+    def reload(self, config: Config) -> None:
+        """Moves the watch and the notices to the agent named now; a change of anything else needs a restart.
+        Calls, clients and the journal are left alone, so it may come at any moment, also during a stop."""
+        if self.closed:
+            return
+        for task in self.talks:  # Guards against waiting on an agent that is about to go
+            task.cancel()
+        self.watch.agent.close()
+        self.notices.agent.close()
+        self.config = replace(self.config, discovery=config.discovery)
+        self.watch.move(Agent(config.discovery))
+        self.notices.move(Agent(config.discovery))
+        self._talk()
+        log.info("discovery is at %s:%d from now on", *config.discovery)
+
     async def stop(self) -> None:
         """A planned restart: what cannot end in time stays in the journal."""
         loop = asyncio.get_running_loop()
@@ -106,14 +124,15 @@
         await self.close()
 
     async def close(self) -> None:
+        self.closed = True
         self.ingress.stop()
         await self.tasks.cancel()
         for timer in (self.turn, self.timer):
             if timer is not None:
                 timer.cancel()
         self.egress.keep_only(set())
-        self.watch_agent.close()
-        self.notice_agent.close()
+        self.watch.agent.close()
+        self.notices.agent.close()
         self.journal.close()
 
     def _resume(self) -> None:
--- a/linnetstile/net/outcomes.py
+++ b/linnetstile/net/outcomes.py
@@ -31,6 +31,12 @@
         self.waiting[ident] = json.dumps(line) + "\n"
         self.wake.set()
 
+    def move(self, agent: Agent) -> None:
+        """What waits, or was out unanswered, goes to this agent: a notice told twice does no harm."""
+        self.agent = agent
+        if self.waiting:
+            self.wake.set()
+
     async def run(self) -> None:
         backoff = Backoff(0.05, 0.5)
         while True:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 import h11
 
@@ -67,16 +67,18 @@
     seen: list[Seen] = field(default_factory=list)
     came: asyncio.Queue[Seen] = field(default_factory=asyncio.Queue)
     opened: int = 0
+    readers: list[asyncio.StreamReader] = field(default_factory=list)
     hold: asyncio.Event | None = None  # answers wait for it
     address: tuple[str, int] = ("", 0)
 
-    async def start(self) -> Server:
+    async def start(self) -> Self:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = self.server.sockets[0].getsockname()[:2]
         return self
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
+        self.readers.append(reader)
         number, http = self.opened, h11.Connection(h11.SERVER)
         try:
             while seen := await self._request(reader, http, number):
@@ -93,6 +95,10 @@
         finally:
             writer.close()
 
+    def left(self) -> bool:
+        """Whether the other side has ended all its connections."""
+        return all(reader.at_eof() or reader.exception() is not None for reader in self.readers)
+
     async def reply(self, seen: Seen) -> bytes | None | str:
         self.seen.append(seen)
         self.came.put_nowait(seen)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+from collections import deque
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +17,7 @@
 
 from linnetstile.net.journal import Journal
 
-from .loopback import Agent, Client, Server, answer, message, raw_config, run, until
+from .loopback import Agent, Client, Server, answer, listing, message, raw_config, run, until
 
 
 def free_port() -> int:
@@ -31,11 +32,14 @@
     def __init__(self, folder: Path, agent: Agent, *servers: Server) -> None:
         self.port, self.config, self.state = free_port(), folder / "config.json", folder / "state"
         self.state.mkdir()
-        self.config.write_text(json.dumps(raw_config(
-            self.state, agent, *servers, listen=f"127.0.0.1:{self.port}")))
+        self.raw = raw_config(self.state, agent, *servers, listen=f"127.0.0.1:{self.port}")
+        self.configure()
 
-    async def start(self) -> None:
-        env = {**os.environ, "RELAY_CONFIG": str(self.config)}
+    def configure(self, **more: Any) -> None:
+        self.config.write_text(json.dumps({**self.raw, **more}))
+
+    async def start(self, **more: str) -> None:
+        env = {**os.environ, "RELAY_CONFIG": str(self.config), **more}
         self.process = await asyncio.create_subprocess_exec(sys.executable, "-m", "linnetstile", env=env)
         while True:
             try:
@@ -136,6 +140,55 @@
     run(work())
 
 
+def test_sighup_moves_the_watch_and_the_notices_to_the_new_agent(tmp_path: Path) -> None:
+    """Guards against a process that ends on SIGHUP, and against one that waits on the agent that goes."""
+    async def work() -> None:
+        old, server, process = await world(tmp_path)
+        server.usual, old.script = answer(500), deque([None] * 100)  # the old agent takes no notice
+        await process.start(RELAY_DISCOVERY="{}:{}".format(*old.address))  # older than the file, then
+        await process.hand_in(message("u", "unsafe"))
+        await until(lambda: len(old.script) < 100)  # its notice is out, and never answered
+        other = await Server().start()
+        for new in (Agent(script=deque([None] * 100)), Agent()):  # the first takes no notice either
+            await new.start()
+            new.tell(listing(other, generation=1))
+            process.configure(discovery="{}:{}".format(*new.address))
+            process.process.send_signal(signal.SIGHUP)
+            await until(lambda: len(new.seen) > 1)  # noqa: B023
+            assert "/v1/servers" in [seen.target for seen in new.seen]  # whole: its versions are its own
+        assert await new.notices.get() == {"id": "u", "state": "failed"}
+        await until(old.left)
+        await process.hand_in(message("v"))
+        assert (await other.came.get()).headers["x-trace-id"] == "v"
+        assert await process.end(signal.SIGTERM) == 0
+    run(work())
+
+
+def test_sighup_with_a_bad_file_or_while_stopping_changes_nothing_else(tmp_path: Path) -> None:
+    async def work() -> None:
+        agent, server, process = await world(tmp_path)
+        server.hold = asyncio.Event()
+        await process.start()
+        good = process.config.read_text()
+        for bad in ("{", "[]", json.dumps({**json.loads(good), "discovery": "nowhere"})):
+            process.config.write_text(bad)
+            process.process.send_signal(signal.SIGHUP)
+        agent.tell(listing(server, generation=5))
+        await until(lambda: any("from=5" in seen.target for seen in agent.seen))  # still the old agent
+        await process.hand_in(message("m", "unsafe"))
+        await server.came.get()
+        process.process.send_signal(signal.SIGTERM)
+        new = await Agent().start()
+        process.configure(discovery="{}:{}".format(*new.address))
+        process.process.send_signal(signal.SIGHUP)
+        await until(lambda: bool(new.seen))
+        server.script.append(answer(500))
+        server.hold.set()
+        assert await new.notices.get() == {"id": "m", "state": "failed"}
+        assert await process.process.wait() == 0
+    run(work())
+
+
 @pytest.mark.parametrize(("change", "says"), [
     ({"listen": "nowhere"}, "HOST:PORT"),
     ({"settings": {}}, "settings"),
