--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -228,10 +228,18 @@
             return held.due
         return held.first_risk + held.cls.key_window_ms - self.s.tick_ms
 
-    def _end(self, held: Held, acts: list[Action]) -> None:
-        acts.append(Refuse(held.msg.id) if self._may_refuse(held) else Fail(held.msg.id))
+    def _end(self, now: float, held: Held, acts: list[Action]) -> None:
+        ident = held.msg.id
+        acts.append(Refuse(ident, self._advice(now, held)) if self._may_refuse(held) else Fail(ident))
         self.board.remove(held)
 
+    def _advice(self, now: float, held: Held) -> float:
+        """When to come again: after the told wait, and once what waits there now has gone."""
+        dest = held.msg.destination
+        told = max((lane.wait_until - now for lane in self.lanes.get(dest, {}).values()), default=0.0)
+        drained = 1000 * len(self.board.queues.get(dest, ())) / self._speed(now, dest)
+        return min(self.s.longest_advice_ms, max(told, drained))
+
     def _withdraw(self, ident: int) -> None:
         if held := self.board.held.get(ident):
             held.withdrawn = True  # one that is out waits for its outcome
@@ -243,7 +251,7 @@
         while self.ends and self.ends[0][0] <= now:
             held = self.board.held.get(heapq.heappop(self.ends)[1])
             if held and held.out is None:
-                self._end(held, acts)
+                self._end(now, held, acts)
 
     def _make_room(self, acts: list[Action], now: float) -> None:
         """Before the hold fills (a full one turns newcomers away), refuses what will be worth least when
@@ -257,7 +265,7 @@
                     if self._may_refuse(held) and (least is None or worth[:2] < least[:2]):
                         least = worth
             if least is not None:
-                self._end(least[2], acts)
+                self._end(now, least[2], acts)
 
     def _speed(self, now: float, dest: int) -> float:
         """Calls a second that this relay may expect to place at a destination."""
--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -5,7 +5,7 @@
 import json
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ..interface import Endpoint, EndpointList, Listing, ListKind, Settings
@@ -52,12 +52,13 @@
         return self.zones.index(str(name)) if name in self.zones else 0
 
     def apply(self, raw: dict[str, Any]) -> EndpointList:
-        """Takes an answer in whole or not at all; ValueError says what is wrong with it."""
+        """Takes an answer but for entries that cannot be read; ValueError says that it is no list at all."""
         try:
             version, whole = int(raw["generation"]), bool(raw["reset"])
-            found = [self._known(item) for item in raw["instances"]]
-        except (KeyError, TypeError, AttributeError, OverflowError) as error:
+            items = list(raw["instances"])
+        except (KeyError, TypeError, OverflowError) as error:
             raise ValueError(f"malformed list: {error!r}") from error
+        found = [known for known in map(self._readable, items) if known is not None]
         if whole:
             self.by_name.clear()
             self.by_number.clear()
@@ -71,6 +72,19 @@
         kind = ListKind.WHOLE if whole else ListKind.CHANGES
         return EndpointList(kind, tuple(known.entry for known in found))
 
+    def _readable(self, item: Any) -> Known | None:
+        """Guards the others against one entry that cannot be read: where its endpoint is known already, that
+        stands, but for what it says of its life."""
+        try:
+            return self._known(item)
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            log.warning("discovery: an entry is passed over: %r", error)
+        known = self.by_name.get(str(item.get("instanceId"))) if isinstance(item, dict) else None
+        if known is None:
+            return None
+        listing = LISTINGS.get(str(item.get("lifecycle")), Listing.DRAINING)
+        return replace(known, entry=replace(known.entry, listing=listing))
+
     def _known(self, item: dict[str, Any]) -> Known:
         name, kind, rate = str(item["instanceId"]), item.get("machineType"), float(item.get("weight", 0.0))
         if not 0 <= rate < 1e9:
--- a/linnetstile/settings.py
+++ b/linnetstile/settings.py
@@ -55,7 +55,7 @@
             idle_ms=limits.get("conn-idle-ms", 0.0),
             connect_timeout_ms=limits.get("connect-timeout-ms", 0.0), tick_ms=raw.get("tick-ms", 1.0),
             marks_repeats=bool(raw.get("client-habits", {}).get("marks-retry", False)),
-            longest_advice_ms=limits.get("max-retry-after-ms", 0.0) if limits.get("retry-after") else 0.0,
+            longest_advice_ms=limits.get("max-retry-after-ms", 0.0),  # told also where few clients heed it
             cross_zone_price=prices.get("cross-zone", 0.0), route_fees=tuple(extra.get("carriage", [])),
             limit_report=(fields.index("x0"), fields.index("x1")) if {"x0", "x1"} <= set(fields) else None,
             safety=api.Safety(
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -42,6 +42,19 @@
     assert all(isinstance(d.ended[ident], api.Refuse) for ident in set(d.ended) & set(stuck))
 
 
+def test_a_refusal_tells_when_to_come_again() -> None:
+    d = Driver(make_settings(hold=20, longest_advice_ms=3000.0))
+    d.listed((11, 1), (12, 2))
+    d.warm_up(1)
+    first = d.message(SAFE, 1)
+    d.pass_time(400)
+    d.answer(first, api.Outcome.FULL, wait=1500.0)
+    for _ in range(18):
+        d.message(KEYED, 1)
+    told = [act.stay_away_ms for act in d.ended.values() if isinstance(act, api.Refuse)]
+    assert told and all(1400.0 < wait <= 3000.0 for wait in told)
+
+
 def test_silent_destination_gets_a_trickle_and_no_unsafe_message() -> None:
     d = Driver()
     d.listed((11, 1))
