A failure among many answers weighs less: broken calls on a busy destination are no outage

Ruled out: the limits of the destinations (their pace stood at the listed rate) and slots. To blame: control._failed, BLAME for each failure however many answers come, and `vouched` for a connect that failed, which an answer counts for only if it came after the send. Now a failure within 300 ms of an answer weighs 0.1, and such an answer vouches also for a failed connect. Without answers it weighs as before, so that rare calls still see an outage in one or two.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -31,6 +31,7 @@
 CUT = 0.7  # pace kept after a refusal above the limit
 ROUGH = 1.5  # a rough listed rate may be this much too high
 BLAME = 0.3  # weight of one failure: two in a row make an outage
+VOUCHED, VOUCH_MS = 0.1, 300.0  # its weight so soon after an answer: chance breaks two in a row among many
 SICK = 0.5  # blame above which a destination is taken as out
 TRUSTED = 0.25  # blame below which an unsafe message may be risked again
 SHUT_MS = 2500.0  # told waits and refusals without a break longer than any span of a limit mean shut
@@ -343,9 +344,11 @@
             lane.stretch = min(STRETCH_MAX, lane.stretch * 2)
         # A recent answer or an endpoint that has not failed vouches for a destination: without either, one
         # failure is an outage. Guards relays that call it too seldom to see two in a row.
-        vouched = held.out_since if event.outcome is Outcome.CONNECT_FAILED else now - FADE_MS
+        recent = now - VOUCH_MS
+        vouched = min(held.out_since, recent) if event.outcome is Outcome.CONNECT_FAILED else now - FADE_MS
         alone = lane.last_ok <= vouched and all(other.faults for other in lane.doors.values())
-        lane.blame += (1.0 - lane.blame) * (SICK + 0.05 if alone or shut else BLAME)
+        weight = BLAME if lane.last_ok < recent else VOUCHED
+        lane.blame += (1.0 - lane.blame) * (SICK + 0.05 if alone or shut else weight)
         if lane.blame > SICK and lane.doors:
             lane.next_trickle = lane.next_trickle if lane.sick else now
             lane.sick, lane.blame = True, min(lane.blame, 0.7)
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -42,6 +42,30 @@
     assert all(isinstance(d.ended[ident], api.Refuse) for ident in set(d.ended) & set(stuck))
 
 
+def test_a_busy_destination_with_some_broken_calls_is_not_taken_as_out() -> None:
+    """Resets and failed connects among many answers: taken for an outage, each would slow it for 11 s."""
+    d = Driver(make_settings(slots=20))
+    d.listed((11, 1), rate=200.0)
+    d.warm_up(calls=20)
+    calls = 0
+    for _ in range(100):
+        d.message(SAFE)
+        d.message(SAFE)
+        d.pass_time(20)
+        for ident in list(d.out):
+            calls += 1
+            broken = api.Outcome.RESET if calls % 2 else api.Outcome.CONNECT_FAILED
+            d.answer(ident, broken if calls % 9 < 2 else api.Outcome.OK)  # two in a row
+    (lane,) = d.relay.lanes[1].values()
+    assert not lane.sick and lane.cold_since < 0
+    for _ in range(40):  # but when all of them break, it is
+        d.message(SAFE)
+        d.pass_time(20)
+        for ident in list(d.out):
+            d.answer(ident, api.Outcome.RESET)
+    assert lane.sick
+
+
 def test_a_refusal_tells_when_to_come_again() -> None:
     d = Driver(make_settings(hold=20, longest_advice_ms=3000.0))
     d.listed((11, 1), (12, 2))
