Clients are not shut out by connections that are asked once and then stay

To blame: ingress._make_room (silent ones before idle ones, however new) and IDLE_S for each connection. Now, with more than a twelfth of the descriptors idle, an answer says Connection: close and the connection ends with it; those that are idle already end after 2.05 s, as clients are owed 2. For a newcomer room is made by those answered for the last time, those that never carried a message, those silent for 0.25 s, those idle for 2.05 s. A closed one gets its answer first (close in place of abort).

--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -62,7 +62,7 @@
         self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, idle, ending)
         # Clients get what calls cannot need: so a flood of connections leaves every call its descriptor.
         clients = config.sockets - OWN_SOCKETS - config.settings.slots - idle - ending
-        self.ingress = Ingress(self.take, self.withdraw, max(1, clients))
+        self.ingress = Ingress(self.take, self.withdraw, max(1, clients), config.sockets // 12)
         self.watch = Watch(Agent(config.discovery), self.directory, self.listed)
         self.notices = Notices(Agent(config.discovery), self.noticed)
         self.tasks = Tasks()
--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -21,13 +21,14 @@
 SILENT_S = 2.2  # a new connection may say nothing for so long: one on which no request is open is owed 2 s
 FIRST_S = 2.5  # from connecting until its first request is whole; an answer or an end is due within 3 s
 REQUEST_S = 2.0  # a later request takes no longer to come; its client gives up after 0.4 s
-IDLE_S = 10.0  # a connection is kept so long for its next request
-SPARED_S = 2.0  # so long it is kept also when others want its place
+IDLE_S = 10.0  # a connection is kept so long for its next request, while few stand idle
+SPARED_S = 2.05  # so long it is kept also when many do, or others want its place: clients are owed 2 s
+HEARD_S = 0.25  # a client's first bytes follow its connection more quickly than this
 LINGER_S = 1.0  # after a last answer: closing on unread bytes would reset that answer away
 DISCARD_S = 4.0  # the same for a body that is far too long
 DISCARD_BYTES = 64 << 20  # and how much of it is read and thrown away
 PENALTY_S = 0.1  # what follows a request that made no sense is read so much later
-SWEEP_S = 0.2  # how often it is looked whose time is up
+SWEEP_S = 0.1  # how often it is looked whose time is up
 # A message whose head says one of these twice has two meanings: ours and that of whoever reads it next.
 ONCE = frozenset(("host", "transfer-encoding", "idempotency-key", "x-addressing", "x-customer",
                   "x-expires-in-ms", "x-qos", "x-second-try", "x-trace-id"))
@@ -78,6 +79,7 @@
         self.unsent: list[str] = []  # accepted, but the answer is not fully written
         self.first_by = self.deadline = 0.0
         self.fresh = True  # no request has begun yet
+        self.useful = False  # a message has come on it
         self.last = False  # no request after this one
         self.over = False  # answered for the last time: what still comes is thrown away
         self.discarded = 0
@@ -198,12 +200,15 @@
             self._end(Reply(400, "one request at a time on a connection, and no more than its length"))
             return
         reply = self._handled(request)
+        # Guards clients that may hold only so many connections against those that ask once and stay.
+        self.last = self.last or self.server.crowded
         self._answer(reply)
         self.request = None
         if self.last or http.our_state is not h11.DONE:
             self._close()
             return
         http.start_next_cycle()
+        self.useful = self.useful or reply.status == 202
         self.deadline = asyncio.get_running_loop().time() + IDLE_S
         self.server.rests(self)
         if reply.status in SENSELESS and self.transport is not None:
@@ -259,6 +264,10 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
+    def make_way(self) -> None:
+        """Ends it between requests, with nothing unread: what was answered still reaches the client."""
+        self._close()
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -271,11 +280,13 @@
 class Ingress:
     """All connections of clients, `most` at once, and which of them makes room for another."""
 
-    def __init__(self, handle: Handler, withdraw: Withdraw, most: int) -> None:
+    def __init__(self, handle: Handler, withdraw: Withdraw, most: int, roomy: int) -> None:
         self.handle, self.withdraw, self.most = handle, withdraw, most
+        self.roomy = roomy  # so many idle connections are few
         self.connections: set[ClientConnection] = set()
         self.silent: dict[ClientConnection, None] = {}  # nothing has come on them; oldest first
-        self.resting: dict[ClientConnection, None] = {}  # between requests; longest idle first
+        self.visiting: dict[ClientConnection, None] = {}  # between requests, none of them a message
+        self.resting: dict[ClientConnection, None] = {}  # between messages; longest idle first
         self.lingering: dict[ClientConnection, None] = {}  # answered for the last time
         self.server: asyncio.Server | None = None
 
@@ -289,13 +300,25 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             now = loop.time()
-            for connection in [each for each in self.connections if each.deadline <= now]:
+            for connection in self._due(now):
                 try:
                     connection.overdue()
                 except Exception:
                     log.exception("a connection could not be ended")
                     connection.abort()
 
+    @property
+    def crowded(self) -> bool:
+        """So many stand idle that the next ones are not kept: their answers say so."""
+        return len(self.visiting) + len(self.resting) >= self.roomy
+
+    def _due(self, now: float) -> set[ClientConnection]:
+        due = {each for each in self.connections if each.deadline <= now}
+        if self.crowded:
+            by = now - SPARED_S + IDLE_S
+            due.update(each for each in (*self.visiting, *self.resting) if each.deadline <= by)
+        return due
+
     # -- where each connection stands --------------------------------------------------------------------
 
     def admit(self, connection: ClientConnection) -> bool:
@@ -314,31 +337,39 @@
 
     def rests(self, connection: ClientConnection) -> None:
         self._leave(connection)
-        self.resting[connection] = None
+        (self.resting if connection.useful else self.visiting)[connection] = None
 
     def lingers(self, connection: ClientConnection) -> None:
         self._leave(connection)
         self.lingering[connection] = None
 
     def _leave(self, connection: ClientConnection) -> None:
-        for place in (self.silent, self.resting, self.lingering):
+        for place in (self.silent, self.visiting, self.resting, self.lingering):
             place.pop(connection, None)
 
     def _make_room(self) -> bool:
-        """Guards the descriptors that calls need: ends a connection that has no request open, first those
-        that have their last answer, then those that never said anything, then those idle for long."""
-        idle_since = asyncio.get_running_loop().time() - SPARED_S
-        victim = next(iter(self.lingering), None) or next((c for c in self.silent if c.unheard), None)
-        if victim is None:
-            rested = next(iter(self.resting), None)
-            if rested is not None and rested.deadline - IDLE_S <= idle_since and rested.unheard:
-                victim = rested
+        """Guards the descriptors that calls need, and the way in for messages: ends a connection that has no
+        request open. A newcomer says nothing yet either: no victim before its first bytes could come."""
+        now = asyncio.get_running_loop().time()
+        victims = (
+            next(iter(self.lingering), None),
+            next((each for each in self.visiting if each.unheard), None),
+            self._oldest(self.silent, now - HEARD_S + SILENT_S),
+            self._oldest(self.resting, now - SPARED_S + IDLE_S),
+        )
+        victim = next((each for each in victims if each is not None), None)
         if victim is None:
             return False
         self.forget(victim)
-        victim.abort()
+        victim.make_way()
         return True
 
+    @staticmethod
+    def _oldest(place: dict[ClientConnection, None], by: float) -> ClientConnection | None:
+        """The one that came to it first, if its deadline says that this was long enough ago."""
+        first = next(iter(place), None)
+        return first if first is not None and first.deadline <= by and first.unheard else None
+
     @property
     def port(self) -> int:
         assert self.server is not None
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 import pytest
@@ -139,12 +140,40 @@
             assert await client.ask(GOOD) == 202
             assert await client.reader.read() == b""
             await until(lambda: not host.ingress.connections)
-            assert not (host.ingress.silent or host.ingress.resting or host.ingress.lingering)
+            ingress_ = host.ingress
+            assert not (ingress_.silent or ingress_.visiting or ingress_.resting or ingress_.lingering)
     run(work())
 
 
-def test_a_crowd_that_says_nothing_makes_room_for_one_that_asks(tmp_path: Path) -> None:
+def test_where_many_stand_idle_the_next_are_not_kept_and_those_no_longer_than_they_are_owed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards clients that may hold only so many connections: those that stay shut the others out."""
+    async def work() -> None:
+        async with World(tmp_path) as host, AsyncExitStack() as open_:
+            port, host.ingress.roomy = host.ingress.port, 3
+            idle = [await open_.enter_async_context(Client(port)) for _ in range(3)]
+            for count, client in enumerate(idle):
+                assert await client.ask(message(f"a{count}")) == 202
+                assert "connection: close" not in client.head
+            async with Client(port) as once:
+                assert await once.ask(message("b")) == 202 and "connection: close" in once.head
+                assert await ended(once)
+            assert await idle[0].ask(message("c")) == 202 and "connection: close" not in idle[0].head
+            now = asyncio.get_running_loop().time()
+            assert len(host.ingress._due(now + ingress.SPARED_S)) == 3 and not host.ingress._due(now + 1.9)
+            host.ingress.roomy = 4
+            assert not host.ingress._due(now + ingress.IDLE_S - 1.0)
+            assert len(host.ingress._due(now + ingress.IDLE_S)) == 3
+    run(work())
+
+
+def test_a_crowd_that_says_nothing_makes_room_for_one_that_asks(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards the descriptors that calls need, and the usual clients' way in."""
+    monkeypatch.setattr(ingress, "HEARD_S", 0.0)
+
     async def work() -> None:
         async with World(tmp_path) as host:
             port, host.ingress.most = host.ingress.port, 3
@@ -159,6 +188,43 @@
     run(work())
 
 
+def test_newcomers_are_not_ended_for_one_another_while_others_have_been_idle(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a way in that closes behind each: its first bytes come right after it, not with it."""
+    monkeypatch.setattr(ingress, "SPARED_S", 0.0)
+
+    async def work() -> None:
+        async with World(tmp_path) as host, AsyncExitStack() as open_:
+            port, host.ingress.most = host.ingress.port, 4
+            idle = [await open_.enter_async_context(Client(port)) for _ in range(4)]
+            for count, client in enumerate(idle):
+                assert await client.ask(message(f"a{count}")) == 202
+            new = [await open_.enter_async_context(Client(port)) for _ in range(4)]
+            await until(lambda: len(host.ingress.silent) == 4)
+            for count, client in enumerate(new):
+                assert await client.ask(message(f"b{count}")) == 202
+            for client in idle:
+                assert await ended(client)
+    run(work())
+
+
+def test_who_only_looks_in_makes_room_for_who_hands_in(tmp_path: Path) -> None:
+    """Guards messages against a crowd that asks for the health and stays."""
+    async def work() -> None:
+        async with World(tmp_path) as host, AsyncExitStack() as open_:
+            port, host.ingress.most = host.ingress.port, 4
+            usual = await open_.enter_async_context(Client(port))
+            assert await usual.ask(message("a")) == 202
+            for _ in range(20):
+                visitor = await open_.enter_async_context(Client(port))
+                assert await visitor.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n") == 200
+            other = await open_.enter_async_context(Client(port))
+            assert await other.ask(message("b")) == await usual.ask(message("c")) == 202
+            assert len(host.ingress.connections) == 4
+    run(work())
+
+
 def test_only_connections_without_an_open_request_make_room(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -281,6 +281,7 @@
             sizes: dict[str, Sized] = {
                 "held": host.held, "numbers": host.numbers, "entries": host.journal.entries,
                 "sizes": host.journal.sizes, "silent": ingress.silent, "resting": ingress.resting,
+                "visiting": ingress.visiting,
                 "lingering": ingress.lingering, "queues": relay_.board.queues, "look": relay_.board.look_at,
                 "lines": relay_.board.lines, "rest": relay_.key_rest, "ending": host.egress.ending,
                 "notices": host.notices.waiting, "events": host.events}
