--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,155 @@
+"""What a message costs the decision module, by how much is held for how many destinations.
+
+    python -m benchmarks.decisions [--json] [--messages N] [--rounds N] [--held N --dests N]
+
+The clock is virtual: a message comes each millisecond, and as many calls end as keep the number held. Two loads:
+
+- `open`: every destination takes calls and the slots are what is short, so that each free one goes to the best
+  of all that is held. What is held is of all ages, so that some of it dies in each step as well.
+- `shut`: all but one destination told this relay to wait, and the traffic goes through the one.
+
+The baseline is 70 messages held for one destination, measured before and after each row of the same round.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import statistics
+import sys
+import time
+from collections import deque
+from dataclasses import asdict, dataclass
+
+from linnetstile import interface as api
+from linnetstile.control import Relay
+
+BASE = (70, 1)
+SIZES = ((4_070, 1), (10_070, 1_000), (10_070, 5_000), (20_000, 5_000), (20_000, 1))
+SLOTS = 64
+CLASSES = (
+    api.MessageClass("order", api.Effect.KEYED, 4000.0, 16000.0, 2.0, 0.5, 4000.0),
+    api.MessageClass("pay", api.Effect.UNSAFE, 3000.0, 16000.0, 1.0, 0.5),
+    api.MessageClass("status", api.Effect.SAFE, 1500.0, 8000.0, 4.0, 0.1),
+)
+STEP_MS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    load: str
+    held: int
+    dests: int
+    us_a_message: float  # all turns for one more message: its coming, an outcome, and what died meanwhile
+    us_a_turn: float
+    worst_ms: float  # the longest turn
+    steps_a_turn: float  # messages and cells looked at
+
+
+class Load:
+    """A relay with so many messages held, and the events that keep it so."""
+
+    def __init__(self, load: str, held: int, dests: int, seed: int = 1) -> None:
+        self.rng, self.now, self.ids, self.turns = random.Random(seed), 1e6, 0, 0
+        self.load, self.held, self.dests = load, held, dests
+        self.out: deque[api.Send] = deque()
+        self.took, self.longest = 0.0, 0.0
+        settings = api.Settings(
+            CLASSES, (api.DestinationKind("k"),), slots=SLOTS, hold=2 * held, attempts=8, tick_ms=1.0,
+            decay=api.Decay.HALVES, rates=api.Rates.NOMINAL, idle_ms=10_000.0,
+            tenants=(api.Tenant("a", 1e9), api.Tenant("b", 1.0)), over_share_worth=0.1,
+            safety=api.Safety(20.0, 250.0, 0.2, 9000.0, 2.0, 1500.0),
+        )
+        self.relay = Relay(settings, seed)
+        self.feed(api.EndpointList(api.ListKind.WHOLE, tuple(
+            api.Endpoint(d, d, api.Listing.READY, rate=1e5) for d in range(1, dests + 1))))
+        if load == "shut":
+            for dest in range(2, dests + 1):
+                self._shut(dest)
+        while len(self.relay.board.held) < held:
+            self.feed(self._message(age_ms=self.rng.uniform(0.0, 7000.0)))
+        self.relay.handle(self.now, [])
+
+    def feed(self, event: api.Event) -> None:
+        begun = time.perf_counter()
+        acts = self.relay.handle(self.now, [event])
+        took = time.perf_counter() - begun
+        self.turns, self.took, self.longest = self.turns + 1, self.took + took, max(self.longest, took)
+        self.out.extend(act for act in acts if isinstance(act, api.Send))
+
+    def _shut(self, dest: int) -> None:
+        self.ids += 1
+        self.feed(api.Message(self.ids, dest, 2, 8000.0))
+        while self.out:
+            send = self.out.popleft()
+            self.feed(api.AttemptEnded(send.id, 0, send.endpoint, api.Outcome.FULL, 20.0, wait_ms=3.6e6))
+
+    def _message(self, age_ms: float | None = None) -> api.Message:
+        self.ids += 1
+        class_ = self.rng.choices((0, 1, 2), (51, 32, 17))[0]
+        dest = self.rng.randint(1, self.dests)
+        if self.load == "shut" and age_ms is None:
+            dest = 1
+        left = CLASSES[class_].deadline_ms - (age_ms or 0.0)
+        return api.Message(self.ids, dest, class_, left, self.rng.randrange(2), age_ms=age_ms)
+
+    def run(self, messages: int) -> None:
+        """So many more messages: each comes, and the oldest call ends, as long as enough are held."""
+        for _ in range(messages):
+            self.now += STEP_MS
+            while len(self.relay.board.held) < self.held:
+                self.feed(self._message())
+            if self.out:
+                send = self.out.popleft()
+                self.feed(api.AttemptEnded(send.id, 0, send.endpoint, api.Outcome.OK, 20.0, True))
+
+    def measure(self, messages: int) -> Row:
+        self.run(messages // 10)
+        self.took, self.longest, self.turns, ids = 0.0, 0.0, 0, self.ids
+        steps = self.relay.index.steps
+        self.run(messages)
+        return Row(self.load, self.held, self.dests, 1e6 * self.took / max(1, self.ids - ids),
+                   1e6 * self.took / self.turns, 1e3 * self.longest,
+                   (self.relay.index.steps - steps) / self.turns)
+
+
+def median(rows: list[Row]) -> Row:
+    return sorted(rows, key=lambda row: row.us_a_message)[len(rows) // 2]
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.decisions")
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--messages", type=int, default=3000)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--held", type=int)
+    parser.add_argument("--dests", type=int)
+    args = parser.parse_args()
+    sizes = ((args.held, args.dests or 1),) if args.held else SIZES
+    out = []
+    for load in ("open", "shut"):
+        for size in sizes:
+            rows, ratios = [], []
+            for seed in range(args.rounds):
+                base = Load(load, *BASE, seed=seed).measure(args.messages)
+                row = Load(load, *size, seed=seed).measure(args.messages)
+                again = Load(load, *BASE, seed=seed).measure(args.messages)
+                rows.append(row)
+                ratios.append(row.us_a_message / statistics.mean((base.us_a_message, again.us_a_message)))
+            out.append({**asdict(median(rows)), "ratio": statistics.median(ratios),
+                        "ratio_least": min(ratios), "ratio_most": max(ratios)})
+    if args.json:
+        json.dump(out, sys.stdout, indent=1)
+        print()
+        return 0
+    print(f"against {BASE[0]} held for {BASE[1]}; {args.messages} messages, median of {args.rounds} rounds")
+    print("load   held   dests   us/message   us/turn   longest ms   steps/turn   ratio (least to most)")
+    for each in out:
+        print("{load}{held:8}{dests:8}{us_a_message:13.1f}{us_a_turn:10.1f}{worst_ms:13.1f}{steps_a_turn:13.1f}"
+              "{ratio:8.2f} ({ratio_least:.2f} to {ratio_most:.2f})".format(**each))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
