Large size: newcomers are entered alone, ends come in slices, hard cases tested by steps

Change: cells go by time to live, so that a message ages in its cell; short courses are entered whole; a newcomer is entered alone; closes are at most 128 a turn and begin earlier by what is held. Tests count messages and cells looked at in a turn: 20,000 for a destination that is out and returns, 5,000 destinations due in one tick, a told wait, a drain with 10,000 queued, a clump of one key, memory, 10,000 destinations that come and go.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import json
 import random
 import statistics
@@ -70,6 +71,8 @@
         while len(self.relay.board.held) < held:
             self.feed(self._message(age_ms=self.rng.uniform(0.0, 7000.0)))
         self.relay.handle(self.now, [])
+        gc.collect()
+        gc.freeze()  # as the daemon does: a pass over all that is held is no part of a turn
 
     def feed(self, event: api.Event) -> None:
         begun = time.perf_counter()
--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -20,6 +20,7 @@
 from .state import FOREVER, NEVER, Board, Bound, Door, Held, Lane, Queue
 
 MARGIN_MS = 20.0  # messages are closed so long before their time is up
+ENDING_MS, ENDING_MAX_MS = 0.05, 1000.0  # and earlier by what ending all that is held takes, each so long
 LOOK_MS = 500.0  # a queue that waits for something is looked at again at least so often
 FADE_MS = 10000.0  # older evidence counts no more: an answer or a failure of so long ago
 GONE_MS = 60000.0  # a lane without endpoints is remembered for so long: past any outage seen
@@ -44,7 +45,7 @@
 MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
 CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
 LOOKS = 128  # queues looked at in one turn: the others come in the next, so that no turn is long
-REFUSALS = 64  # messages refused to make room in one turn, for the same reason
+REFUSALS, CLOSES = 64, 128  # messages refused to make room, and closed, in one turn: for the same reason
 POOR, ROLLING = 8, 2  # queues compared for each: those known as poorest, and some in turn, as worth falls
 
 
@@ -62,6 +63,8 @@
     """Out, or each endpoint owes an answer that is overdue, and none came since: hung, gone or slow."""
     if lane.sick or not lane.out:
         return lane.sick
+    if next(reversed(lane.out.values())).out_since < lane.last_ok:
+        return False
     overdue = now - (lane.mean + OVERDUE * lane.dev) * lane.stretch
     owing: set[int] = set()
     for held in lane.out.values():  # oldest first: mostly the first one answers it
@@ -119,7 +122,7 @@
                     self.timer_at = 0.0
                 case Closing():
                     self.closing_at = event.at_ms
-                    self.board.due.update(dict.fromkeys(self.board.queues))
+                    self.board.due.update(dict.fromkeys(self.board.queues, True))
         if self.ask_at is not None and now_ms >= self.ask_at:
             acts.append(WatchList())
             self.ask_at = now_ms + self.s.safety.ask_within_ms / 2  # asks again should no answer come
@@ -235,7 +238,8 @@
 
     def _wait(self, now: float, held: Held) -> None:
         """Puts a message into its queue, until a send or its last moment, whichever comes first."""
-        close = min(self._until(held), held.due - MARGIN_MS - 2 * self.s.tick_ms)
+        early = MARGIN_MS + min(ENDING_MAX_MS, ENDING_MS * len(self.board.held))
+        close = min(self._until(held), held.due - early - 2 * self.s.tick_ms)
         heapq.heappush(self.ends, (close, held.msg.id))
         if len(self.ends) > 64 + 4 * len(self.board.held):  # most are of messages that have ended
             self.ends = [end for end in self.ends if end[1] in self.board.held]
@@ -307,10 +311,12 @@
 
     def _close_late(self, now: float, acts: list[Action]) -> None:
         """The deadline timer: ends what can no longer be delivered in time."""
-        while self.ends and self.ends[0][0] <= now:
+        closed = 0
+        while self.ends and self.ends[0][0] <= now and closed < CLOSES:
             held = self.board.held.get(heapq.heappop(self.ends)[1])
             if held and held.out is None:
                 self._end(now, held, acts)
+                closed += 1
 
     def _make_room(self, acts: list[Action], now: float) -> None:
         """Before the hold fills (a full one turns newcomers away), refuses what will be worth least when
@@ -517,13 +523,13 @@
         looks = 0
         while self.busy < self.s.slots:
             while self.board.due and looks < LOOKS:
-                self._look(now, self.board.due.popitem(last=False)[0])
+                self._look(now, *self.board.due.popitem(last=False))
                 looks += 1
             entry = self.index.best(now)
             if entry is None:
                 return
             _, _, held, lane, queue, _ = entry
-            if not self._still(now, held, lane):
+            if queue.seen != now and not self._still(now, held, lane):
                 self.board.look(queue.dest)
             elif (door := self._door(now, held, lane)) is not None:
                 self._send(now, held, door, acts)
@@ -554,27 +560,37 @@
         unsafe_at = lane.failed_at + FADE_MS if barred else NEVER  # an unclear outcome would be final
         return Gate(*self._room_at(now, lane, out), unsafe_at, cost)
 
-    def _look(self, now: float, dest: int) -> None:
-        """Enters what a queue could send now into the index, and sets when to look at it again."""
+    def _look(self, now: float, dest: int, whole: bool) -> None:
+        """Enters what a queue could send now into the index, or only what has come to it, and sets when to
+        look at it again."""
         queue = self.board.queues.get(dest)
         if queue is None:
             return
-        queue.stamp += 1
+        fresh, queue.fresh = [held for held in queue.fresh if held.course is not None], []
+        courses = {course.key: course for course in (held.course for held in fresh) if course is not None}
+        if whole:
+            queue.stamp, queue.seen, courses = queue.stamp + 1, now, queue.courses
         again = FOREVER
         for lane in self.lanes.get(dest, {}).values():
             gate = self._gate(now, lane)
             if gate is None:
                 continue
-            for course in queue.courses.values():
+            for course in courses.values():
                 if not course.ready or not self._reaches(course.bound, lane):
                     continue
                 at = self._opens(gate, lane, course.ready[0][2])
-                if at <= now:
+                if at <= now and whole:
                     at = self.index.enter(now, course, lane, gate.cost)
+                elif at <= now:
+                    for held in fresh:
+                        if held.course is course:
+                            at = self.index.enter(now, course, lane, gate.cost, held)
                 elif at > lane.wait_until:  # by a pace, which may change with time
                     at = min(at, self._paced_until(now, lane))
                 again = min(again, at)
-        self.board.look_later(queue, max(again, now + self.s.tick_ms))
+        again = max(again, now + self.s.tick_ms)
+        if whole or again < queue.look_at or queue.look_at <= now:
+            self.board.look_later(queue, again)
 
     @staticmethod
     def _reaches(bound: Bound | None, lane: Lane) -> bool:
@@ -606,6 +622,7 @@
         if suspect(lane, now):  # the next call there: spread, and rarer the longer it lasts
             lane.next_trickle = now + 1000 / self._pace(now, lane, True)[0] * self.rng.uniform(0.7, 1.3)
         self.board.unqueue(held)
+        self.board.look(held.msg.destination)
         held.out, held.out_since, held.tries = door, now, held.tries + 1
         door.out += 1
         lane.out[held.msg.id] = held
--- a/linnetstile/index.py
+++ b/linnetstile/index.py
@@ -3,10 +3,10 @@
 What a message is worth to send now is a function of its class, its tenant's share and its age when the
 answer comes: it is flat, rises until the aim, falls after it, and doubles once nothing would be left of it a
 second later. So of a `Course` only the message at the edge of each of these pieces can be its best: `edges`
-finds them by bisection. They are entered into cells by class, worth, piece and band of age. All in a cell are
-worth about the same at any time, and so only the cost of their lane ranks them, which does not change with
-time: a cell is a heap by cost, and the cells are ranked among each other by a bound that is renewed every now
-and then.
+finds them by bisection. They are entered into cells by class, worth, time to live and band of age. All in a
+cell are worth about the same at any time, and so only the cost of their lane ranks them, which does not
+change with time: a cell is a heap by cost, and the cells are ranked among each other by a bound that is
+renewed every now and then.
 """
 
 from __future__ import annotations
@@ -14,11 +14,10 @@
 import heapq
 from bisect import bisect_right
 from dataclasses import dataclass, field
-from enum import IntEnum
 from itertools import count
 
 from .interface import Decay, MessageClass, Settings
-from .state import FOREVER, Course, Held, Lane, Queue, kept
+from .state import FOREVER, FULL_VIEW, STEPS, Course, Held, Lane, Queue, kept
 
 AHEAD_MS = 1000.0  # what waiting would cost is reckoned over so long
 BANDS, MOST_BANDS = 16, 256  # of age: in the time of an aim, and in a whole life
@@ -26,15 +25,7 @@
 CELLS_A_MS = 10.0  # bounds are renewed so slowly that no more cells than this are looked at in a millisecond
 
 
-class Piece(IntEnum):
-    """How what a message is worth to send now depends on its age."""
-
-    EARLY = 0  # rises until its aim, falls after it
-    BRINK = 1  # nothing would be left of it a second later: all of it is to be won
-    SPENT = 2  # its answer is likely to come too late
-
-
-Key = tuple[int, float, Piece, int]  # class, worth, piece, band of age
+Key = tuple[int, float, float, int]  # class, worth, time to live or minus a step of it, band of age
 Entry = tuple[float, int, Held, Lane, Queue, int]  # cost, a number, ..., stamp of the queue's look
 
 
@@ -46,37 +37,41 @@
     top: float = -1.0  # its latest place among the tops
 
 
-def gain(cls: MessageClass, decay: Decay, piece: Piece, age: float) -> float:
-    """Worth won by sending now, and saved from falling, at a worth of 1; `age` is that at the answer."""
-    if piece is Piece.SPENT:
-        return 0.0
-    soon = 2 * kept(cls, decay, age)
-    return soon if piece is Piece.BRINK else soon - kept(cls, decay, age + AHEAD_MS)
+def most_gain(cls: MessageClass, decay: Decay, low: float, high: float, least: float, most: float) -> float:
+    """The most that sending now can win and save from falling, at a worth of 1, for any age at the answer
+    from `low` to `high` and any time to live from `least` to `most`."""
+    best = 0.0
+    if low + AHEAD_MS < most:  # rises until the aim, falls after it
+        at = min(max(low, cls.aim_ms), high)
+        best = 2 * kept(cls, decay, at) - kept(cls, decay, at + AHEAD_MS)
+    if high + AHEAD_MS >= least and low < most:  # nothing would be left a second later: all of it is to win
+        best = max(best, 2 * kept(cls, decay, max(low, least - AHEAD_MS)))
+    return best
 
 
-def edges(course: Course, lane: Lane, now: float) -> tuple[list[tuple[Piece, Held]], float]:
-    """The only messages of a course that can be its best, and when that changes by itself."""
+def edges(course: Course, lane: Lane, now: float) -> tuple[list[Held], float]:
+    """The only messages of a course that can be its best, and when others may be; all of them, if few."""
     ready, at = course.ready, now + lane.mean
-    if not ready:
-        return [], FOREVER
-    found: list[tuple[Piece, Held]] = []
+    if len(ready) <= FULL_VIEW:
+        return [each[2] for each in ready], FOREVER
     brink = course.life - AHEAD_MS
-    rising = bisect_right(ready, (at - min(course.cls.aim_ms, brink), FOREVER))
+    young = min(course.cls.aim_ms, brink)
+    rising = bisect_right(ready, (at - young, FOREVER))
     last = bisect_right(ready, (at - brink, FOREVER), 0, rising)  # those before it are on the brink
     spent = bisect_right(ready, (at - course.life, FOREVER), 0, last)
-    change = FOREVER
+    found, change = [], FOREVER
     if rising < len(ready):  # the oldest is nearest to its aim
-        found.append((Piece.EARLY, ready[rising][2]))
-        change = ready[rising][0] + min(course.cls.aim_ms, brink)
+        found.append(ready[rising][2])
+        change = ready[rising][0] + young
     if last < rising:  # the youngest has lost least
-        found.append((Piece.EARLY, ready[rising - 1][2]))
+        found.append(ready[rising - 1][2])
     if last < len(ready):
         change = min(change, ready[last][0] + brink)
     if spent < last:
-        found.append((Piece.BRINK, ready[last - 1][2]))
+        found.append(ready[last - 1][2])
         change = min(change, ready[last - 1][0] + course.life)
-    if spent and now + lane.mean / 4 < ready[spent - 1][2].due:
-        found.append((Piece.SPENT, ready[spent - 1][2]))
+    if spent and now + lane.mean / 4 < ready[spent - 1][2].due:  # its answer is likely to come too late
+        found.append(ready[spent - 1][2])
     return found, change - lane.mean
 
 
@@ -84,6 +79,7 @@
     def __init__(self, settings: Settings) -> None:
         self.classes, self.decay = settings.classes, settings.decay
         self.width = [max(cls.aim_ms / BANDS, cls.deadline_ms / MOST_BANDS) for cls in settings.classes]
+        self.step = [cls.deadline_ms / STEPS for cls in settings.classes]  # of other times to live
         self.cells: dict[Key, Cell] = {}
         self.tops: list[tuple[float, int, Cell]] = []  # heap: minus a bound
         self.numbers = count()
@@ -92,21 +88,25 @@
 
     # -- entering ----------------------------------------------------------------------------------------
 
-    def enter(self, now: float, course: Course, lane: Lane, cost: float) -> float:
-        """Takes up what may be sent on this lane; when it has to be looked at anew."""
+    def enter(
+        self, now: float, course: Course, lane: Lane, cost: float, newcomer: Held | None = None
+    ) -> float:
+        """Takes up what may be sent on this lane, or only what has come to it; when it has to be looked at
+        anew."""
         if now >= self.good_until:
             self._renew(now)
-        found, change = edges(course, lane, now)
-        for piece, held in found:
-            self.steps += 1
-            band = int((held.since - lane.mean) // self.width[course.class_])
-            key = (course.class_, course.worth, piece, band)
-            cell = self.cells.get(key)
+        found, change = edges(course, lane, now) if newcomer is None else ([newcomer], FOREVER)
+        class_, queue, cells = course.class_, course.queue, self.cells
+        width, stamp = self.width[class_], queue.stamp
+        life = course.life if course.life == course.cls.deadline_ms else -(course.life // self.step[class_])
+        self.steps += len(found)
+        for held in found:
+            key = class_, course.worth, life, int((held.since - lane.mean) // width)
+            cell = cells.get(key)
             if cell is None:
-                cell = self.cells[key] = Cell(key)
+                cell = cells[key] = Cell(key)
                 cell.bound = self._bound(key, now)
-            entry = (cost, next(self.numbers), held, lane, course.queue, course.queue.stamp)
-            heapq.heappush(cell.entries, entry)
+            heapq.heappush(cell.entries, (cost, next(self.numbers), held, lane, queue, stamp))
             if cell.bound / cost > cell.top:
                 self._rank(cell)
         return change
@@ -117,11 +117,11 @@
 
     def _bound(self, key: Key, now: float) -> float:
         """The most that any message of this cell is worth to send until the bounds are renewed."""
-        class_, worth, piece, band = key
-        cls, width = self.classes[class_], self.width[class_]
-        youngest, oldest = now - (band + 1) * width, self.good_until - band * width
-        best = youngest if piece is Piece.BRINK else min(max(youngest, cls.aim_ms), oldest)
-        return worth * gain(cls, self.decay, piece, best)
+        class_, worth, life, band = key
+        cls, width, step = self.classes[class_], self.width[class_], self.step[class_]
+        least, most = (life, life) if life > 0 else (-life * step, (1 - life) * step)
+        low, high = now - (band + 1) * width, self.good_until - band * width
+        return worth * most_gain(cls, self.decay, low, high, least - 1.0, most + 1.0)  # lives are rounded
 
     def _renew(self, now: float) -> None:
         """Worth falls with time: ranks the cells anew, and forgets those in which nothing is left."""
@@ -139,7 +139,7 @@
     def _clean(cell: Cell) -> bool:
         """Whether it holds something that still stands; entries of earlier looks are dropped."""
         entries = cell.entries
-        while entries and entries[0][5] != entries[0][4].stamp:
+        while entries and (entries[0][5] != entries[0][4].stamp or entries[0][2].course is None):
             heapq.heappop(entries)
         return bool(entries)
 
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -17,6 +17,7 @@
 
 NEVER, FOREVER = float("-inf"), float("inf")
 COURSES = 32  # different courses at a destination, above which times to live are taken in steps
+FULL_VIEW = 4  # a course of so many is entered whole: nothing has to be looked at anew as it ages
 STEPS = 16  # and so many of them: a look at a queue looks at each course of it
 
 
@@ -129,13 +130,15 @@
 class Queue:
     """What waits for one destination."""
 
-    __slots__ = ("courses", "dest", "length", "look_at", "poorest", "stamp")
+    __slots__ = ("courses", "dest", "fresh", "length", "look_at", "poorest", "seen", "stamp")
 
     def __init__(self, dest: int) -> None:
         self.dest = dest
         self.courses: dict[CourseKey, Course] = {}
+        self.fresh: list[Held] = []  # came since the latest look, and may go
         self.length = 0
         self.look_at = NEVER  # when its next look is set for
+        self.seen = NEVER  # its latest look
         self.stamp = 0  # what was found at an earlier look has another
         self.poorest: tuple[float, float] | None = None  # see Relay._make_room
 
@@ -154,7 +157,7 @@
         self.resting: list[tuple[float, int]] = []  # heap over it
         self.ripe: list[tuple[float, int]] = []  # heap: when a parked message may go
         self.looks: list[tuple[float, int]] = []  # heap: when a queue is looked at again
-        self.due: OrderedDict[int, None] = OrderedDict()  # destinations to look at now, first come first
+        self.due: OrderedDict[int, bool] = OrderedDict()  # destinations to look at now, and whether wholly
         self.unsure: OrderedDict[int, None] = OrderedDict()  # those whose poorest message may be another now
 
     # -- messages ----------------------------------------------------------------------------------------
@@ -219,7 +222,11 @@
             self._ripen(held, at)
         else:
             insort(course.ready, (held.since, held.msg.id, held))
-        self.look(dest)
+        self.unsure[dest] = None
+        if at <= now:
+            queue.fresh.append(held)
+            # What was found there stands: the newcomer is added, unless others stand for all of the course.
+            self.due[dest] = self.due.get(dest, False) or len(course.ready) > FULL_VIEW
 
     def _course(self, queue: Queue, held: Held) -> Course:
         """Guards looks against many different times to live: beyond some they are taken in steps."""
@@ -243,8 +250,9 @@
         if not course.ready and not course.parked:
             del queue.courses[course.key]
         queue.length -= 1
-        queue.stamp += 1
-        self.look(queue.dest)
+        self.unsure[queue.dest] = None
+        if len(place) >= FULL_VIEW:
+            self.look(queue.dest)  # it may have stood for others
         if not queue.length:
             del self.queues[queue.dest]
             self.due.pop(queue.dest, None)
@@ -280,12 +288,12 @@
         while self.looks and self.looks[0][0] <= now:
             at, dest = heapq.heappop(self.looks)
             if not self._overtaken(at, dest):
-                self.due[dest] = None
+                self.due[dest] = True
 
     def look(self, dest: int) -> None:
         """Something has changed there: it is looked at in this turn, or as soon as there are slots."""
         if dest in self.queues:
-            self.due[dest] = self.unsure[dest] = None
+            self.due[dest], self.unsure[dest] = True, None
 
     def look_later(self, queue: Queue, at: float) -> None:
         queue.look_at = at
--- /dev/null
+++ b/tests/test_large.py
@@ -0,0 +1,276 @@
+"""Large size: no turn is long, whatever is held. Counted in messages and cells looked at, not in time."""
+
+from __future__ import annotations
+
+import tracemalloc
+from collections.abc import Iterator, Sized
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from linnetstile import interface as api
+from linnetstile.control import CLOSES, LOOKS, REFUSALS, Relay
+from linnetstile.index import EXACT
+from linnetstile.state import FULL_VIEW
+
+from .checker import Checker
+from .conftest import SAFE, make_settings
+from .plain import watched
+
+LONG = tuple(api.MessageClass(e.value, e, 1000.0, 120_000.0, 1.0, 0.5, 3000.0) for e in api.Effect)
+A_TURN = LOOKS * FULL_VIEW * 3 + REFUSALS * 40 + 4 * EXACT + 400  # a bound on all that one turn looks at
+
+
+@dataclass
+class Big:
+    """A relay that is fed one event a turn, each turn counted, and watched by the checker of the rules."""
+
+    settings: api.Settings
+    now: float = 1000.0
+    ids: int = 0
+    most: int = 0  # looked at in one turn
+    out: dict[int, api.Send] = field(default_factory=dict)
+    sent: list[tuple[float, api.Send]] = field(default_factory=list)
+    ended: dict[int, api.Action] = field(default_factory=dict)
+    timer: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.relay, self.watch = Relay(self.settings, 1), Checker(self.settings)
+
+    def feed(self, *events: api.Event) -> int:
+        for event in events:
+            self.watch.event(self.now, event)
+        before, ends = self.relay.index.steps, len(self.ended)
+        for act in self.relay.handle(self.now, list(events)):
+            self.watch.action(self.now, act)
+            if isinstance(act, api.Send):
+                self.out[act.id] = act
+                self.sent.append((self.now, act))
+            elif isinstance(act, api.Refuse | api.Fail):
+                self.ended[act.id] = act
+            elif isinstance(act, api.SetTimer):
+                self.timer = self.now + act.delay_ms
+        steps = self.relay.index.steps - before
+        self.most = max(self.most, steps)
+        assert len(self.ended) - ends <= CLOSES + REFUSALS
+        return steps
+
+    def take(self, dest: int = 1, class_: int = SAFE, left: float = 120_000.0, **more: Any) -> int:
+        self.ids += 1
+        self.feed(api.Message(self.ids, dest, class_, left, **more))
+        return self.ids
+
+    def end(self, ident: int, outcome: api.Outcome = api.Outcome.OK, wait: float = 0.0) -> int:
+        send = self.out.pop(ident)
+        tries = len(self.watch.seen[ident].attempts)
+        return self.feed(api.AttemptEnded(ident, tries - 1, send.endpoint, outcome, 50.0,
+                                          outcome is api.Outcome.OK, wait))
+
+    def listed(self, *entries: tuple[int, int], rate: float = 50.0,
+               listing: api.Listing = api.Listing.READY) -> None:
+        kind = api.ListKind.CHANGES
+        self.feed(api.EndpointList(kind, tuple(api.Endpoint(e, d, listing, rate=rate) for e, d in entries)))
+
+    def ticks(self, ms: float) -> Iterator[None]:
+        """Turns at the relay's own timers, until so much time has passed."""
+        end = self.now + ms
+        while self.now < end:
+            self.now = min(end, max(self.timer, self.now + self.settings.tick_ms))
+            self.feed(api.TimerFired(0))
+            yield
+
+
+def big(**more: Any) -> Big:
+    return Big(make_settings(**{"classes": LONG, "hold": 30_000, "slots": 64, "relays": 1, **more}))
+
+
+def test_a_destination_with_20000_messages_is_out_for_a_minute_and_comes_back() -> None:
+    b = big()
+    b.listed((11, 1))
+    for _ in range(20_000):
+        b.take()
+        b.now += 0.01
+    assert len(b.relay.board.held) == 20_000 and b.most <= A_TURN
+    for _ in b.ticks(60_000):
+        for ident, send in list(b.out.items()):
+            if b.now >= min(send.give_up_at_ms, b.sent[-1][0] + 500.0):
+                b.end(ident, api.Outcome.CONNECT_FAILED)
+    while_out, back = len(b.sent), b.now
+    for _ in b.ticks(15_000):  # the checker watches the budget of the returning destination
+        for ident in list(b.out):
+            b.end(ident)
+    assert b.most <= A_TURN and while_out < 2000
+    assert len([at for at, _ in b.sent if at > back]) > 200
+
+
+def test_a_clump_of_one_key_costs_no_more_while_its_head_is_out() -> None:
+    classes = (api.MessageClass("o", api.Effect.SAFE, 1000.0, 120_000.0, in_order=True),)
+    b = big(classes=classes)
+    b.watch.send = lambda *_: None  # type: ignore[method-assign]  # it is quadratic; the order is checked here
+    b.listed((11, 1))
+    idents = [b.take(key=7) for _ in range(5000)]
+    assert list(b.out) == idents[:1]
+    steps = []
+    for n in range(1000):
+        (head,) = b.out
+        assert head == idents[n]
+        b.watch.seen[head].attempts.append((b.now, 11, None))
+        steps.append(b.end(head))
+        for _ in b.ticks(60.0):
+            pass
+    assert max(steps) <= 20
+
+
+def test_a_told_wait_ends_while_5000_wait() -> None:
+    b = big()
+    b.listed((11, 1))
+    first = b.take()
+    b.end(first, api.Outcome.FULL, wait=2000.0)
+    told = b.now + 2000.0
+    for _ in range(5000):
+        b.take()
+    for _ in b.ticks(4000.0):
+        for ident in list(b.out):
+            b.end(ident)
+    after = [at for at, _ in b.sent if at > b.sent[0][0]]
+    assert after and min(after) >= told and b.most <= A_TURN
+    assert min(after) < told + 1000.0
+
+
+def test_the_last_endpoint_drains_with_10000_queued() -> None:
+    b = big(slots=4)
+    b.listed((11, 1))
+    for _ in range(10_000):
+        b.take()
+    b.listed((11, 1), listing=api.Listing.DRAINING)
+    drained = b.now
+    for _ in b.ticks(30_000.0):
+        for ident in list(b.out):
+            b.end(ident)
+    assert all(at <= drained for at, _ in b.sent) and b.most <= A_TURN
+    b.listed((12, 1))
+    for _ in b.ticks(1000.0):
+        for ident in list(b.out):
+            b.end(ident)
+    assert {send.endpoint for at, send in b.sent if at > drained} == {12}
+
+
+def test_one_whose_worth_halves_is_overtaken_by_a_younger_one_of_another_class() -> None:
+    """Worth 4 and an aim of 1.5 s against worth 2 and 4 s: the first leads, until it has lost enough."""
+    classes = (api.MessageClass("status", api.Effect.SAFE, 1500.0, 20_000.0, 4.0, 0.1),
+               api.MessageClass("order", api.Effect.SAFE, 4000.0, 20_000.0, 2.0, 0.5))
+    for age, leads in ((0.0, 0), (1500.0, 0), (4200.0, 1), (8000.0, 1)):
+        relay = watched(make_settings(classes=classes, slots=1, decay=api.Decay.HALVES))
+        relay.handle(0.0, [api.EndpointList(api.ListKind.CACHED, (
+            api.Endpoint(11, 1, api.Listing.READY, rate=50.0),))])
+        (send,) = [a for a in relay.handle(0.0, [api.Message(1, 1, 0, 20_000.0)]) if isinstance(a, api.Send)]
+        relay.handle(1.0, [api.Message(2, 1, 0, 20_000.0)])
+        relay.handle(1.0 + age, [api.Message(3, 1, 1, 20_000.0)])
+        acts = relay.handle(2.0 + age, [api.AttemptEnded(1, 0, send.endpoint, api.Outcome.OK, 50.0, True)])
+        assert [a.id for a in acts if isinstance(a, api.Send)] == [2 + leads], age
+
+
+def test_a_message_gains_when_its_last_second_begins_without_an_event() -> None:
+    """Nothing would be left of it a second later: at that moment it goes before others of its own course."""
+    classes = (api.MessageClass("c", api.Effect.SAFE, 1000.0, 8000.0, 1.0, 0.1),)
+    relay = watched(make_settings(classes=classes, slots=1, decay=api.Decay.HALVES))
+    relay.handle(0.0, [api.EndpointList(api.ListKind.CACHED, (
+        api.Endpoint(11, 1, api.Listing.READY, rate=50.0),))])
+    relay.handle(0.0, [api.Message(0, 1, 0, 8000.0)])
+    for n in range(1, 41):  # more than are entered whole, of all ages
+        relay.handle(n * 150.0, [api.Message(n, 1, 0, 8000.0)])
+    ident, sent = 0, []
+    for n in range(30):
+        now = 6200.0 + n * 37.0
+        acts = relay.handle(now, [api.AttemptEnded(ident, 0, 11, api.Outcome.OK, 50.0, True)])
+        (ident,) = [a.id for a in acts if isinstance(a, api.Send)]
+        sent.append(ident)
+    assert any(n < 10 for n in sent) and relay.choices >= 30
+
+
+def test_5000_destinations_are_due_in_one_tick() -> None:
+    b = big(hold=30_000)
+    b.listed(*((d, d) for d in range(1, 5001)))
+    for dest in range(1, 5001):
+        for _ in range(4):
+            b.take(dest)
+    assert len(b.relay.board.held) == 20_000 and len(b.out) == 64 and b.most <= A_TURN
+    b.feed(api.Closing(b.now + 1e9))  # all queues are to be looked at
+    assert len(b.relay.board.due) >= 4900
+    turns = 0
+    while len(b.relay.board.due) > 1:  # but for the one that has just got its call
+        b.end(next(iter(b.out)))
+        turns += 1
+    assert turns <= 5000 / LOOKS + 2 and b.most <= A_TURN
+    steps = [b.end(next(iter(b.out))) for _ in range(500)]
+    assert sum(steps) / len(steps) < 60
+
+
+def test_what_an_event_looks_at_does_not_grow_with_what_is_held() -> None:
+    means = {}
+    for held, dests in ((70, 1), (2000, 500), (8000, 2000)):
+        b = big(slots=32)
+        b.listed(*((d, d) for d in range(1, dests + 1)), rate=1e4)
+        for n in range(held):
+            b.take(1 + n % dests, left=60_000.0 + n % 7)
+        steps = []
+        for n in range(400):
+            b.now += 1.0
+            steps.append(b.end(next(iter(b.out))))
+            b.take(1 + n % dests)
+        means[held] = sum(steps[100:]) / 300  # after those looks that the filling has left
+    assert means[8000] < 3 * means[70] + 10, means
+
+
+def test_all_of_20000_that_are_due_at_once_end_in_time_and_in_slices() -> None:
+    b = big()
+    for _ in range(20_000):
+        b.take(left=3000.0)  # no endpoint is known
+    for _ in b.ticks(3000.0):
+        pass
+    assert len(b.ended) == 20_000  # each exactly once, or the checker would have said so
+    b.watch.end_of(b.now)
+
+
+@pytest.mark.parametrize("dests", [1, 2000])
+def test_memory_for_each_message_and_destination(dests: int) -> None:
+    """What docs/sizing.md states: under 1.6 KB a message and 3 KB a destination in the module."""
+    b = big()
+    tracemalloc.start()
+    b.listed(*((d, d) for d in range(1, dests + 1)))
+    relay = b.relay
+    empty = tracemalloc.get_traced_memory()[0]
+    for n in range(4000):
+        relay.handle(b.now, [api.Message(n, 1 + n % dests, SAFE, 60_000.0)])
+    full = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert (full - empty - 3000 * dests) / 4000 < 1600 and empty / dests < 3000 + 200_000 / dests
+
+
+def test_10000_destinations_that_come_and_go_leave_nothing() -> None:
+    relay, now, ids = Relay(make_settings(classes=LONG, slots=64, hold=1000), 1), 1000.0, 0
+    for first in range(0, 10_000, 100):
+        entries = tuple(api.Endpoint(first + n, first + n, api.Listing.READY, rate=50.0) for n in range(100))
+        relay.handle(now, [api.EndpointList(api.ListKind.CHANGES, entries)])
+        acts = relay.handle(now, [api.Message(ids + n, first + n, SAFE, 9000.0) for n in range(100)])
+        ids += 100
+        while sends := [act for act in acts if isinstance(act, api.Send)]:
+            now += 5.0
+            acts = relay.handle(now, [api.AttemptEnded(send.id, 0, send.endpoint, api.Outcome.OK, 20.0, True)
+                                      for send in sends])
+        gone = tuple(api.Endpoint(e.id, e.destination, api.Listing.GONE) for e in entries)
+        relay.handle(now, [api.EndpointList(api.ListKind.CHANGES, gone)])
+        now += 1000.0
+        assert len(relay.lanes) <= 6200  # what was learned in the last minute
+    now += 61_000.0
+    relay.handle(now, [api.EndpointList(api.ListKind.CHANGES)])
+    relay.handle(now, [api.Message(ids, 1, SAFE, 9000.0)])  # the bounds of the index are renewed
+    relay.handle(now + 9000.0, [api.TimerFired(0)])
+    board, index = relay.board, relay.index
+    left: dict[str, Sized] = {"lanes": relay.lanes, "doors": relay.doors, "held": board.held, "queues": board.queues,
+            "due": board.due, "unsure": board.unsure, "lines": board.lines, "fading": relay.fading}
+    assert {name: len(what) for name, what in left.items() if what} == {}
+    small: dict[str, Sized] = {"ends": relay.ends, "poor": relay.poor, "looks": board.looks, "ripe": board.ripe,
+             "cells": index.cells, "tops": index.tops}
+    assert {name: len(what) for name, what in small.items() if len(what) > 80} == {}
