Relay benchmark beside a floor; no answer is overdue before 100 ms

Need: with a partner that answers in 2 ms the relay took its own lag for an outage (a time-out of some milliseconds) and fell to a trickle: 139 delivered a second at 64 held, 44 at 4,000. Change: overdue not before 100 ms, given up not before 200 ms.

--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,224 @@
+"""What the whole relay costs at saturation, beside a floor of the same run.
+
+    python -m benchmarks.relay [--json] [--seconds N] [--rounds N] [--held 64,300,1000,4000] [--floor-only]
+
+One process of the relay, one partner that answers in 2 ms (standins.partner), clients on kept connections that
+hand in a message as soon as the last one was answered, and pause when it was refused. So the hold is full all
+the time: `delivered/s` is what the process can do, `CPU ms` its processor time for each one delivered, and `p99`
+is over all 202s, in ms from the request's last byte. The floor (benchmarks.floor) holds no more than 64.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator, Iterator
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+CLIENTS = 24
+PAUSE_S = 0.02  # after a refusal
+TICKS = os.sysconf("SC_CLK_TCK")
+BODY = b"x" * 300
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    program: str
+    held: int
+    delivered_a_s: float
+    cpu_ms: float
+    p99_ms: float
+    p50_ms: float
+    refused: int
+    failed: int  # answers that were neither 202 nor 503, or none
+    rss_mb: float
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+@contextlib.contextmanager
+def standin(*args: str) -> Iterator[str]:
+    """A stand-in as a process of its own; yields its address."""
+    process = subprocess.Popen([sys.executable, "-m", *args], stdout=subprocess.PIPE, text=True)
+    try:
+        assert process.stdout is not None
+        yield process.stdout.readline().split()[1]
+    finally:
+        process.send_signal(signal.SIGTERM)
+        process.wait()
+
+
+def settings(held: int) -> dict[str, Any]:
+    return {
+        "az": 0, "balancers": 1, "zones": ["z"], "kinds": ["k"], "tick-ms": 5.0, "weight-kind": "nominal",
+        "classes": [
+            {"name": "order", "effect": "by_key", "aim-ms": 4000.0, "deadline-ms": 16000.0, "window-ms": 4000.0,
+             "worth": 2.0, "late-share": 0.5},
+            {"name": "status", "effect": "repeatable", "aim-ms": 1500.0, "deadline-ms": 8000.0, "worth": 4.0,
+             "late-share": 0.1}],
+        "extra": {"call-slots": 64, "loses-worth": "halves"},
+        "limits": {"open-cap": held, "try-limit": 8, "conn-idle-ms": 10000.0, "connect-timeout-ms": 1500.0},
+        "orgs": [{"name": "t", "quota-per-s": 1e6}],
+        "safety": {"drain-grace-ms": 250.0, "cold-from": 0.2, "cold-ms": 9000.0, "fall-ms": 1500.0,
+                   "fall-multiple": 2.0},
+    }
+
+
+def cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def rss_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+class Client:
+    """One kept connection; reads answers by hand, as a generator must cost less than what it measures."""
+
+    def __init__(self, number: int, port: int, ends: float) -> None:
+        self.number, self.port, self.ends = number, port, ends
+        self.waits: list[float] = []
+        self.refused = self.failed = 0
+
+    def request(self, n: int) -> bytes:
+        class_ = "status" if n % 4 == 0 else "order"
+        ident = f"{self.number:x}-{n:x}-{os.getpid():x}"
+        return (f"POST /{class_} HTTP/1.1\r\nHost: r\r\nX-Trace-Id: {ident}\r\nX-Qos: {class_}\r\n"
+                f"X-Customer: t\r\nX-Expires-In-Ms: {8000 if n % 4 == 0 else 16000}\r\n"
+                f"Idempotency-Key: k{ident}\r\nX-Addressing: dest=1\r\nContent-Length: {len(BODY)}\r\n\r\n"
+                ).encode() + BODY
+
+    async def run(self) -> None:
+        reader: asyncio.StreamReader | None = None
+        n = 0
+        while time.perf_counter() < self.ends:
+            try:
+                if reader is None:
+                    reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                n += 1
+                writer.write(self.request(n))
+                begun = time.perf_counter()
+                head = await reader.readuntil(b"\r\n\r\n")
+                took = time.perf_counter() - begun
+                lower = head.lower()
+                at = lower.find(b"content-length:")
+                if at >= 0:
+                    await reader.readexactly(int(lower[at + 15:].split(b"\r", 1)[0]))
+                if b" 202 " in head[:13]:
+                    self.waits.append(took)
+                elif b" 503 " in head[:13]:
+                    self.refused += 1
+                    await asyncio.sleep(PAUSE_S)
+                else:
+                    self.failed += 1
+                if b"connection: close" in lower:
+                    reader = None
+            except (OSError, asyncio.IncompleteReadError):
+                self.failed += reader is not None
+                reader = None
+                await asyncio.sleep(PAUSE_S)
+
+
+@contextlib.asynccontextmanager
+async def program(module: str, held: int, folder: Path, partner: str, agent: str) -> AsyncIterator[Any]:
+    port = free_port()
+    (folder / "state").mkdir()
+    config = {"name": "b", "listen": f"127.0.0.1:{port}", "discovery": agent, "seed": "1",
+              "state": str(folder / "state"), "settings": settings(held),
+              "limits": {"sockets": 1024, "memory_mb": 192, "disk_mb": 2000 if held > 64 else 200},
+              "known": json.loads((folder / "list").read_text())}
+    (folder / "config.json").write_text(json.dumps(config))
+    profile = ["-m", "cProfile", "-o", os.environ["PROFILE"]] if "PROFILE" in os.environ else []
+    process = subprocess.Popen([sys.executable, *profile, "-m", module],
+                               env={**os.environ, "RELAY_CONFIG": str(folder / "config.json")},
+                               stderr=subprocess.DEVNULL)
+    try:
+        while True:
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.close()
+                break
+            await asyncio.sleep(0.05)
+        yield process.pid, port
+    finally:
+        process.send_signal(signal.SIGTERM)
+        process.wait()
+
+
+async def measure(module: str, held: int, seconds: float) -> Row:
+    with tempfile.TemporaryDirectory() as name, standin("standins.partner", "--ledger", f"{name}/ledger") as partner:
+        folder = Path(name)
+        entry = {"instanceId": "s-1", "hostPort": partner, "zone": "z", "machineType": "k", "cell": 1,
+                 "lifecycle": "ready", "weight": 1e6, "startedAtMs": 0}
+        (folder / "list").write_text(json.dumps({"generation": 1, "reset": True, "instances": [entry]}))
+        with standin("standins.agent", "--list", str(folder / "list")) as agent:
+            async with program(module, held, folder, partner, agent) as (pid, port):
+                warm = 1.0 + held / 1000  # until the hold is full
+                begun = time.perf_counter()
+                clients = [Client(n, port, begun + warm + seconds) for n in range(CLIENTS)]
+                tasks = [asyncio.create_task(client.run()) for client in clients]
+                await asyncio.sleep(warm)
+                seen = [len(client.waits) for client in clients]
+                ledger, cpu, at = (folder / "ledger").stat().st_size, cpu_s(pid), time.perf_counter()
+                lines = sum(1 for _ in (folder / "ledger").open())
+                await asyncio.sleep(seconds)
+                took, spent = time.perf_counter() - at, cpu_s(pid) - cpu
+                done = sum(1 for _ in (folder / "ledger").open()) - lines
+                assert (folder / "ledger").stat().st_size >= ledger
+                rss = rss_mb(pid)
+                await asyncio.gather(*tasks)
+    waits = sorted(1e3 * wait for client, n in zip(clients, seen, strict=True) for wait in client.waits[n:])
+    return Row("floor" if module.endswith("floor") else "relay", held, done / took, 1e3 * spent / max(1, done),
+               waits[int(0.99 * len(waits))] if waits else float("inf"), statistics.median(waits or [0.0]),
+               sum(client.refused for client in clients), sum(client.failed for client in clients), rss)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.relay")
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--rounds", type=int, default=1)
+    parser.add_argument("--held", type=lambda text: [int(part) for part in text.split(",")],
+                        default=[64, 300, 1000, 4000])
+    parser.add_argument("--program", default="linnetstile", help="module to measure")
+    args = parser.parse_args()
+    out: list[dict[str, Any]] = []
+    for _ in range(args.rounds):
+        floor = asyncio.run(measure("benchmarks.floor", 64, args.seconds))
+        out.append({**asdict(floor), "ratio": 1.0})
+        for held in args.held:
+            row = asyncio.run(measure(args.program, held, args.seconds))
+            out.append({**asdict(row), "ratio": row.cpu_ms / floor.cpu_ms})
+    if args.json:
+        json.dump(out, sys.stdout, indent=1)
+        print()
+        return 0
+    print("program   held  delivered/s  CPU ms  ratio  p50 ms  p99 ms  refused  failed  RSS MB")
+    for each in out:
+        print("{program:7}{held:7}{delivered_a_s:13.0f}{cpu_ms:8.2f}{ratio:7.2f}{p50_ms:8.1f}{p99_ms:8.1f}"
+              "{refused:9}{failed:8}{rss_mb:8.1f}".format(**each))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -29,6 +29,7 @@
 RETRY_MAX_MS = 4000.0  # no pause is longer: beyond it a message's aim is lost anyway
 USUAL_MS = 500.0, 250.0  # latency and its mean deviation, until destinations have answered
 DEVIATIONS = 10.0  # a time-out lies so many mean deviations above the mean: answers have a long tail
+LEAST_MS = 100.0  # but no answer is overdue sooner, nor given up before twice that: it may be us who are late
 LAST = 3.0  # the last try a message can have waits so many times longer: a late answer still saves it
 OVERDUE = 4.0  # an answer is overdue so many mean deviations above the mean
 STRETCH_MAX = 8.0  # time-outs double while calls time out (slow is not down), up to this factor
@@ -59,13 +60,18 @@
     return 8.0 * (class_ in recent) + 2.0 * len(recent)
 
 
+def overdue_ms(lane: Lane) -> float:
+    """After how long a call there should have been answered."""
+    return max(LEAST_MS, (lane.mean + OVERDUE * lane.dev) * lane.stretch)
+
+
 def suspect(lane: Lane, now: float) -> bool:
     """Out, or each endpoint owes an answer that is overdue, and none came since: hung, gone or slow."""
     if lane.sick or not lane.out:
         return lane.sick
     if next(reversed(lane.out.values())).out_since < lane.last_ok:
         return False
-    overdue = now - (lane.mean + OVERDUE * lane.dev) * lane.stretch
+    overdue = now - overdue_ms(lane)
     owing: set[int] = set()
     for held in lane.out.values():  # oldest first: mostly the first one answers it
         if held.out_since >= overdue:
@@ -268,7 +274,7 @@
             return False
         if now < max(lane.wait_until, self.board.turn(held)) or now + lane.mean / 4 >= held.due:
             return False
-        if now + (lane.mean + OVERDUE * lane.dev) * lane.stretch > self.closing_at:
+        if now + overdue_ms(lane) > self.closing_at:
             return False
         return held.bound is None or held.bound == (held.bound[0], entry.zone if held.bound[0] else entry.id)
 
@@ -552,7 +558,7 @@
         cap = max(1, self.s.slots // (4 if out else 2))
         if not lane.doors or len(lane.out) >= cap and (out or len(self.board.queues) > 1):
             return None
-        if now + (lane.mean + OVERDUE * lane.dev) * lane.stretch > self.closing_at:
+        if now + overdue_ms(lane) > self.closing_at:
             return None
         # Slot time for one delivery, failed calls counted: scarce slots go to destinations that answer.
         cost = lane.mean + lane.blame * (lane.mean + DEVIATIONS * lane.dev) / (1 - lane.blame)
@@ -609,7 +615,7 @@
 
     def _send(self, now: float, held: Held, door: Door, acts: list[Action]) -> None:
         lane, until = door.lane, held.due
-        patience = (lane.mean + DEVIATIONS * lane.dev) * lane.stretch
+        patience = max(2 * LEAST_MS, (lane.mean + DEVIATIONS * lane.dev) * lane.stretch)
         last = held.tries + 1 >= self.s.attempts or held.cls.effect is Effect.UNSAFE
         if held.cls.effect is Effect.KEYED:
             risk = held.first_risk if held.first_risk is not None else now
