--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,2 @@
-"""Measurements: `python -m benchmarks.NAME`, `--json` for machines. Each prints ratios to a baseline of its run."""
+"""Measurements: `python -m benchmarks.NAME`, `--json` for machines; each prints ratios to a baseline of its
+run."""
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -2,10 +2,10 @@
 
     python -m benchmarks.decisions [--json] [--messages N] [--rounds N] [--held N --dests N]
 
-The clock is virtual: a message comes each millisecond, and as many calls end as keep the number held. Two loads:
+The clock is virtual: a message comes each millisecond, and calls end as messages come. Two loads:
 
-- `open`: every destination takes calls and the slots are what is short, so that each free one goes to the best
-  of all that is held. What is held is of all ages, so that some of it dies in each step as well.
+- `open`: every destination takes calls and the slots are what is short, so that each free one goes to the
+  best of all that is held. What is held is of all ages, so that some of it dies in each step as well.
 - `shut`: all but one destination told this relay to wait, and the traffic goes through the one.
 
 The baseline is 70 messages held for one destination, measured before and after each row of the same round.
@@ -135,9 +135,9 @@
         for size in sizes:
             rows, ratios = [], []
             for seed in range(args.rounds):
-                base = Load(load, *BASE, seed=seed).measure(args.messages)
-                row = Load(load, *size, seed=seed).measure(args.messages)
-                again = Load(load, *BASE, seed=seed).measure(args.messages)
+                base = Load(load, BASE[0], BASE[1], seed).measure(args.messages)
+                row = Load(load, size[0], size[1], seed).measure(args.messages)
+                again = Load(load, BASE[0], BASE[1], seed).measure(args.messages)
                 rows.append(row)
                 ratios.append(row.us_a_message / statistics.mean((base.us_a_message, again.us_a_message)))
             out.append({**asdict(median(rows)), "ratio": statistics.median(ratios),
--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -1,8 +1,8 @@
-"""The least a relay of this kind can cost: h11 on both sides, one write for each journal record, no decisions.
+"""The least a relay of this kind can cost: h11 on both sides, a write for each journal record, no decisions.
 
-Started by benchmarks.relay with the relay's own variables. It takes a message, writes its record, answers 202,
-makes the call on a kept connection, and writes a record before the call's first byte and one at its end. What
-it cannot call at once waits in a plain queue; with `hold` messages held it answers 503.
+Started by benchmarks.relay with the relay's own variables. It takes a message, writes its record, answers
+202, makes the call on a kept connection, and writes a record before the call's first byte and one at its end.
+What it cannot call at once waits in a plain queue; with `hold` messages held it answers 503.
 """
 
 from __future__ import annotations
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -2,10 +2,11 @@
 
     python -m benchmarks.relay [--json] [--seconds N] [--rounds N] [--held 64,300,1000,4000] [--floor-only]
 
-One process of the relay, one partner that answers in 2 ms (standins.partner), clients on kept connections that
-hand in a message as soon as the last one was answered, and pause when it was refused. So the hold is full all
-the time: `delivered/s` is what the process can do, `CPU ms` its processor time for each one delivered, and `p99`
-is over all 202s, in ms from the request's last byte. The floor (benchmarks.floor) holds no more than 64.
+One process of the relay, one partner that answers in 2 ms (standins.partner), clients on kept connections
+that hand in a message as soon as the last one was answered, and pause when it was refused. So the hold is
+full all the time: `delivered/s` is what the process can do, `CPU ms` its processor time for each delivered
+one, and `p99` is over all 202s, in ms from the request's last byte. The floor (benchmarks.floor) holds no
+more than 64.
 """
 
 from __future__ import annotations
@@ -68,8 +69,8 @@
     return {
         "az": 0, "balancers": 1, "zones": ["z"], "kinds": ["k"], "tick-ms": 5.0, "weight-kind": "nominal",
         "classes": [
-            {"name": "order", "effect": "by_key", "aim-ms": 4000.0, "deadline-ms": 16000.0, "window-ms": 4000.0,
-             "worth": 2.0, "late-share": 0.5},
+            {"name": "order", "effect": "by_key", "aim-ms": 4000.0, "deadline-ms": 16000.0,
+             "window-ms": 4000.0, "worth": 2.0, "late-share": 0.5},
             {"name": "status", "effect": "repeatable", "aim-ms": 1500.0, "deadline-ms": 8000.0, "worth": 4.0,
              "late-share": 0.1}],
         "extra": {"call-slots": 64, "loses-worth": "halves"},
@@ -166,7 +167,8 @@
 
 
 async def measure(module: str, held: int, seconds: float) -> Row:
-    with tempfile.TemporaryDirectory() as name, standin("standins.partner", "--ledger", f"{name}/ledger") as partner:
+    with (tempfile.TemporaryDirectory() as name,
+          standin("standins.partner", "--ledger", f"{name}/ledger") as partner):
         folder = Path(name)
         entry = {"instanceId": "s-1", "hostPort": partner, "zone": "z", "machineType": "k", "cell": 1,
                  "lifecycle": "ready", "weight": 1e6, "startedAtMs": 0}
@@ -187,8 +189,10 @@
                 assert (folder / "ledger").stat().st_size >= ledger
                 rss = rss_mb(pid)
                 await asyncio.gather(*tasks)
-    waits = sorted(1e3 * wait for client, n in zip(clients, seen, strict=True) for wait in client.waits[n:])
-    return Row("floor" if module.endswith("floor") else "relay", held, done / took, 1e3 * spent / max(1, done),
+    waits = sorted(1e3 * wait for client, n in zip(clients, seen, strict=True)
+                   for wait in client.waits[n:])
+    name = "floor" if module.endswith("floor") else "relay"
+    return Row(name, held, done / took, 1e3 * spent / max(1, done),
                waits[int(0.99 * len(waits))] if waits else float("inf"), statistics.median(waits or [0.0]),
                sum(client.refused for client in clients), sum(client.failed for client in clients), rss)
 
--- a/linnetstile/__main__.py
+++ b/linnetstile/__main__.py
@@ -7,8 +7,10 @@
 import signal
 import sys
 
-from .net.config import ConfigError, load
-from .net.host import Host
+from .assembly import assemble
+from .config import ConfigError, load
+from .core.host import Host
+from .garbage import tend
 
 log = logging.getLogger(__name__)
 
@@ -19,10 +21,12 @@
     loop.add_signal_handler(signal.SIGHUP, changed.set)  # before the file is read: no change is missed
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    host = Host(load())
-    await host.start()
+    built = assemble(load())
+    host = built.host
+    await built.start()
     logging.info("%s serves on %s:%d", host.config.name, *host.config.listen)
     host.tasks.start(follow(host, changed))
+    host.tasks.start(tend(lambda: len(host.messages.held)))
     await stopping.wait()
     await host.stop()
 
--- /dev/null
+++ b/linnetstile/assembly.py
@@ -0,0 +1,47 @@
+"""Puts a relay together from its configuration: the platform's fronts, transport and source of members."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+
+from .config import Config
+from .core.host import Host
+from .core.seams import Update
+from .http import front
+from .http.calls import Calls
+from .http.register import Register
+
+log = logging.getLogger(__name__)
+
+OWN_SOCKETS = 24  # the loop's, the log's, the listener's, the journal's and two agents' descriptors
+
+
+@dataclass(frozen=True, slots=True)
+class Assembly:
+    host: Host
+    front: front.Front
+    calls: Calls
+    register: Register
+    known: Update | None
+
+    async def start(self) -> None:
+        await self.host.start(self.known)
+
+
+def assemble(config: Config) -> Assembly:
+    settings, host = config.settings, Host(config)
+    idle, ending = max(1, config.sockets // 8), max(1, config.sockets // 16)
+    # Clients get what calls cannot need: so a flood of connections leaves every call its descriptor.
+    clients = config.sockets - OWN_SOCKETS - settings.slots - idle - ending
+    http = front.Front(host.messages, config, max(1, clients), config.sockets // 12)
+    calls = Calls(settings.idle_ms, settings.connect_timeout_ms, idle, ending)
+    register = Register(config.discovery)
+    host.plug_in({front.NAME: http}, calls, [register])
+    known: Update | None = None
+    if config.known:
+        try:
+            known = register.known(config.known)
+        except ValueError as error:
+            log.warning("the known list of endpoints is passed over: %s", error)
+    return Assembly(host, http, calls, register, known)
--- a/linnetstile/net/config.py
+++ b/linnetstile/config.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import Any
 
-from ..interface import Settings
-from ..settings import SettingsError, settings_from
+from .interface import Settings
+from .settings import SettingsError, settings_from
 
 Address = tuple[str, int]
 
--- /dev/null
+++ b/linnetstile/core/attempts.py
@@ -0,0 +1,75 @@
+"""One attempt: journalled before its first byte, made by a transport, its outcome kept and handed on."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from .. import interface as api
+from ..control import Relay
+from ..store.journal import Entry
+from .directory import Directory, Known
+from .messages import Held, Messages, unix_ms
+from .seams import Attempt, Result, Transport
+from .tasks import Tasks
+from .turns import Turns
+
+log = logging.getLogger(__name__)
+
+
+class Attempts:
+    def __init__(self, relay: Relay, turns: Turns, messages: Messages, directory: Directory,
+                 transport: Transport, tasks: Tasks) -> None:
+        self.relay, self.turns, self.messages = relay, turns, messages
+        self.directory, self.transport, self.tasks = directory, transport, tasks
+
+    def begin(self, number: int, endpoint: int, until_ms: float) -> None:
+        held = self.messages.held[number]
+        held.attempts += 1
+        held.cancel = self.tasks.start(self._make(number, held, endpoint, until_ms)).cancel
+
+    async def _make(self, number: int, held: Held, endpoint: int, until_ms: float) -> None:
+        begun, entry, attempt = self.turns.now(), held.entry, held.attempts - 1
+        known = self.directory.by_number.get(endpoint)
+        result = Result(api.Outcome.NOT_SENT)
+        try:
+            if known is not None:
+                result = await self.transport.attempt(Attempt(
+                    endpoint, known.address, entry.id, entry.key, entry.body, until_ms / 1000,
+                    self._gate(number, entry, known),
+                    careful=self.messages.effect(entry) is api.Effect.UNSAFE))
+        except asyncio.CancelledError:
+            result = Result(api.Outcome.CANCELLED)  # by the module, or at the end of the process
+        except Exception:
+            # A fault of ours must not leave the message without an outcome.
+            log.exception("a call failed")
+            result = Result(api.Outcome.RESET if entry.out else api.Outcome.CONNECT_FAILED)
+        self._ended(number, held, api.AttemptEnded(
+            number, attempt, endpoint, result.outcome, self.turns.now() - begun, result.over, result.wait_ms,
+            result.no_slot))
+
+    def _gate(self, number: int, entry: Entry, known: Known) -> Callable[[], bool]:
+        """Asked before the first byte on each connection, and before the last; one attempt in the journal."""
+        noted = False
+
+        def may_write() -> bool:
+            nonlocal noted
+            if not self.relay.may_write(self.turns.now(), number):
+                return False
+            noted = noted or self.messages.write(lambda: self.messages.journal.tried(
+                entry, unix_ms(), known.name, known.entry.zone))
+            return noted
+
+        return may_write
+
+    def _ended(self, number: int, held: Held, event: api.AttemptEnded) -> None:
+        messages, entry, held.cancel = self.messages, held.entry, None
+        if entry.id in messages.journal.entries:
+            if event.finished:
+                messages.let_go(number)
+                messages.end(entry, "delivered" if event.outcome is api.Outcome.OK else "over")
+            elif entry.out is not None:
+                ran = not event.outcome.proves_no_effect
+                messages.write(lambda: messages.journal.outcome(entry, ran))
+        self.turns.feed(event)
--- /dev/null
+++ b/linnetstile/core/host.py
@@ -0,0 +1,164 @@
+"""A running relay: its life from start to stop, and who is asked to carry out what the decisions say."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from .. import interface as api
+from ..config import Config
+from ..control import Relay
+from ..store.journal import Journal
+from .attempts import Attempts
+from .directory import Directory
+from .messages import Messages, unix_ms
+from .seams import End, Intake, Membership, Transport, Update
+from .tasks import Tasks
+from .turns import Turns
+
+log = logging.getLogger(__name__)
+
+SWEEP_S = 1.0
+LOOK_S = 0.02
+SERVE_ON_S = 0.5  # after SIGTERM: connections go on coming for up to 0.4 s
+CALLS_END_S = 3.0  # after SIGTERM: no call is out later
+GONE_S = 3.4  # after SIGTERM: whatever is still undone is left to the journal
+
+
+class Host:
+    """Owns the decision module. Fronts, transport and sources are plugged in before `start`."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.settings = config, config.settings
+        self.relay = Relay(config.settings, config.seed)
+        self.turns = Turns(self.relay, config.settings.tick_ms, self._act)
+        self.journal = Journal(config.state, config.disk_bytes)
+        self.directory = Directory(config.settings, config.zones)
+        self.messages = Messages(config.settings, self.journal, self.turns.now, self.turns.feed,
+                                 self._pass_on)
+        self.tasks = Tasks()
+        self.intakes: dict[str, Intake] = {}
+        self.sources: list[Membership] = []
+        self.watching: list[asyncio.Task[None]] = []  # the sources
+        self.closed = False
+
+    def plug_in(self, intakes: dict[str, Intake], transport: Transport, sources: list[Membership]) -> None:
+        """Fronts by the name that the journal keeps with each of their messages."""
+        self.intakes, self.transport, self.sources = intakes, transport, sources
+        self.attempts = Attempts(self.relay, self.turns, self.messages, self.directory, transport, self.tasks)
+
+    # -- life --------------------------------------------------------------------------------------------
+
+    async def start(self, known: Update | None = None) -> None:
+        """With the members as they were last known, if any; from its end on messages are taken."""
+        if known is not None:
+            self.listed(known)
+        self.messages.resume(self.directory.number)
+        self.turns.step()
+        self._watch()
+        self.tasks.start(self._sweep())
+        self.messages.ready = True
+        for intake in self.intakes.values():
+            await intake.open()
+
+    def _watch(self) -> None:
+        self.watching = [self.tasks.start(source.run(self.listed)) for source in self.sources]
+
+    def reload(self, config: Config) -> None:
+        """Has sources and fronts follow what they can of it; a change of anything else needs a restart.
+        Calls, clients and the journal are left alone, so it may come at any moment, also during a stop."""
+        if self.closed:
+            return
+        for task in self.watching:  # Guards against waiting on an agent that is about to go
+            task.cancel()
+        for source in self.sources:
+            source.reload(config)
+        for intake in self.intakes.values():
+            intake.reload(config)
+        self._watch()
+
+    async def stop(self) -> None:
+        """A planned restart: what cannot end in time stays in the journal."""
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        self.turns.feed(api.Closing((begun + CALLS_END_S) * 1000))
+        await asyncio.sleep(SERVE_ON_S)
+        for intake in self.intakes.values():
+            intake.stop()
+        while (self.messages.held or self._reading()) and loop.time() < begun + CALLS_END_S + 0.1:
+            await asyncio.sleep(LOOK_S)
+        while self._unsettled() and loop.time() < begun + GONE_S:
+            await asyncio.sleep(LOOK_S)
+        log.info("%d messages and %d answers are left to the journal", len(self.messages.held),
+                 self._unsettled())
+        await self.close()
+
+    def _reading(self) -> int:
+        return sum(intake.reading for intake in self.intakes.values())
+
+    def _unsettled(self) -> int:
+        return sum(intake.unsettled for intake in self.intakes.values())
+
+    async def close(self) -> None:
+        self.closed = True
+        for intake in self.intakes.values():
+            intake.stop()
+        await self.tasks.cancel()
+        self.turns.stop()
+        for intake in self.intakes.values():
+            await intake.close()
+        self.transport.close()
+        for source in self.sources:
+            source.close()
+        self.journal.close()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            try:
+                self.transport.sweep()
+                self.messages.forget()
+                self.messages.know({known.entry.destination for known in self.directory.by_number.values()})
+                self.journal.tidy(unix_ms())
+            except Exception:
+                log.exception("tidying failed")  # and is tried again: without it the folder fills
+
+    # -- what the decisions say --------------------------------------------------------------------------
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send(ident, endpoint, until):
+                self.attempts.begin(ident, endpoint, until)
+            case api.Refuse(ident, stay_away):
+                self.messages.over(ident, "returned", stay_away)
+            case api.Fail(ident):
+                self.messages.over(ident, "failed")
+            case api.Cancel(ident):
+                held = self.messages.held.get(ident)
+                if held is not None and held.cancel is not None:
+                    held.cancel()
+            case api.WatchList():
+                pass  # the sources are always watched
+            case api.Log(text):
+                log.info("module: %s", text)
+            case _:
+                log.error("the module wants %r, which this relay cannot do", action)
+
+    def _pass_on(self, origin: str, end: End) -> None:
+        intake = self.intakes.get(origin)
+        if intake is not None:
+            intake.end(end)
+        else:  # it stays in the journal, and is passed on once that front is back
+            log.error("message %s came by %r, which is not set up: its end waits", end.id, origin)
+
+    def listed(self, update: Update) -> None:
+        """A source has told something."""
+        event, changed = self.directory.apply(update)
+        self.messages.know({entry.destination for entry in event.entries})
+        if update.whole:
+            here = self.directory.by_number.values()
+            self.transport.keep_only({known.key for known in here if known.ready})
+        else:
+            for key, listed in changed:
+                self.transport.changed(key, listed)
+        self.turns.feed(event)
--- /dev/null
+++ b/linnetstile/core/messages.py
@@ -0,0 +1,170 @@
+"""The messages that the relay has taken on, from the journal to their final answer; every front's desk."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .. import interface as api
+from ..store.journal import Entry, Journal, JournalError
+from .seams import End, Malformed, Offer, Receipt
+
+log = logging.getLogger(__name__)
+
+NAME_BYTES = 200  # an id or a key, at most
+BODY_BYTES = 64 * 1024  # of a message, at most
+LEFT_MS = 999_999_999  # the longest time to live that makes sense
+RETRY_S = 1.0  # a client that finds the hold full is told to come again so much later
+DEST_MS = 60_000.0  # a destination without endpoints is known for so long: past any message's time
+
+
+def unix_ms() -> float:
+    return time.time() * 1000
+
+
+@dataclass(slots=True)
+class Held:
+    """A message that the module holds, or for which a call is out."""
+
+    entry: Entry
+    attempts: int = 0  # sends of this process, as the module counts them
+    cancel: Callable[[], object] | None = None  # gives up the call that is out
+
+
+class Messages:
+    """Takes, holds and ends; which endpoint and whether again is not decided here."""
+
+    def __init__(self, settings: api.Settings, journal: Journal, now: Callable[[], float],
+                 feed: Callable[[api.Event], None], pass_on: Callable[[str, End], None]) -> None:
+        self.settings, self.journal = settings, journal
+        self.now, self.feed, self.pass_on = now, feed, pass_on
+        self.classes = {cls.name: n for n, cls in enumerate(settings.classes)}
+        self.tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
+        self.dests: dict[int, float] = {}  # each destination listed of late, and until when it is known
+        self.held: dict[int, Held] = {}
+        self.numbers: dict[str, int] = {}
+        self.last_number = 0
+        self.ready = False
+
+    # -- the desk ----------------------------------------------------------------------------------------
+
+    def take(self, offer: Offer) -> Receipt:
+        """All of it happens before the next event of the loop."""
+        self._check(offer)
+        if offer.id in self.journal.entries:
+            return Receipt(True)  # also while it is under way: it is one message, however often it comes
+        if len(self.held) >= self.settings.hold:
+            return Receipt(False, why="this relay holds as many messages as it may", retry_s=RETRY_S)
+        now = unix_ms()
+        entry = Entry(offer.id, offer.class_, offer.tenant, offer.dest, offer.key, now, now + offer.left_ms,
+                      offer.again[:16], offer.body, origin=offer.origin)
+        try:
+            self.journal.take(entry)
+        except JournalError as error:
+            log.warning("refused a message: %s", error)
+            return Receipt(False, why=str(error), retry_s=RETRY_S)
+        self._hold(entry, float(offer.left_ms))
+        return Receipt(True, new=True)
+
+    def _check(self, offer: Offer) -> None:
+        class_ = self.classes.get(offer.class_)
+        if class_ is None:
+            raise Malformed("class", f"{offer.class_!r} is none of {', '.join(self.classes)}")
+        for name, text in (("id", offer.id), ("key", "-" if offer.key is None else offer.key)):
+            if not 0 < len(text) <= NAME_BYTES or not text.isascii() or not text.isprintable():
+                raise Malformed(name, f"1 to {NAME_BYTES} printable ASCII characters are needed")
+        if offer.key is None and self.settings.classes[class_].effect is api.Effect.KEYED:
+            raise Malformed("key", f"class {offer.class_} needs one")
+        if self.tenants and offer.tenant not in self.tenants:
+            raise Malformed("tenant", f"{offer.tenant!r} is not known")
+        if not 0 <= offer.left_ms <= LEFT_MS:
+            raise Malformed("left", f"0 to {LEFT_MS} ms are needed")
+        if offer.dest not in self.dests:
+            raise Malformed("dest", f"destination {offer.dest} is not known")
+        if len(offer.body) > BODY_BYTES:
+            raise Malformed("body", f"holds {BODY_BYTES} bytes at most")
+
+    def withdraw(self, ident: str) -> None:
+        """Its client never read the answer, and hands it in again under another id."""
+        number = self.numbers.get(ident)
+        if number is not None:
+            held = self.held[number]
+            self.write(lambda: self.journal.withdrawn(held.entry))
+            self.let_go(number)
+            self.feed(api.Withdrawn(number))
+
+    def told(self, idents: list[str]) -> None:
+        self.write(lambda: self.journal.told(idents))
+
+    # -- their life --------------------------------------------------------------------------------------
+
+    def resume(self, number_of: Callable[[str], int]) -> None:
+        """Takes up what an earlier process left: it owes each message its end."""
+        now = unix_ms()
+        for entry in list(self.journal.entries.values()):
+            if entry.owes_notice:
+                self.pass_on(entry.origin, End(entry.id, entry.end, entry.after_ms))
+            elif not entry.end and entry.class_ not in self.classes:
+                self.end(entry, "failed")  # the settings no longer know its class
+            elif not entry.end:
+                risk = entry.risk
+                self.dests[entry.dest] = self.now() + DEST_MS
+                self._hold(entry, entry.due - now, age_ms=max(0.0, now - entry.since), tries=entry.tries,
+                           risk_age_ms=None if risk is None else max(0.0, now - risk.at),
+                           risk=None if risk is None else api.Endpoint(
+                               number_of(risk.endpoint), entry.dest, api.Listing.READY, zone=risk.zone))
+
+    def _hold(self, entry: Entry, left_ms: float, age_ms: float | None = None, tries: int = 0,
+              risk_age_ms: float | None = None, risk: api.Endpoint | None = None) -> None:
+        self.last_number += 1
+        self.held[self.last_number] = Held(entry)
+        self.numbers[entry.id] = self.last_number
+        self.feed(api.Message(
+            self.last_number, entry.dest, self.classes[entry.class_], left_ms,
+            self.tenants.get(entry.tenant, 0), again=entry.again == "1",
+            from_dead_relay=entry.again == "again", age_ms=age_ms, tries=tries, risk_age_ms=risk_age_ms,
+            risk=risk))
+
+    def effect(self, entry: Entry) -> api.Effect:
+        return self.settings.classes[self.classes[entry.class_]].effect
+
+    def over(self, number: int, state: str, after_ms: float = 0.0) -> None:
+        """The module has given it up."""
+        held = self.held.get(number)
+        if held is not None:
+            self.let_go(number)
+            self.end(held.entry, state, after_ms)
+
+    def let_go(self, number: int) -> None:
+        """No end is owed any more; a call that is out keeps its own reference."""
+        held = self.held.pop(number, None)
+        if held is not None:
+            self.numbers.pop(held.entry.id, None)
+            held.entry.body = b""
+
+    def end(self, entry: Entry, state: str, after_ms: float = 0.0) -> None:
+        self.write(lambda: self.journal.ended(entry, state, after_ms))
+        if entry.owes_notice:
+            self.pass_on(entry.origin, End(entry.id, state, after_ms))
+
+    @staticmethod
+    def write(write: Callable[[], None]) -> bool:
+        try:
+            write()
+            return True
+        except JournalError as error:
+            log.error("%s", error)
+            return False
+
+    # -- destinations ------------------------------------------------------------------------------------
+
+    def know(self, listed: set[int]) -> None:
+        """One whose endpoints are all being replaced is still known."""
+        self.dests.update(dict.fromkeys(listed, self.now() + DEST_MS))
+
+    def forget(self) -> None:
+        """One long gone is forgotten."""
+        now = self.now()
+        self.dests = {dest: until for dest, until in self.dests.items() if until > now}
--- a/linnetstile/net/agent.py
+++ b/linnetstile/http/agent.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 
-from .config import Address
+from ..config import Address
 from .link import Link, LinkLost
 
 ANSWER_BYTES = 1 << 20
--- a/linnetstile/net/egress.py
+++ b/linnetstile/http/calls.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import math
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections import OrderedDict
 
+from ..config import Address
+from ..core.seams import Attempt, Key, Result
 from ..interface import Outcome
-from .config import Address
 from .link import Head, Link, LinkLost
 
 IDLE_SHARE = 0.8  # of the idle limit: an older connection may be closed while a call is written to it
@@ -19,47 +19,24 @@
 WARY_S = 10.0  # so long after one that was kept has broken
 
 
-Key = tuple[int, Address]  # an endpoint's number and where it is: another may come to its address
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    endpoint: int
-    address: Address
-    trace_id: str
-    key: str | None
-    body: bytes
-    give_up_at: float  # on the loop's clock, in seconds
-    may_write: Callable[[], bool]  # asked right before the first byte, and the last if it is held back
-    careful: bool = False  # an unclear outcome would be final
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    outcome: Outcome
-    wait_ms: float = 0.0
-    no_slot: bool = False
-    over: bool = False  # the endpoint says that nothing more is owed
-
-
-def answer_of(head: Head) -> Answer:
+def answer_of(head: Head) -> Result:
     """Each row of the protocol's table in which an answer came back."""
     wait = told_wait(head.headers.get("x-ratelimit-wait-ms", ""))
     match head.status:
         case 200:
-            return Answer(Outcome.OK, over=True)
+            return Result(Outcome.OK, over=True)
         case 429:
-            return Answer(Outcome.FULL, wait_ms=wait)
+            return Result(Outcome.FULL, wait_ms=wait)
         case 503 if head.headers.get("x-over-slots") == "1":
-            return Answer(Outcome.NOT_SENT, no_slot=True)
+            return Result(Outcome.NOT_SENT, no_slot=True)
         case 503:  # the protocol names no wait here, but one that is told is kept
-            return Answer(Outcome.FULL, wait_ms=wait)
+            return Result(Outcome.FULL, wait_ms=wait)
         case 504:
-            return Answer(Outcome.NOT_SENT)
+            return Result(Outcome.NOT_SENT)
         case 410:
-            return Answer(Outcome.NOT_SENT, over=True)
+            return Result(Outcome.NOT_SENT, over=True)
         case _:  # 500, and whatever else the protocol does not name: it may have run
-            return Answer(Outcome.ERROR)
+            return Result(Outcome.ERROR)
 
 
 def told_wait(text: str) -> float:
@@ -70,31 +47,32 @@
     return wait if wait > 0 and math.isfinite(wait) else 0.0
 
 
-class Egress:
+class Calls:
     def __init__(
         self, idle_ms: float, connect_timeout_ms: float, most_idle: int, most_ending: int = 16
     ) -> None:
         self.idle_s = IDLE_SHARE * idle_ms / 1000
         self.connect_s = connect_timeout_ms / 1000 or None
         self.most_idle = most_idle
-        self.idle: dict[Key, list[Link]] = {}
+        self.idle: dict[Key, list[Link]] = {}  # each list and all of them: longest idle first
+        self.aged: OrderedDict[Link, Key] = OrderedDict()
         self.listed: set[Key] | None = None  # None: not told yet
         self.ending: dict[Link, None] = {}  # answered, but their bodies have not come; oldest first
         self.most_ending = most_ending
         self.broke_at = -WARY_S  # when a connection that was kept broke before its call was answered
 
-    async def call(self, call: Call) -> Answer:
+    async def attempt(self, attempt: Attempt) -> Result:
         """Makes one call; giving up closes its connection, which frees the slot at the endpoint."""
         link: Link | None = None
-        key, wait = (call.endpoint, call.address), 0.0
+        key, wait = (attempt.endpoint, attempt.address), 0.0
         try:
-            async with asyncio.timeout_at(call.give_up_at):
-                link = await self._written(call, key)
+            async with asyncio.timeout_at(attempt.give_up_at):
+                link = await self._written(attempt, key)
                 if link is None:
-                    return Answer(Outcome.NOT_SENT)
+                    return Result(Outcome.NOT_SENT)
                 if await link.status == 200:
                     # True also if the rest of the answer is spoilt: the message is over.
-                    answer = Answer(Outcome.OK, over=True)
+                    answer = Result(Outcome.OK, over=True)
                 else:
                     answer = answer_of(await link.head)
                 if answer.outcome.proves_no_effect:
@@ -107,32 +85,32 @@
             link = None
             return answer
         except TimeoutError:
-            # Connecting or writing took all the time: the endpoint never had the whole call.
-            return Answer(Outcome.TIMEOUT if link else Outcome.CONNECT_FAILED, wait_ms=wait)
+            # Connecting or writing took all the time: the endpoint never had the whole attempt.
+            return Result(Outcome.TIMEOUT if link else Outcome.CONNECT_FAILED, wait_ms=wait)
         except LinkLost:
             if link is not None and link.calls > 1:
                 self.broke_at = asyncio.get_running_loop().time()
-            return Answer(Outcome.RESET if link else Outcome.CONNECT_FAILED, wait_ms=wait)
+            return Result(Outcome.RESET if link else Outcome.CONNECT_FAILED, wait_ms=wait)
         finally:
             if link is not None:
                 link.close()
 
-    async def _written(self, call: Call, key: Key) -> Link | None:
+    async def _written(self, attempt: Attempt, key: Key) -> Link | None:
         """A connection with the whole call on it; None if it may not go out after all. One that was kept and
         breaks before the last byte tells nothing of the endpoint: the call goes on another at once."""
         for may_be_kept in (True, True, False):
             link = self._pooled(key) if may_be_kept else None
             kept = link is not None
-            link = link or await self._connect(call.address)
+            link = link or await self._connect(attempt.address)
             try:
-                if not call.may_write():
+                if not attempt.may_write():
                     self._keep(key, link)
                     link = None
                     return None
-                hold_s = self._hold_s(call, kept)
-                await link.send("POST", "/inbox", self._headers(call), call.body, hold_s)
+                hold_s = self._hold_s(attempt, kept)
+                await link.send("POST", "/inbox", self._headers(attempt), attempt.body, hold_s)
                 if hold_s:
-                    if not call.may_write():  # the time until the last byte counts too
+                    if not attempt.may_write():  # the time until the last byte counts too
                         return None
                     await link.finish()
                 whole, link = link, None
@@ -146,10 +124,10 @@
                     link.close()
         raise LinkLost("no connection stays up")
 
-    def _hold_s(self, call: Call, kept: bool) -> float:
+    def _hold_s(self, attempt: Attempt, kept: bool) -> float:
         """Guards against resets that say nothing: a call begins with its last byte, so a connection that
         breaks before it, as one does that had ended unnoticed, proves that nothing ran."""
-        if call.careful:
+        if attempt.careful:
             return CAREFUL_HOLD_S
         wary = kept and asyncio.get_running_loop().time() < self.broke_at + WARY_S
         return HOLD_S if wary else 0.0
@@ -158,34 +136,54 @@
         """Closes the idle connections to endpoints that drain, are gone or have moved."""
         self.listed = listed
         for key in set(self.idle) - listed:
-            for link in self.idle.pop(key):
-                link.close()
+            self._drop_all(key)
+
+    def changed(self, key: Key, listed: bool) -> None:
+        """The same for one endpoint, at no cost for the others."""
+        if self.listed is None:
+            self.listed = set()
+        if listed:
+            self.listed.add(key)
+        else:
+            self.listed.discard(key)
+            self._drop_all(key)
+
+    def close(self) -> None:
+        self.keep_only(set())
+
+    def _drop_all(self, key: Key) -> None:
+        for link in self.idle.pop(key, ()):
+            del self.aged[link]
+            link.close()
 
     def sweep(self) -> None:
         """Drops connections that have ended or stood idle too long; endpoints hold only so many."""
-        for key, links in list(self.idle.items()):
-            fresh = [link for link in links if self._fresh(link)]
-            for link in links:
-                if link not in fresh:
-                    link.close()
-            self.idle[key] = fresh
-            if not fresh:
-                del self.idle[key]
+        for link, key in list(self.aged.items()):
+            if not self._fresh(link):
+                self._remove(link, key)
+                link.close()
+
+    def _remove(self, link: Link, key: Key) -> None:
+        del self.aged[link]
+        links = self.idle[key]
+        links.remove(link)
+        if not links:
+            del self.idle[key]
 
     @staticmethod
-    def _headers(call: Call) -> list[tuple[str, str]]:
-        left = max(1, int((call.give_up_at - asyncio.get_running_loop().time()) * 1000))
-        headers = [("Host", f"{call.address[0]}:{call.address[1]}"), ("X-Trace-Id", call.trace_id),
+    def _headers(attempt: Attempt) -> list[tuple[str, str]]:
+        left = max(1, int((attempt.give_up_at - asyncio.get_running_loop().time()) * 1000))
+        headers = [("Host", f"{attempt.address[0]}:{attempt.address[1]}"), ("X-Trace-Id", attempt.trace_id),
                    ("X-Expires-In-Ms", str(left))]
-        return headers if call.key is None else [*headers, ("Idempotency-Key", call.key)]
+        return headers if attempt.key is None else [*headers, ("Idempotency-Key", attempt.key)]
 
     def _fresh(self, link: Link) -> bool:
         return link.usable and asyncio.get_running_loop().time() - link.idle_since < self.idle_s
 
     def _pooled(self, key: Key) -> Link | None:
-        links = self.idle.get(key, [])
-        while links:
-            link = links.pop()
+        while links := self.idle.get(key):
+            link = links[-1]
+            self._remove(link, key)
             if self._fresh(link) and link.quiet:
                 return link
             link.close()
@@ -199,10 +197,11 @@
         if not link.usable or self.listed is not None and key not in self.listed:
             link.close()
             return
-        if sum(map(len, self.idle.values())) >= self.most_idle:
-            oldest = min((at for at, links in self.idle.items() if links),
-                         key=lambda at: self.idle[at][0].idle_since)
-            self.idle[oldest].pop(0).close()
+        if len(self.aged) >= self.most_idle:
+            oldest, its = next(iter(self.aged.items()))
+            self._remove(oldest, its)
+            oldest.close()
+        self.aged[link] = key
         self.idle.setdefault(key, []).append(link)
 
     def _after_body(self, key: Key, link: Link) -> None:
--- a/linnetstile/net/ingress.py
+++ b/linnetstile/http/intake.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 import select
 from collections.abc import Callable
 from contextlib import suppress
@@ -33,6 +34,13 @@
 ONCE = frozenset(("host", "transfer-encoding", "idempotency-key", "x-addressing", "x-customer",
                   "x-expires-in-ms", "x-qos", "x-second-try", "x-trace-id"))
 SENSELESS = frozenset((400, 404, 405))
+# A request that is written in the ordinary way and has come whole. What this takes, h11 takes in the same way
+# (tests/test_plain.py); all else goes to h11, which is strict.
+REQUEST = re.compile(rb"(GET|POST) (/[!-~]{0,500}) HTTP/1\.1\r\n"
+                     rb"((?:[A-Za-z0-9-]{1,60}: ?[!-~](?:[ !-~]{0,400}[!-~])?\r\n){1,40})\r\n")
+PLAIN = frozenset(("accept", "accept-encoding", "content-length", "content-type", "host", "idempotency-key",
+                   "user-agent", "x-addressing", "x-customer", "x-expires-in-ms", "x-qos", "x-second-try",
+                   "x-trace-id"))  # what an ordinary one may say; others can change what its bytes mean
 
 
 @dataclass(slots=True)
@@ -51,6 +59,35 @@
     retry_s: float = 0.0  # when the client may come again; 0 = not told
 
 
+def plain_request(data: bytes) -> Request | None:
+    """An ordinary request with nothing behind it; None: h11 has to look at it."""
+    head = REQUEST.match(data)
+    if head is None or head.end() > HEAD_BYTES // 2:
+        return None
+    headers: dict[str, str] = {}
+    for line in head[3].decode("ascii").split("\r\n")[:-1]:
+        name, _, value = line.partition(":")
+        name = name.lower()
+        if name in headers or name not in PLAIN:
+            return None
+        headers[name] = value.strip()
+    length = headers.get("content-length", "0")
+    if "host" not in headers or not length.isdecimal() or len(length) > 5 or int(length) > BODY_BYTES:
+        return None
+    if len(data) != head.end() + int(length):
+        return None
+    return Request(head[1].decode("ascii"), head[2].decode("ascii"), headers, bytearray(data[head.end():]))
+
+
+def plain_answer(reply: Reply, last: bool) -> bytes:
+    """An answer's bytes, as h11 would write them."""
+    text = (reply.text + "\n" if reply.text else "").encode()
+    wait = f"Retry-After: {reply.retry_s:.3f}\r\n" if reply.retry_s > 0 else ""
+    close = "Connection: close\r\n" if last else ""
+    return (f"HTTP/1.1 {reply.status} \r\nContent-Length: {len(text)}\r\n"
+            f"Content-Type: text/plain; charset=utf-8\r\n{wait}{close}\r\n").encode("ascii") + text
+
+
 Handler = Callable[[Request], Reply]
 Withdraw = Callable[[str], None]
 
@@ -71,7 +108,7 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    def __init__(self, server: Ingress) -> None:
+    def __init__(self, server: Clients) -> None:
         self.server = server
         self.http: h11.Connection | None = None  # made with the first byte: many never say anything
         self.transport: asyncio.Transport | None = None
@@ -149,14 +186,18 @@
             self._end(Reply(408, "the request did not come in time"))
 
     def _feed(self, data: bytes) -> None:
-        if self.http is None:
-            self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_BYTES)
         if self.idle and data:
             now = asyncio.get_running_loop().time()
             self.deadline = self.first_by if self.fresh else now + REQUEST_S
             self.fresh = False
             self.server.begun(self)
         try:
+            if self.http is None:
+                if (request := plain_request(data)) is not None:
+                    self.request = request
+                    self._whole(None, request)
+                    return
+                self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_BYTES)
             self.http.receive_data(data)
             while not self.over and self._next(self.http):
                 pass
@@ -193,8 +234,8 @@
                 return False
         return True
 
-    def _whole(self, http: h11.Connection, request: Request) -> None:
-        if http.trailing_data[0].strip(b"\r\n"):
+    def _whole(self, http: h11.Connection | None, request: Request) -> None:
+        if http is not None and http.trailing_data[0].strip(b"\r\n"):
             # Guards the loop against requests by the hundred, and against a body longer than it says: a
             # client sends one at a time. It is turned away before its first message is taken on.
             self._end(Reply(400, "one request at a time on a connection, and no more than its length"))
@@ -204,10 +245,13 @@
         self.last = self.last or self.server.crowded
         self._answer(reply)
         self.request = None
-        if self.last or http.our_state is not h11.DONE:
+        if self.last or http is not None and http.our_state is not h11.DONE:
             self._close()
             return
-        http.start_next_cycle()
+        if http is not None:
+            http.start_next_cycle()
+            if not http.trailing_data[0]:
+                self.http = None  # the next request may be an ordinary one
         self.useful = self.useful or reply.status == 202
         self.deadline = asyncio.get_running_loop().time() + IDLE_S
         self.server.rests(self)
@@ -229,7 +273,7 @@
         """The last answer, as far as one can still be given; then what still comes is read and dropped."""
         self.last = self.over = True
         self.request = None
-        if self.http is not None and self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if self.http is None or self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._answer(reply)
         self.deadline = asyncio.get_running_loop().time() + (DISCARD_S if reply.status == 413 else LINGER_S)
         self.server.lingers(self)
@@ -238,14 +282,18 @@
                 self.transport.write_eof()
 
     def _answer(self, reply: Reply) -> None:
-        text = (reply.text + "\n" if reply.text else "").encode()
-        headers = [("Content-Length", str(len(text))), ("Content-Type", "text/plain; charset=utf-8")]
-        if reply.retry_s > 0:
-            headers.append(("Retry-After", f"{reply.retry_s:.3f}"))
-        if self.last:
-            headers.append(("Connection", "close"))
-        self._send(h11.Response(status_code=reply.status, headers=headers), h11.Data(data=text),
-                   h11.EndOfMessage())
+        if self.http is None:
+            if self.transport is not None:
+                self.transport.write(plain_answer(reply, self.last))
+        else:
+            text = (reply.text + "\n" if reply.text else "").encode()
+            headers = [("Content-Length", str(len(text))), ("Content-Type", "text/plain; charset=utf-8")]
+            if reply.retry_s > 0:
+                headers.append(("Retry-After", f"{reply.retry_s:.3f}"))
+            if self.last:
+                headers.append(("Connection", "close"))
+            self._send(h11.Response(status_code=reply.status, headers=headers), h11.Data(data=text),
+                       h11.EndOfMessage())
         if reply.accepted is not None:
             self._heard(reply.accepted)
 
@@ -277,7 +325,7 @@
             self.transport.close()
 
 
-class Ingress:
+class Clients:
     """All connections of clients, `most` at once, and which of them makes room for another."""
 
     def __init__(self, handle: Handler, withdraw: Withdraw, most: int, roomy: int) -> None:
--- a/linnetstile/net/link.py
+++ b/linnetstile/http/link.py
@@ -10,13 +10,21 @@
 
 import h11
 
-from .config import Address
+from ..config import Address
 
 HEAD_BYTES = 16 * 1024  # an answer's first line and headers, at most
 PIECES = 256  # heads and chunks of one answer, at most: reading endless tiny ones would hold up the loop
 FIRST_LINE = re.compile(rb"HTTP/\d\.\d (\d{3})(?: [^\r\n]*)?\r?\n")
 HEAD_END = re.compile(rb"\r?\n\r?\n")
+# An answer that is written in the ordinary way and has come whole. What this takes, h11 takes in the same way
+# (tests/test_plain.py); all else goes to h11.
+ANSWER = re.compile(rb"HTTP/1\.1 ([2-5]\d\d)(?: [ -~]*)?\r\n((?:[A-Za-z0-9-]{1,60}: ?[!-~]*\r\n){1,24})\r\n")
+LENGTH = re.compile(rb"(?:^|\n)content-length: ?(\d{1,5})\r\n", re.IGNORECASE)
+PLAIN_BYTES = 2048  # longer ones are rare
+UNUSUAL = (b"transfer-encoding:", b"connection:", b"upgrade:")
+LINE_BREAK = re.compile(r"[\r\n\0]")
 Headers = list[tuple[str, str]]
+ASKED = [("Host", "x")]  # h11 only has to know that something was asked
 
 
 class LinkLost(Exception):
@@ -34,6 +42,31 @@
     return {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in headers}
 
 
+def plain_answer(data: bytes) -> tuple[int, dict[str, str], bytes] | None:
+    """Status, headers and body of an ordinary answer with nothing behind it; None: h11 has to look at it."""
+    head = ANSWER.match(data) if len(data) <= PLAIN_BYTES else None
+    if head is None:
+        return None
+    fields = head[2].lower()
+    lengths = LENGTH.findall(fields)
+    if len(lengths) != 1 or head[1] in (b"204", b"304") or any(name in fields for name in UNUSUAL):
+        return None
+    if len(data) != head.end() + int(lengths[0]):
+        return None
+    lines = head[2].decode("ascii").split("\r\n")[:-1]
+    pairs = (line.split(":", 1) for line in lines)
+    return int(head[1]), {name.lower(): value.strip() for name, value in pairs}, data[head.end():]
+
+
+def plain_request(method: str, target: str, headers: Headers, body: bytes) -> bytes:
+    """A request's bytes. LinkLost if a header holds a line break, which would begin another."""
+    lines = [f"{method} {target} HTTP/1.1\r\n", *(f"{name}: {value}\r\n" for name, value in headers),
+             f"Content-Length: {len(body)}\r\n\r\n"]
+    if any(LINE_BREAK.search(value) for _, value in headers):
+        raise LinkLost("a header's value holds a line break")
+    return "".join(lines).encode("latin-1") + body
+
+
 def polled(transport: asyncio.BaseTransport | None, events: int) -> bool:
     """Whether the socket says any of these by now, also if the loop has not been told yet; or is closed."""
     sock = transport.get_extra_info("socket") if transport is not None else None
@@ -49,7 +82,8 @@
 
     def __init__(self, body_bytes: int) -> None:
         loop = asyncio.get_running_loop()
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
+        self.http: h11.Connection | None = None  # only for an answer that is not an ordinary one
+        self.method = "GET"
         self.body_bytes = body_bytes
         self.transport: asyncio.Transport | None = None
         self.idle_since = loop.time()
@@ -97,10 +131,8 @@
         self.status, self.head, self.whole = loop.create_future(), loop.create_future(), loop.create_future()
         self.start.clear()
         self.body.clear()
-        request = h11.Request(method=method, target=target,
-                              headers=[*headers, ("Content-Length", str(len(body)))])
-        events = [request, h11.Data(data=body), h11.EndOfMessage()]
-        data = b"".join(self.http.send(event) or b"" for event in events)
+        self.http, self.method = None, method
+        data = plain_request(method, target, headers, body)
         if hold_s > 0:
             self.last_byte = data[-1:]
             await self._write(self.transport, data[:-1])
@@ -180,6 +212,13 @@
             del self.start[: end.end()]
 
     def _feed(self, data: bytes) -> None:
+        if self.http is None:
+            if (plain := plain_answer(data)) is not None:
+                self._plain(*plain)
+                return
+            self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
+            for asked in (h11.Request(method=self.method, target="/", headers=ASKED), h11.EndOfMessage()):
+                self.http.send(asked)
         if not self.status.done():
             self._read_status(data)
         try:
@@ -210,10 +249,16 @@
         except h11.RemoteProtocolError as error:
             self._lose(f"not an HTTP answer: {error}")
 
+    def _plain(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        self.busy, self.idle_since = False, asyncio.get_running_loop().time()
+        self.status.set_result(status)
+        self.head.set_result(Head(status, headers))
+        self.whole.set_result(body)
+
     def _answered(self) -> None:
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
-            stray = bool(self.http.trailing_data[0])
-            self.http.start_next_cycle()
+        http, self.http = self.http, None
+        if http is not None and http.our_state is h11.DONE and http.their_state is h11.DONE:
+            stray = bool(http.trailing_data[0])
             self.busy, self.idle_since = stray, asyncio.get_running_loop().time()
             if stray:
                 self.close()
--- /dev/null
+++ b/linnetstile/http/register.py
@@ -0,0 +1,99 @@
+"""The register as a source of members: the list as the platform's agent tells it, by a watch."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import Any
+
+from ..config import Address, Config, address
+from ..core.seams import Member, Told, Update
+from ..interface import Listing
+from .agent import Agent, AgentError, Backoff
+
+log = logging.getLogger(__name__)
+
+HOLD_MS = 2000  # a watch that the agent lets go silent is begun anew soon after; asking costs nothing
+SILENT_S = 0.5  # past the hold: the agent is on this machine and answers at once
+LISTINGS = {"ready": Listing.READY, "gone": Listing.GONE}  # whatever else gets nothing new
+
+
+def read(raw: dict[str, Any]) -> tuple[int, Update]:
+    """An answer's version and what it tells, but for entries that cannot be read; ValueError says that it is
+    no list at all."""
+    try:
+        version, whole = int(raw["generation"]), bool(raw["reset"])
+        items = list(raw["instances"])
+    except (KeyError, TypeError, OverflowError) as error:
+        raise ValueError(f"malformed list: {error!r}") from error
+    members, lives = [], []
+    for item in items:
+        try:
+            members.append(_member(item))
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            # Guards the others against one entry that cannot be read: where its endpoint is known already,
+            # that stands, but for what it says of its life.
+            log.warning("discovery: an entry is passed over: %r", error)
+            if isinstance(item, dict) and "instanceId" in item:
+                listing = LISTINGS.get(str(item.get("lifecycle")), Listing.DRAINING)
+                lives.append((str(item["instanceId"]), listing))
+    return version, Update(whole, tuple(members), tuple(lives))
+
+
+def _member(item: dict[str, Any]) -> Member:
+    name, kind, zone = str(item["instanceId"]), item.get("machineType"), item.get("zone")
+    rate = float(item.get("weight", 0.0))
+    if not 0 <= rate < 1e9:
+        raise ValueError(f"{name}: weight {rate} makes no sense")
+    return Member(name, int(item["cell"]), LISTINGS.get(item["lifecycle"], Listing.DRAINING),
+                  address(item["hostPort"]), None if kind is None else str(kind),
+                  None if zone is None else str(zone), rate)
+
+
+class Register:
+    """Keeps the list current; what fails keeps the version, so that nothing is missed."""
+
+    def __init__(self, at: Address) -> None:
+        self.agent = Agent(at)
+        self.version = -1
+
+    def known(self, raw: dict[str, Any]) -> Update:
+        """The list as the configuration has it: it may be old, but its version says how old."""
+        self.version, update = read(raw)
+        return update
+
+    def reload(self, config: Config) -> None:
+        """Another agent counts its versions anew: what it has is asked for whole."""
+        self.agent.close()
+        self.agent, self.version = Agent(config.discovery), -1
+
+    def close(self) -> None:
+        self.agent.close()
+
+    async def run(self, told: Told) -> None:
+        backoff = Backoff(0.05, 0.5)
+        while True:
+            try:
+                version, update = read(await self._ask())
+                told(update)
+                self.version = version
+                backoff.reset()  # and at once again: a late call would begin a new watch
+            except (AgentError, ValueError) as error:
+                log.warning("discovery: %s", error)
+                self.agent.close()
+                await backoff.pause()
+            except Exception:
+                log.exception("discovery: a list could not be taken")
+                await backoff.pause()
+
+    async def _ask(self) -> dict[str, Any]:
+        known, seconds = self.version >= 0, SILENT_S
+        target = "/v1/servers"
+        if known:
+            target += f"?from={self.version}&hold_ms={HOLD_MS}"
+            seconds += HOLD_MS / 1000
+        status, body = await self.agent.ask("GET", target, b"", seconds)
+        raw = json.loads(body) if status == 200 else None
+        if not isinstance(raw, dict):
+            raise ValueError(f"status {status}, {len(body)} bytes that are no list")
+        return raw
--- /dev/null
+++ b/linnetstile/store/__init__.py
@@ -0,0 +1,1 @@
+"""What outlasts the process."""
--- a/linnetstile/net/journal.py
+++ b/linnetstile/store/journal.py
@@ -57,6 +57,7 @@
     end: str = ""  # how it ended: delivered, failed, returned or over
     after_ms: float = 0.0
     told: bool = False  # the platform has its notice
+    origin: str = "http"  # the front by which it came
 
     @property
     def owes_notice(self) -> bool:
@@ -92,7 +93,7 @@
         "k": "take", "id": entry.id, "class": entry.class_, "tenant": entry.tenant, "dest": entry.dest,
         "key": entry.key, "since": round(entry.since), "due": round(entry.due), "again": entry.again,
         "tries": entry.tries, "out": flat(entry.out), "risk": flat(entry.risk), "end": entry.end,
-        "after": entry.after_ms, "told": entry.told,
+        "after": entry.after_ms, "told": entry.told, "from": entry.origin,
         "body": "" if entry.end else base64.b64encode(entry.body).decode(),
     }
 
@@ -170,6 +171,7 @@
                 float(record["since"]), float(record["due"]), str(record["again"]),
                 base64.b64decode(record["body"]), int(record["tries"]), attempt(record["out"]),
                 attempt(record["risk"]), str(record["end"]), float(record["after"]), bool(record["told"]),
+                str(record.get("from", "http")),
             ))
             return
         entry = self.entries[ident]
--- a/standins/agent.py
+++ b/standins/agent.py
@@ -2,7 +2,7 @@
 
     python -m standins.agent --listen 127.0.0.1:0 --list FILE
 
-FILE holds the list in discovery's form. A watch is held for as long as it asks to be; a notice is answered 204.
+FILE holds the list in discovery's form. A watch is held for as long as it asks to be; notices get 204.
 """
 
 from __future__ import annotations
--- a/standins/partner.py
+++ b/standins/partner.py
@@ -3,9 +3,9 @@
     python -m standins.partner --listen 127.0.0.1:0 [--answer-ms 2] [--refuse 0.1] [--error 0.1] [--hang 0.1]
                                [--seed 1] [--ledger FILE]
 
-`--ledger` gets a line for each call that took effect, written before its answer: `UNIX_MS TRACE_ID KEY`. A key
-that is there already takes no effect again. Requests are HTTP/1.1 with Content-Length, as the relay sends them;
-what cannot be read ends the connection.
+`--ledger` gets a line for each call that took effect, written before its answer: `UNIX_MS TRACE_ID KEY`. A
+key that is there already takes no effect again. Requests are HTTP/1.1 with Content-Length, as the relay sends
+them; one that is too long ends the connection.
 """
 
 from __future__ import annotations
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,8 +13,10 @@
 
 import h11
 
-from linnetstile.net import config
-from linnetstile.net.host import Host
+from linnetstile import config
+from linnetstile import interface as api
+from linnetstile.assembly import assemble
+from linnetstile.http.register import read
 
 PATIENCE_S = 60.0  # nothing here takes long; only a hang reaches it
 SETTINGS: dict[str, Any] = {
@@ -164,10 +166,41 @@
             "known": listing(*servers), "settings": SETTINGS, **more}
 
 
-def host_of(state: Path, agent: Server, *servers: Server, **more: Any) -> Host:
+class Running:
+    """A relay put together as the program does it, and its parts as tests look at them."""
+
+    def __init__(self, settings: config.Config) -> None:
+        self.parts = assemble(settings)
+        self.host, self.front, self.register = self.parts.host, self.parts.front, self.parts.register
+        self.ingress, self.notices, self.egress = self.front.clients, self.front.notices, self.parts.calls
+        self.messages, self.turns, self.directory = self.host.messages, self.host.turns, self.host.directory
+        self.relay, self.settings, self.journal = self.host.relay, self.host.settings, self.host.journal
+        self.held, self.tasks, self.now = self.messages.held, self.host.tasks, self.turns.now
+        self.start, self.stop, self.close = self.parts.start, self.host.stop, self.host.close
+        self.reload = self.host.reload
+
+    @property
+    def numbers(self) -> dict[str, int]:
+        return self.messages.numbers
+
+    @property
+    def dests(self) -> dict[int, float]:
+        return self.messages.dests
+
+    @property
+    def events(self) -> list[api.Event]:
+        return self.turns.events
+
+    def tell(self, raw: dict[str, Any]) -> None:
+        """As if discovery had."""
+        self.register.version, update = read(raw)
+        self.host.listed(update)
+
+
+def host_of(state: Path, agent: Server, *servers: Server, **more: Any) -> Running:
     path = state.parent / "config.json"
     path.write_text(json.dumps(raw_config(state, agent, *servers, **more)))
-    return Host(config.load({"RELAY_CONFIG": str(path)}))
+    return Running(config.load({"RELAY_CONFIG": str(path)}))
 
 
 def message(ident: str, class_: str = "safe", body: bytes = b"hello", left: int = 8000, **more: str) -> bytes:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,10 +8,9 @@
 
 import pytest
 
-from linnetstile.net import ingress
-from linnetstile.net.host import Host
+from linnetstile.http import intake as ingress
 
-from .loopback import Agent, Client, Server, host_of, message, run, until
+from .loopback import Agent, Client, Running, Server, host_of, message, run, until
 
 GOOD = message("m")
 HEAD = b"POST /safe HTTP/1.1\r\nHost: x\r\n"
@@ -23,7 +22,7 @@
     def __init__(self, folder: Path) -> None:
         self.folder, self.agent, self.server = folder, Agent(), Server()
 
-    async def __aenter__(self) -> Host:
+    async def __aenter__(self) -> Running:
         state = self.folder / "state"
         state.mkdir()
         await self.agent.start()
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -9,45 +9,46 @@
 import pytest
 
 from linnetstile.interface import Outcome
-from linnetstile.net import egress as egress_module
-from linnetstile.net.egress import Answer, Call, Egress
+from linnetstile.http import calls as egress_module
+from linnetstile.core.seams import Attempt, Result
+from linnetstile.http.calls import Calls
 
 from .loopback import OK, Server, answer, run, until
 
 
 def call(address: tuple[str, int], seconds: float = 20.0, may: Callable[[], bool] = lambda: True,
-         body: bytes = b"b", endpoint: int = 1, careful: bool = False) -> Call:
+         body: bytes = b"b", endpoint: int = 1, careful: bool = False) -> Attempt:
     until = asyncio.get_running_loop().time() + seconds
-    return Call(endpoint, address, "id", "key", body, until, may, careful)
+    return Attempt(endpoint, address, "id", "key", body, until, may, careful)
 
 
-def egress(idle_ms: float = 60000.0, connect_ms: float = 20000.0, most: int = 10) -> Egress:
-    return Egress(idle_ms, connect_ms, most)
+def egress(idle_ms: float = 60000.0, connect_ms: float = 20000.0, most: int = 10) -> Calls:
+    return Calls(idle_ms, connect_ms, most)
 
 
 @pytest.mark.parametrize(("reply", "expected"), [
-    (OK, Answer(Outcome.OK, over=True)),
-    (answer(500), Answer(Outcome.ERROR)),
-    (answer(429, "X-RateLimit-Wait-Ms: 350"), Answer(Outcome.FULL, wait_ms=350.0)),
-    (answer(429), Answer(Outcome.FULL)),
-    (answer(429, "X-RateLimit-Wait-Ms: nan"), Answer(Outcome.FULL)),
-    (answer(429, "X-RateLimit-Wait-Ms: 7200000.5"), Answer(Outcome.FULL, wait_ms=7200000.5)),
-    (answer(503), Answer(Outcome.FULL)),
-    (answer(503, "X-RateLimit-Wait-Ms: 350"), Answer(Outcome.FULL, wait_ms=350.0)),
-    (answer(503, "X-Over-Slots: 1"), Answer(Outcome.NOT_SENT, no_slot=True)),
-    (answer(504), Answer(Outcome.NOT_SENT)),
-    (answer(410), Answer(Outcome.NOT_SENT, over=True)),
-    (answer(400), Answer(Outcome.ERROR)),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, Answer(Outcome.OK, over=True)),
-    (b"rubbish\r\n\r\n", Answer(Outcome.RESET)),
-    ("reset", Answer(Outcome.RESET)),
-    ("close", Answer(Outcome.RESET)),
+    (OK, Result(Outcome.OK, over=True)),
+    (answer(500), Result(Outcome.ERROR)),
+    (answer(429, "X-RateLimit-Wait-Ms: 350"), Result(Outcome.FULL, wait_ms=350.0)),
+    (answer(429), Result(Outcome.FULL)),
+    (answer(429, "X-RateLimit-Wait-Ms: nan"), Result(Outcome.FULL)),
+    (answer(429, "X-RateLimit-Wait-Ms: 7200000.5"), Result(Outcome.FULL, wait_ms=7200000.5)),
+    (answer(503), Result(Outcome.FULL)),
+    (answer(503, "X-RateLimit-Wait-Ms: 350"), Result(Outcome.FULL, wait_ms=350.0)),
+    (answer(503, "X-Over-Slots: 1"), Result(Outcome.NOT_SENT, no_slot=True)),
+    (answer(504), Result(Outcome.NOT_SENT)),
+    (answer(410), Result(Outcome.NOT_SENT, over=True)),
+    (answer(400), Result(Outcome.ERROR)),
+    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, Result(Outcome.OK, over=True)),
+    (b"rubbish\r\n\r\n", Result(Outcome.RESET)),
+    ("reset", Result(Outcome.RESET)),
+    ("close", Result(Outcome.RESET)),
 ])
-def test_an_answer_or_an_end_after_the_last_byte(reply: bytes | str, expected: Answer) -> None:
+def test_an_answer_or_an_end_after_the_last_byte(reply: bytes | str, expected: Result) -> None:
     async def work() -> None:
         server = await Server().start()
         server.script.append(reply)
-        assert await egress().call(call(server.address)) == expected
+        assert await egress().attempt(call(server.address)) == expected
         assert server.seen[0].headers["x-trace-id"] == "id"
         assert server.seen[0].headers["idempotency-key"] == "key" and server.seen[0].body == b"b"
         assert 0 < int(server.seen[0].headers["x-expires-in-ms"]) <= 20000
@@ -60,37 +61,37 @@
 
 @pytest.mark.parametrize(("reply", "expected"), [
     # The first line tells the truth, whatever comes after it.
-    (HEAD + b"Content-Length: x\r\n\r\n", Answer(Outcome.OK, over=True)),
-    (HEAD + b"Content-Length: -1\r\n\r\n", Answer(Outcome.OK, over=True)),
-    (HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", Answer(Outcome.OK, over=True)),
-    (HEAD + b"Content-Length: 9\r\n\r\nx", Answer(Outcome.OK, over=True)),
-    (HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 300000, Answer(Outcome.OK, over=True)),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 9000, Answer(Outcome.OK, over=True)),
-    (HEAD + b"\x00\xff: \x01\r\n\r\n", Answer(Outcome.OK, over=True)),
-    (HEAD + b"X-A: " + b"a" * 40000, Answer(Outcome.OK, over=True)),
-    (HEAD + b"X-A: it goes on, but not now", Answer(Outcome.OK, over=True)),
-    (b"HTTP/1.1 103 X\r\nLink: x\r\n\r\n" * 3 + HEAD + b"\xff\r\n\r\n", Answer(Outcome.OK, over=True)),
-    (b"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n" + OK, Answer(Outcome.OK, over=True)),
+    (HEAD + b"Content-Length: x\r\n\r\n", Result(Outcome.OK, over=True)),
+    (HEAD + b"Content-Length: -1\r\n\r\n", Result(Outcome.OK, over=True)),
+    (HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", Result(Outcome.OK, over=True)),
+    (HEAD + b"Content-Length: 9\r\n\r\nx", Result(Outcome.OK, over=True)),
+    (HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 300000, Result(Outcome.OK, over=True)),
+    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 9000, Result(Outcome.OK, over=True)),
+    (HEAD + b"\x00\xff: \x01\r\n\r\n", Result(Outcome.OK, over=True)),
+    (HEAD + b"X-A: " + b"a" * 40000, Result(Outcome.OK, over=True)),
+    (HEAD + b"X-A: it goes on, but not now", Result(Outcome.OK, over=True)),
+    (b"HTTP/1.1 103 X\r\nLink: x\r\n\r\n" * 3 + HEAD + b"\xff\r\n\r\n", Result(Outcome.OK, over=True)),
+    (b"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n" + OK, Result(Outcome.OK, over=True)),
     # Without that, it is a call that may have run: noise never proves a refusal.
-    (b"\x00\x01\x02 HTTP/1.1 200 X\r\n\r\n", Answer(Outcome.RESET)),
-    (b"HTTP/1.1 2000 X\r\n\r\n", Answer(Outcome.RESET)),
-    (b"X-A: HTTP/1.1 200 X\r\n" * 3000, Answer(Outcome.RESET)),
-    (b"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n", Answer(Outcome.RESET)),
-    (b"HTTP/1.1 100 X\r\n\r\n" * 3000 + OK, Answer(Outcome.RESET)),
-    (b"HTTP/1.1 503 X\r\nContent-Length: x\r\n\r\n", Answer(Outcome.RESET)),
-    (b"HTTP/1.1 503 X\r\n" + b"X-A: " + b"a" * 40000, Answer(Outcome.RESET)),
-    (FULL + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 300000, Answer(Outcome.RESET, wait_ms=350.0)),
-    (FULL + b"Content-Length: 9\r\n\r\nx", Answer(Outcome.TIMEOUT, wait_ms=350.0)),
+    (b"\x00\x01\x02 HTTP/1.1 200 X\r\n\r\n", Result(Outcome.RESET)),
+    (b"HTTP/1.1 2000 X\r\n\r\n", Result(Outcome.RESET)),
+    (b"X-A: HTTP/1.1 200 X\r\n" * 3000, Result(Outcome.RESET)),
+    (b"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n", Result(Outcome.RESET)),
+    (b"HTTP/1.1 100 X\r\n\r\n" * 3000 + OK, Result(Outcome.RESET)),
+    (b"HTTP/1.1 503 X\r\nContent-Length: x\r\n\r\n", Result(Outcome.RESET)),
+    (b"HTTP/1.1 503 X\r\n" + b"X-A: " + b"a" * 40000, Result(Outcome.RESET)),
+    (FULL + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 300000, Result(Outcome.RESET, wait_ms=350.0)),
+    (FULL + b"Content-Length: 9\r\n\r\nx", Result(Outcome.TIMEOUT, wait_ms=350.0)),
 ])
-def test_a_spoilt_answer(monkeypatch: pytest.MonkeyPatch, reply: bytes, expected: Answer) -> None:
+def test_a_spoilt_answer(monkeypatch: pytest.MonkeyPatch, reply: bytes, expected: Result) -> None:
     """The endpoint leaves the connection open; nothing more is ever sent on it."""
     monkeypatch.setattr(egress_module, "BODY_S", 0.1)
 
     async def work() -> None:
         server, calls = await Server().start(), egress()
         server.script.append(reply)
-        assert await calls.call(call(server.address)) == expected
-        assert await calls.call(call(server.address)) == Answer(Outcome.OK, over=True)
+        assert await calls.attempt(call(server.address)) == expected
+        assert await calls.attempt(call(server.address)) == Result(Outcome.OK, over=True)
         assert [seen.connection for seen in server.seen] == [1, 2]
         await until(lambda: server.readers[0].at_eof() or server.readers[0].exception() is not None)
     run(work())
@@ -100,12 +101,12 @@
     """Guards against a delivery that never was: the copy came after the pool had the connection back."""
     async def work() -> None:
         server, calls = await Server().start(), egress()
-        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(server.address))).outcome is Outcome.OK
         (link,) = calls.idle[1, server.address]
         server.script.append(answer(500))
         server.writers[0].write(OK)  # the loop is not left in between: it lies in the socket, not yet read
         assert not link.quiet and link.usable
-        assert (await calls.call(call(server.address))).outcome is Outcome.ERROR
+        assert (await calls.attempt(call(server.address))).outcome is Outcome.ERROR
         assert server.opened == 2
     run(work())
 
@@ -147,9 +148,9 @@
             return True
 
         address = await server.start()
-        assert (await calls.call(call(address))).outcome is Outcome.OK
-        got = await calls.call(call(address, careful=True, may=may))
-        assert got == Answer(Outcome.OK, over=True)
+        assert (await calls.attempt(call(address))).outcome is Outcome.OK
+        got = await calls.attempt(call(address, careful=True, may=may))
+        assert got == Result(Outcome.OK, over=True)
         assert server.whole == server.opened == 2 and len(asked) == 3
     run(work())
 
@@ -163,7 +164,7 @@
             writer.transport.abort()
 
         server = await asyncio.start_server(drop, "127.0.0.1", 0)
-        got = await egress().call(call(server.sockets[0].getsockname(), careful=True))
+        got = await egress().attempt(call(server.sockets[0].getsockname(), careful=True))
         assert got.outcome is Outcome.CONNECT_FAILED
     run(work())
 
@@ -172,7 +173,7 @@
     """Guards told waits and key windows, which count from the last byte."""
     async def work() -> None:
         server, calls, may = await Server().start(), egress(), iter([True, False])
-        assert await calls.call(call(server.address, careful=True, may=lambda: next(may))) == Answer(
+        assert await calls.attempt(call(server.address, careful=True, may=lambda: next(may))) == Result(
             Outcome.NOT_SENT)
         await until(server.left)
         assert server.opened == 1 and not server.seen and not calls.idle
@@ -187,10 +188,10 @@
     async def work() -> None:
         server, calls = Brittle(None), egress()
         address = await server.start()
-        assert (await calls.call(call(address))).outcome is Outcome.OK
-        assert (await calls.call(call(address))).outcome is Outcome.RESET  # the first one tells
-        assert (await calls.call(call(address))).outcome is Outcome.OK
-        assert (await calls.call(call(address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(address))).outcome is Outcome.RESET  # the first one tells
+        assert (await calls.attempt(call(address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(address))).outcome is Outcome.OK
         assert server.whole == server.opened == 3
     run(work())
 
@@ -200,8 +201,8 @@
     async def work() -> None:
         server, calls = await Server().start(), egress()
         server.script += [OK, b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\na"]
-        await asyncio.gather(*(calls.call(call(server.address)) for _ in range(2)))
-        assert (await calls.call(call(server.address, endpoint=2))).outcome is Outcome.OK
+        await asyncio.gather(*(calls.attempt(call(server.address)) for _ in range(2)))
+        assert (await calls.attempt(call(server.address, endpoint=2))).outcome is Outcome.OK
         calls.keep_only({(2, server.address)})
         server.writers[1].write(b"a")
         await until(lambda: all(reader.at_eof() or reader.exception() is not None
@@ -214,7 +215,7 @@
     async def work() -> None:
         server = await Server(usual=None).start()
         calls = egress()
-        assert (await calls.call(call(server.address, 0.2))).outcome is Outcome.TIMEOUT
+        assert (await calls.attempt(call(server.address, 0.2))).outcome is Outcome.TIMEOUT
         assert not calls.idle
     run(work())
 
@@ -223,7 +224,7 @@
     async def work() -> None:
         with socket.socket() as closed:
             closed.bind(("127.0.0.1", 0))
-            got = await egress().call(call(closed.getsockname()))
+            got = await egress().attempt(call(closed.getsockname()))
         assert got.outcome is Outcome.CONNECT_FAILED
     run(work())
 
@@ -238,7 +239,7 @@
             for sock in fill:
                 sock.setblocking(False)
                 sock.connect_ex(full.getsockname())
-            got = await egress(connect_ms=connect_ms).call(call(full.getsockname(), give_up_s))
+            got = await egress(connect_ms=connect_ms).attempt(call(full.getsockname(), give_up_s))
             for sock in fill:
                 sock.close()
         assert got.outcome is Outcome.CONNECT_FAILED
@@ -253,7 +254,7 @@
 
         server = await asyncio.start_server(drop, "127.0.0.1", 0)
         big = b"x" * (64 << 20)  # more than the sockets between can hold
-        got = await egress().call(call(server.sockets[0].getsockname(), body=big))
+        got = await egress().attempt(call(server.sockets[0].getsockname(), body=big))
         assert got.outcome is Outcome.CONNECT_FAILED
     run(work())
 
@@ -265,7 +266,7 @@
 
         server = await asyncio.start_server(deaf, "127.0.0.1", 0)
         big = b"x" * (64 << 20)
-        got = await egress().call(call(server.sockets[0].getsockname(), 0.3, body=big))
+        got = await egress().attempt(call(server.sockets[0].getsockname(), 0.3, body=big))
         assert got.outcome is Outcome.CONNECT_FAILED
     run(work())
 
@@ -274,9 +275,9 @@
     """Guards drains, told waits and deadlines: a connect takes time. The connection is kept for the next."""
     async def work() -> None:
         server, calls = await Server().start(), egress()
-        got = await calls.call(call(server.address, may=lambda: False))
-        assert got == Answer(Outcome.NOT_SENT)
-        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        got = await calls.attempt(call(server.address, may=lambda: False))
+        assert got == Result(Outcome.NOT_SENT)
+        assert (await calls.attempt(call(server.address))).outcome is Outcome.OK
         assert len(server.seen) == 1 and server.opened == 1
     run(work())
 
@@ -285,7 +286,7 @@
     async def work() -> None:
         server, calls = await Server().start(), egress()
         for _ in range(5):
-            assert (await calls.call(call(server.address))).outcome is Outcome.OK
+            assert (await calls.attempt(call(server.address))).outcome is Outcome.OK
         assert server.opened == 1
     run(work())
 
@@ -293,7 +294,7 @@
 def test_calls_at_once_each_have_a_connection_and_the_pool_is_bounded() -> None:
     async def work() -> None:
         server, calls = await Server().start(), egress(most=2)
-        got = await asyncio.gather(*(calls.call(call(server.address)) for _ in range(5)))
+        got = await asyncio.gather(*(calls.attempt(call(server.address)) for _ in range(5)))
         assert {each.outcome for each in got} == {Outcome.OK}
         assert server.opened == 5 and len(calls.idle[1, server.address]) == 2
     run(work())
@@ -311,11 +312,11 @@
 
         server, calls = await asyncio.start_server(once, "127.0.0.1", 0), egress()
         address = server.sockets[0].getsockname()
-        assert (await calls.call(call(address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(address))).outcome is Outcome.OK
         (link,) = calls.idle[1, address]
         opened[0].close()
         await until(lambda: not link.usable)
-        assert (await calls.call(call(address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(address))).outcome is Outcome.OK
         assert len(opened) == 2
     run(work())
 
@@ -324,7 +325,7 @@
     async def work() -> None:
         server, calls = await Server().start(), egress()
         server.script.append(answer(200, "Connection: close"))
-        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(server.address))).outcome is Outcome.OK
         assert not calls.idle.get((1, server.address))
     run(work())
 
@@ -332,12 +333,12 @@
 def test_a_connection_idle_for_long_is_not_used() -> None:
     async def work() -> None:
         server, calls = await Server().start(), egress()
-        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(server.address))).outcome is Outcome.OK
         (link,) = calls.idle[1, server.address]
         link.idle_since -= 0.81 * 60
         calls.sweep()
         assert not calls.idle and not link.usable
-        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(server.address))).outcome is Outcome.OK
         assert server.opened == 2
     run(work())
 
@@ -347,8 +348,8 @@
     async def work() -> None:
         server, calls = await Server().start(), egress()
         server.script += [OK + stray, answer(500)]
-        assert (await calls.call(call(server.address))).outcome is Outcome.OK
-        assert (await calls.call(call(server.address))).outcome is Outcome.ERROR
+        assert (await calls.attempt(call(server.address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(server.address))).outcome is Outcome.ERROR
         assert server.opened == 2
     run(work())
 
@@ -357,7 +358,7 @@
     async def work() -> None:
         server, calls = await Server().start(), egress()
         server.script.append(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\na")
-        assert (await calls.call(call(server.address))).outcome is Outcome.OK
+        assert (await calls.attempt(call(server.address))).outcome is Outcome.OK
         assert not calls.idle  # the outcome is known; the connection is not free before the body is whole
     run(work())
 
@@ -366,7 +367,7 @@
     async def work() -> None:
         kept, left, calls = await Server().start(), await Server().start(), egress()
         for server in (kept, left):
-            assert (await calls.call(call(server.address))).outcome is Outcome.OK
+            assert (await calls.attempt(call(server.address))).outcome is Outcome.OK
         (link,) = calls.idle[1, left.address]
         calls.keep_only({(1, kept.address)})
         assert set(calls.idle) == {(1, kept.address)} and not link.usable
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -14,14 +14,14 @@
 import pytest
 
 from linnetstile import interface as api
-from linnetstile.net import discovery
-from linnetstile.net.agent import Agent as AgentLink
+from linnetstile.http import register as discovery
+from linnetstile.http.agent import Agent as AgentLink
 
-from linnetstile.net.host import Host, unix_ms
-from linnetstile.net.journal import Entry, Journal
-from linnetstile.net.outcomes import Notices
+from linnetstile.core.messages import unix_ms
+from linnetstile.store.journal import Entry, Journal
+from linnetstile.http.notices import Notices
 
-from .loopback import Agent, Client, Server, answer, host_of, listing, message, run, until
+from .loopback import Agent, Client, Running, Server, answer, host_of, listing, message, run, until
 
 
 @pytest.fixture
@@ -32,7 +32,7 @@
 
 
 @asynccontextmanager
-async def relay(state: Path, agent: Agent, *servers: Server, **more: Any) -> AsyncIterator[Host]:
+async def relay(state: Path, agent: Agent, *servers: Server, **more: Any) -> AsyncIterator[Running]:
     host = host_of(state, agent, *servers, **more)
     await host.start()
     try:
@@ -207,12 +207,12 @@
             raw = listing(old, generation=2, reset=False, state="draining")
             raw["instances"] += listing(new)["instances"]
             agent.tell(raw)
-            await until(lambda: host.directory.version == 2)
+            await until(lambda: host.register.version == 2)
             for n in range(5):
                 assert await client.ask(message(f"b{n}")) == 202
             await until(lambda: len(new.seen) == 5)
             agent.tell(listing(new, generation=3, reset=True))
-            await until(lambda: host.directory.version == 3)
+            await until(lambda: host.register.version == 3)
             assert len(host.directory.by_name) == 1
         assert len(old.seen) == 1
     run(work())
@@ -234,7 +234,7 @@
             await until(lambda: len(agent.seen) >= 6)  # and one that was never answered
             assert {seen.target for seen in agent.seen} == {"/v1/servers?from=1&hold_ms=100"}
             agent.tell(listing(server, generation=4))  # an earlier call, given up, takes it away
-            while host.directory.version != 4:
+            while host.register.version != 4:
                 agent.tell(listing(server, generation=4))
                 await asyncio.sleep(0.02)
             assert len(host.directory.by_name) == 1
@@ -250,12 +250,12 @@
             mangled = [None, {}, {**other, "instanceId": "s-x", "cell": "?"}, {**other, "hostPort": 7},
                        {"instanceId": name, "lifecycle": "ready"}]
             raw = {"generation": 2, "reset": True, "instances": [*mangled, other]}
-            host.listed(host.directory.apply(raw))
-            assert set(host.directory.by_name) == {name, "s-other"} and host.directory.version == 2
+            host.tell(raw)
+            assert set(host.directory.by_name) == {name, "s-other"} and host.register.version == 2
             assert host.directory.by_name[name].address == server.address
             last = {"instanceId": name, "lifecycle": "gone"}  # all that is needed to go
-            event = host.directory.apply({"generation": 3, "reset": False, "instances": [last]})
-            assert set(host.directory.by_name) == {"s-other"} and event.entries[0].listing.value == "gone"
+            host.tell({"generation": 3, "reset": False, "instances": [last]})
+            assert set(host.directory.by_name) == {"s-other"}
     run(work())
 
 
@@ -263,7 +263,7 @@
     state: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards the long day: each map has a moment at which its entries leave."""
-    monkeypatch.setattr("linnetstile.net.host.DEST_MS", 0.0)
+    monkeypatch.setattr("linnetstile.core.messages.DEST_MS", 0.0)
 
     async def work() -> None:
         agent, server = await pair()
@@ -271,14 +271,15 @@
             for turn in range(2, 40):  # at one address each time another endpoint, of another destination
                 raw = listing(server, generation=turn)
                 raw["instances"][0].update(instanceId=f"s-{turn}", cell=turn)
-                host.listed(host.directory.apply(raw))
+                host.tell(raw)
                 async with Client(host.ingress.port) as client:
                     dest = f"dest={turn}"
                     assert await client.ask(message(f"m{turn}", "keyed", X_Addressing=dest)) == 202
                     await until(lambda: not host.held)
             await until(lambda: not host.ingress.connections and not host.relay.board.held)
             host.journal.tidy(unix_ms() + 1e6)
-            host._know_dests({39})
+            host.messages.forget()
+            host.messages.know({39})
             directory, ingress, relay_ = host.directory, host.ingress, host.relay
             sizes: dict[str, Sized] = {
                 "held": host.held, "numbers": host.numbers, "entries": host.journal.entries,
@@ -294,7 +295,7 @@
             assert len(relay_.lanes) == 38  # what they have learned fades in a minute, and then goes
             relay_.handle(host.now() + 61_000.0, [api.EndpointList(api.ListKind.CHANGES)])
             assert len(relay_.lanes) == 1
-            assert len(host.tasks.running) == 4  # watch, notices, and the two that sweep
+            assert len(host.tasks.running) == len(host.front.tasks.running) == 2  # each watches and sweeps
     run(work())
 
 
@@ -406,7 +407,7 @@
 def test_a_stop_lets_the_call_that_is_out_end_and_finishes_requests_in_use(
     state: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("linnetstile.net.host.SERVE_ON_S", 0.05)
+    monkeypatch.setattr("linnetstile.core.host.SERVE_ON_S", 0.05)
 
     async def work() -> None:
         agent, server = await pair()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from linnetstile.net.journal import BLOCK, Entry, Journal, JournalError, JournalFull
+from linnetstile.store.journal import BLOCK, Entry, Journal, JournalError, JournalFull
 
 DISK = 400_000
 
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -268,9 +268,11 @@
     relay.handle(now, [api.Message(ids, 1, SAFE, 9000.0)])  # the bounds of the index are renewed
     relay.handle(now + 9000.0, [api.TimerFired(0)])
     board, index = relay.board, relay.index
-    left: dict[str, Sized] = {"lanes": relay.lanes, "doors": relay.doors, "held": board.held, "queues": board.queues,
-            "due": board.due, "unsure": board.unsure, "lines": board.lines, "fading": relay.fading}
+    left: dict[str, Sized] = {
+        "lanes": relay.lanes, "doors": relay.doors, "held": board.held, "queues": board.queues,
+        "due": board.due, "unsure": board.unsure, "lines": board.lines, "fading": relay.fading}
     assert {name: len(what) for name, what in left.items() if what} == {}
-    small: dict[str, Sized] = {"ends": relay.ends, "poor": relay.poor, "looks": board.looks, "ripe": board.ripe,
-             "cells": index.cells, "tops": index.tops}
+    small: dict[str, Sized] = {
+        "ends": relay.ends, "poor": relay.poor, "looks": board.looks, "ripe": board.ripe,
+        "cells": index.cells, "tops": index.tops}
     assert {name: len(what) for name, what in small.items() if len(what) > 80} == {}
--- /dev/null
+++ b/tests/test_plain.py
@@ -0,0 +1,108 @@
+"""The short way past h11 takes only what h11 takes too, and reads it in the same way."""
+
+from __future__ import annotations
+
+import h11
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from linnetstile.http import intake, link
+
+NAMES = sorted(intake.PLAIN) + ["Connection", "Transfer-Encoding", "Expect", "Upgrade", "X-Other"]
+ODD = st.sampled_from(["", " ", "\t", "\0", "\r", "\n", "\r\n", "\r\n ", ":", "é", "chunked", "0", "+5",
+                       "5, 5", "close", "100-continue"])
+WORDS = st.one_of(st.text("abcXYZ019 -_=;,/.", max_size=12), ODD)
+HEADERS = st.lists(st.tuples(st.one_of(st.sampled_from(NAMES), ODD),
+                             st.sampled_from([":", ": ", " : ", ""]), WORDS), max_size=5)
+
+
+def bytes_of(start: str, headers: list[tuple[str, str, str]], length: str, body: bytes, cut: int) -> bytes:
+    lines = [start, "Host: x", *(f"{n}{colon}{v}" for n, colon, v in headers)]
+    lines += [f"Content-Length: {length}"] if length else []
+    data = "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return data[: len(data) - cut] if cut else data
+
+
+@settings(max_examples=600)
+@example("POST", "/safe", "HTTP/1.1", [("X-Qos", ": ", "safe")], "5", b"hello", 0)
+@example("GET", "/healthz", "HTTP/1.1", [], "", b"", 0)
+@given(st.sampled_from(["GET", "POST", "post", "PUT", "P\0ST"]),
+       st.sampled_from(["/safe", "/a b", "*", "/é", ""]),
+       st.sampled_from(["HTTP/1.1"] * 4 + ["HTTP/1.0", "HTTP/2.0", "http/1.1"]), HEADERS,
+       st.sampled_from(["5"] * 4 + ["", "4", "6", "05", "-5", "+5", "5 ", "99999"]),
+       st.sampled_from([b"hello", b"", b"hello!", b"hell"]), st.integers(0, 3))
+def test_requests(method: str, target: str, version: str, headers: list[tuple[str, str, str]], length: str,
+                  body: bytes, cut: int) -> None:
+    data = bytes_of(f"{method} {target} {version}", headers, length, body, cut)
+    plain = intake.plain_request(data)
+    if plain is None:
+        return
+    http = h11.Connection(h11.SERVER)
+    http.receive_data(data)
+    head, got = http.next_event(), b""
+    assert isinstance(head, h11.Request) and intake.fault_of(head) is None
+    while isinstance(event := http.next_event(), h11.Data):
+        got += event.data
+    assert isinstance(event, h11.EndOfMessage) and not http.trailing_data[0]
+    assert not http.they_are_waiting_for_100_continue
+    assert (plain.method, plain.target) == (head.method.decode(), head.target.decode())
+    assert plain.headers == link.named(head.headers) and plain.body == got
+    http.send(h11.Response(status_code=202, headers=[("Content-Length", "0")]))
+    http.send(h11.EndOfMessage())
+    assert http.our_state is h11.DONE  # it may be kept, as the short way does
+
+
+def test_an_ordinary_request_goes_the_short_way() -> None:
+    headers = [("X-Trace-Id", ": ", "a"), ("X-Qos", ": ", "safe")]
+    data = bytes_of("POST /safe HTTP/1.1", headers, "5", b"hello", 0)
+    plain = intake.plain_request(data)
+    assert plain is not None and plain.headers["x-trace-id"] == "a" and plain.body == b"hello"
+
+
+@settings(max_examples=600)
+@example("HTTP/1.1 200 OK", [("X-RateLimit-Wait-Ms", ": ", "5")], "5", b"hello", 0)
+@given(st.sampled_from([
+           "HTTP/1.1 200 OK", "HTTP/1.1 503 X", "HTTP/1.1 200", "HTTP/1.1 204 X", "HTTP/1.1 304 X",
+           "HTTP/1.1 100 Continue", "HTTP/1.0 200 OK", "HTTP/1.1 2000 X", "rubbish"]), HEADERS,
+       st.sampled_from(["5"] * 4 + ["", "4", "6", "05", "-5", "3000000000"]),
+       st.sampled_from([b"hello", b"", b"hello!", b"hell"]), st.integers(0, 3))
+def test_answers(start: str, headers: list[tuple[str, str, str]], length: str, body: bytes, cut: int) -> None:
+    data = bytes_of(start, headers, length, body, cut)
+    plain = link.plain_answer(data)
+    if plain is None:
+        return
+    http = h11.Connection(h11.CLIENT)
+    for asked in (h11.Request(method="POST", target="/", headers=link.ASKED), h11.EndOfMessage()):
+        http.send(asked)
+    http.receive_data(data)
+    head, got = http.next_event(), b""
+    assert isinstance(head, h11.Response)
+    while isinstance(event := http.next_event(), h11.Data):
+        got += event.data
+    assert isinstance(event, h11.EndOfMessage) and not http.trailing_data[0] and http.their_state is h11.DONE
+    assert plain == (head.status_code, link.named(head.headers), got)
+
+
+@pytest.mark.parametrize("reply", [
+    intake.Reply(202), intake.Reply(503, "full", retry_s=1.0), intake.Reply(400, "X-Qos: no")])
+@pytest.mark.parametrize("last", [False, True])
+def test_answers_to_clients_are_those_that_h11_reads(reply: intake.Reply, last: bool) -> None:
+    http = h11.Connection(h11.CLIENT)
+    for asked in (h11.Request(method="POST", target="/", headers=link.ASKED), h11.EndOfMessage()):
+        http.send(asked)
+    http.receive_data(intake.plain_answer(reply, last))
+    head, got = http.next_event(), b""
+    assert isinstance(head, h11.Response) and head.status_code == reply.status
+    while isinstance(event := http.next_event(), h11.Data):
+        got += event.data
+    headers = link.named(head.headers)
+    assert got.decode().strip() == reply.text and isinstance(event, h11.EndOfMessage)
+    assert (headers.get("connection") == "close") == last
+    assert headers.get("retry-after") == ("1.000" if reply.retry_s else None)
+
+
+def test_a_header_that_would_begin_another_is_not_written() -> None:
+    for value in ("a\r\nX: y", "a\nb", "a\0"):
+        with pytest.raises(link.LinkLost, match="line break"):
+            link.plain_request("POST", "/inbox", [("X-Trace-Id", value)], b"")
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from linnetstile.net.journal import Journal
+from linnetstile.store.journal import Journal
 
 from .loopback import Agent, Client, Server, answer, listing, message, raw_config, run, until
 
