Forty instances keep an agreed rate together: slots of one clock, opened by own evidence

Change: linnetstile/share.py cuts the clock that all machines read into slots by instance number; an instance uses as many of its slots as its own answers show that the partner can take. Off without Settings.fleet, as on the platform.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -17,6 +17,7 @@
     Action, AttemptEnded, Closing, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message,
     Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
 )
+from .share import Share
 from .state import FOREVER, NEVER, Board, Bound, Door, Held, Lane, Queue
 
 MARGIN_MS = 20.0  # messages are closed so long before their time is up
@@ -208,9 +209,13 @@
         if key not in lanes:
             total = listed or START * self.s.relays
             lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now)
+            if self.s.fleet is not None and listed:
+                lanes[key].share = Share(self.s.fleet, listed, self.s.safety)
         lane, door = lanes[key], self.doors.get(entry.id)
         if listed and listed != lane.total:
             lane.pace, lane.total = lane.pace * listed / lane.total, listed  # keeps what was learned
+            if lane.share is not None:
+                lane.share.rated(listed)
         if door is None:
             if not lane.doors and lane.bad_since is not None:  # replaced late: the new endpoint is cold
                 self._cold(now, lane)
@@ -422,6 +427,8 @@
         if lane.sick and lane.blame < SICK:
             self._cold(now, lane)
         lane.bad_since = None
+        if lane.share is not None:
+            lane.share.answered(now)
         if held.msg.destination in self.board.queues:
             self._room_at(now, lane, lane.sick)  # what was saved up meanwhile counts: it is not bound by it
         if lane.credit < 1:
@@ -461,6 +468,8 @@
         if lane.blame > SICK and lane.doors:
             lane.next_trickle = lane.next_trickle if lane.sick else now
             lane.sick, lane.blame = True, min(lane.blame, 0.7)
+        if lane.share is not None:
+            lane.share.failed(now, lane.sick)
         if shut:  # the first calls after it are spread over what it can take cold
             gap = 1000 / self._pace(lane.wait_until, lane, True)[0]
             lane.next_trickle = lane.wait_until + gap * self.rng.random()
@@ -499,6 +508,9 @@
         """When this lane takes another call, and when it takes one that overdraws its pace."""
         pace, burst = self._pace(now, lane, out)
         lane.credit, lane.credit_at = min(burst, lane.credit + pace * (now - lane.credit_at) / 1000), now
+        if lane.share is not None:  # its slots are its pace, also while it is out and at its return
+            at = lane.share.next_at(now)
+            return at, at
         if out:
             if now > lane.next_trickle + 2 * LOOK_MS:  # turns are not saved up while slots are busy
                 lane.next_trickle = now + 1000 / pace * self.rng.random()
@@ -633,5 +645,7 @@
         door.out += 1
         lane.out[held.msg.id] = held
         lane.credit -= 1
+        if lane.share is not None:
+            lane.share.sent()
         self.busy += 1
         acts.append(Send(held.msg.id, door.entry.id, until))
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -139,6 +139,19 @@
     worst_tenant: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """Which of how many instances this is, where each partner's agreed rate is to be kept by all together."""
+
+    number: int  # from 0
+    size: int
+    clock_ms: float = 0.0  # to be added to the relay's clock for the one that all machines read
+
+    def __post_init__(self) -> None:
+        _need(self.size >= 1, "fleet.size", "must be 1 or more")
+        _need(0 <= self.number < self.size, "fleet.number", f"must lie in 0 to {self.size - 1}")
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     classes: tuple[MessageClass, ...]
@@ -166,6 +179,7 @@
     limit_report: tuple[int, int] | None = None  # where a report holds share left and limit a second
     safety: Safety = Safety()
     goal: Goal = Goal()
+    fleet: Fleet | None = None  # None: each instance paces itself by what it learns
 
     def __post_init__(self) -> None:
         _need(bool(self.classes), "classes", "there must be at least one")
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -12,9 +12,13 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from .interface import Decay, Endpoint, Message, MessageClass
 
+if TYPE_CHECKING:
+    from .share import Share
+
 NEVER, FOREVER = float("-inf"), float("inf")
 COURSES = 32  # different courses at a destination, above which times to live are taken in steps
 FULL_VIEW = 4  # a course of so many is entered whole: nothing has to be looked at anew as it ages
@@ -102,6 +106,7 @@
     cold_since: float = NEVER
     knowers: float = 1.0  # relays that may know of the latest outage
     next_trickle: float = 0.0
+    share: Share | None = None  # of an agreed rate, where instances keep it together
 
 
 Waiting = tuple[float, int, Held]  # since, id: in this order
--- /dev/null
+++ b/tests/test_share.py
@@ -0,0 +1,158 @@
+"""A share of an agreed rate: slots of the shared clock, and a part that only own evidence raises."""
+
+from __future__ import annotations
+
+import math
+import random
+from bisect import bisect_right
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from benchmarks.fleet import World
+from linnetstile import interface as api
+from linnetstile.control import Relay
+from linnetstile.share import GUARD, LATE_MS, SILENCE_MS, WARMING, Share, spread
+
+from .conftest import make_settings
+
+SAFETY = api.Safety(cold_share=0.18, cold_ms=11_000.0)
+
+
+def share(
+    number: int = 0, size: int = 40, rate: float = 60.0, clock: float = 0.0, cold: float = 0.18
+) -> Share:
+    return Share(api.Fleet(number, size, clock), rate, api.Safety(cold_share=cold, cold_ms=11_000.0))
+
+
+def sends(one: Share, begin: float, end: float, late: random.Random | None = None) -> list[float]:
+    """All that it may send in a time, each as late as chance has it, and answered at once."""
+    out, now = [], begin
+    while (at := one.next_at(now)) < end:
+        now = max(now, at) + (late.uniform(0.0, 0.99 * one.late_ms) if late else 0.0)
+        if one.next_at(now) > now:  # it was too late for its slot
+            continue
+        one.sent()
+        one.answered(now)
+        out.append(now + one.fleet.clock_ms)
+    return out
+
+
+def most(sent: list[float], ms: float) -> int:
+    sent = sorted(sent)
+    return max((bisect_right(sent, at + ms) - n for n, at in enumerate(sent)), default=0)
+
+
+@settings(max_examples=60)
+@given(st.integers(1, 60), st.integers(1, 200), st.integers(0, 2**32))
+def test_all_together_never_pass_the_agreed_rate_in_any_second(size: int, rate: int, seed: int) -> None:
+    rng = random.Random(seed)
+    sent: list[float] = []
+    for number in range(size):
+        clock = rng.uniform(-1e9, 1e9)  # each began its own clock at another moment
+        one = share(number, size, rate, clock, cold=1.0)
+        sent += sends(one, 1e6 - clock, 1e6 + 4000.0 - clock, rng)
+    assert most(sent, 999.9) <= rate
+
+
+def test_a_share_uses_what_it_has() -> None:
+    sent = [at for number in range(40) for at in sends(share(number, cold=1.0), 0.0, 60_000.0)]
+    assert len(sent) >= 0.99 * GUARD * 60 * 60
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 30, 40, 41])
+@pytest.mark.parametrize("part", [0.05, 0.18, 0.5, 0.83, 1.0])
+def test_as_many_are_open_in_a_frame_as_the_part_says(size: int, part: float) -> None:
+    assert sorted(round(spread(n, size) * size) for n in range(size)) == list(range(size))
+    shares = [share(number, size) for number in range(size)]
+    counts = [sum(one._open(frame, part) for one in shares) for frame in range(500)]
+    assert max(counts) <= math.ceil(part * size)
+    assert sum(counts) / 500 == pytest.approx(part * size, rel=0.05, abs=0.02)
+
+
+def test_a_slot_is_used_once_also_on_its_very_edge() -> None:
+    for number in range(40):
+        one, now = share(number, cold=1.0), 0.0
+        for _ in range(200):
+            now = one.next_at(now)
+            one.sent()
+            assert one.next_at(now) > now + 0.9 * one.frame_ms - one.late_ms
+
+
+def test_the_part_grows_with_own_answers_only() -> None:
+    one = share()
+    assert one.part(0.0) == one.part(1e6) == 0.18  # a fresh process knows nothing
+    for at in range(0, 20_000, 700):
+        one.answered(float(at))
+        assert one.part(at) <= min(1.0, WARMING * (0.18 + 0.82 * at / 11_000)) + 1e-9
+    assert one.part(20_000.0) == 1.0
+    one.failed(20_500.0, out=False)
+    assert one.part(20_500.0) == 1.0  # one that breaks is no outage
+    one.failed(20_600.0, out=True)
+    assert one.part(20_600.0) == 0.18
+
+
+def test_what_said_nothing_for_long_counts_as_cold() -> None:
+    one = share()
+    for at in range(0, 20_000, 700):
+        one.answered(float(at))
+    assert one.part(19_600 + SILENCE_MS) == 1.0 and one.part(19_700 + SILENCE_MS) == 0.18
+    one.answered(40_000.0)
+    assert one.part(40_000.0) == pytest.approx(WARMING * 0.18)
+
+
+def test_between_a_failure_and_an_answer_the_middle_is_taken_for_the_return() -> None:
+    one, other = share(), share()
+    one.failed(10_000.0, out=True)
+    one.answered(12_000.0)
+    other.answered(12_000.0)
+    assert one.since == 11_000.0 and other.since == 12_000.0
+    one.failed(20_000.0, out=True)
+    one.answered(60_000.0)
+    assert one.since == 60_000.0  # too long ago to tell anything
+
+
+def test_another_rate_moves_the_slots() -> None:
+    one = share(3, 10, 10.0, cold=1.0)
+    assert len(sends(one, 0.0, 50_000.0)) == pytest.approx(50 * GUARD, abs=1)
+    one.rated(20.0)
+    assert len(sends(one, 50_000.0, 100_000.0)) == pytest.approx(100 * GUARD, abs=2)
+
+
+@pytest.mark.parametrize(("number", "size", "says"), [
+    (0, 0, "fleet.size"), (-1, 4, "fleet.number"), (4, 4, "must lie in 0 to 3")])
+def test_a_fleet_that_makes_no_sense_names_its_field(number: int, size: int, says: str) -> None:
+    with pytest.raises(ValueError, match=says):
+        api.Fleet(number, size)
+
+
+def test_a_relay_sends_in_its_slots_only_and_without_a_fleet_as_before() -> None:
+    for fleet in (None, api.Fleet(2, 10, 12_345.0)):
+        relay = Relay(make_settings(fleet=fleet, safety=SAFETY, hold=100), 1)
+        now = 1000.0
+        relay.handle(now, [api.EndpointList(api.ListKind.WHOLE, (
+            api.Endpoint(1, 1, api.Listing.READY, rate=50.0),))])
+        at: list[float] = []
+        acts = relay.handle(now, [api.Message(n, 1, 0, 9000.0) for n in range(30)])
+        while now < 9000.0:
+            at += [now] * sum(isinstance(act, api.Send) for act in acts)
+            ends: list[api.Event] = [api.AttemptEnded(act.id, 0, 1, api.Outcome.OK, 1.0, True)
+                                     for act in acts if isinstance(act, api.Send)]
+            now += 5.0
+            acts = relay.handle(now, ends or [api.TimerFired(0)])
+        if fleet is None:
+            assert len(at) == 30 and at[2] == 1000.0
+        else:
+            frame = 1000 * 10 / (50 * GUARD)
+            places = [(when + 12_345.0 - 2 * frame / 10) % frame for when in at]
+            assert 5 <= len(at) < 30 and max(places) <= LATE_MS
+            assert min(b - a for a, b in zip(at, at[1:], strict=False)) > 0.8 * frame
+
+
+def test_a_fleet_spares_a_returning_partner_and_keeps_the_agreed_rate() -> None:
+    """The forty are in benchmarks.fleet; three of these ten are restarted in the outage."""
+    alone, fleet = World("alone", 10, 20.0, False, 1).run(), World("evidence", 10, 20.0, False, 1).run()
+    assert fleet["over 1 s"] <= 1.0 and fleet["over cold"] <= 1.3 and fleet["refused"] == 0
+    assert fleet["tries"] < 0.7 * alone["tries"] and fleet["delivered"] > 0.6
+    assert alone["over 1 s"] > 1.0  # or the world would ask for nothing
