Two processes never share one state folder: a lock on the folder itself

Change: flock on the folder, which takes no room in it and ends with its process however that ends; the second process ends with one line and 1. Result: tests start a second process, kill the first and start again.

--- a/linnetstile/__main__.py
+++ b/linnetstile/__main__.py
@@ -11,6 +11,7 @@
 from .config import ConfigError, load
 from .core.host import Host
 from .garbage import tend
+from .store.lock import FolderBusy
 
 log = logging.getLogger(__name__)
 
@@ -51,7 +52,7 @@
     except ConfigError as error:
         print(f"linnetstile: {error}", file=sys.stderr)
         return 2
-    except OSError as error:
+    except (OSError, FolderBusy) as error:
         print(f"linnetstile: {error}", file=sys.stderr)
         return 1
     return 0
--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -9,6 +9,7 @@
 from ..config import Config
 from ..control import Relay
 from ..store.journal import Journal
+from ..store.lock import FolderLock
 from .attempts import Attempts
 from .directory import Directory
 from .messages import Messages, unix_ms
@@ -32,6 +33,7 @@
         self.config, self.settings = config, config.settings
         self.relay = Relay(config.settings, config.seed)
         self.turns = Turns(self.relay, config.settings.tick_ms, self._act)
+        self.lock = FolderLock(config.state)
         self.journal = Journal(config.state, config.disk_bytes)
         self.directory = Directory(config.settings, config.zones)
         self.messages = Messages(config.settings, self.journal, self.turns.now, self.turns.feed,
@@ -111,6 +113,7 @@
         for source in self.sources:
             source.close()
         self.journal.close()
+        self.lock.release()
 
     async def _sweep(self) -> None:
         while True:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -212,3 +212,33 @@
                           env={**env, "RELAY_CONFIG": str(path)})
     assert done.returncode == 2 and done.stderr.count("\n") == 1
     assert says in done.stderr and "Traceback" not in done.stderr
+
+
+def test_a_folder_that_another_process_works_in_is_left_alone(tmp_path: Path) -> None:
+    """Guards the journal: two writers would each undo what the other has promised."""
+    async def work() -> None:
+        _, server, process = await world(tmp_path)
+        server.usual = None
+        await process.start()
+        await process.hand_in(message("m"))
+        env = {**os.environ, "RELAY_CONFIG": str(process.config), "RELAY_LISTEN": f"127.0.0.1:{free_port()}"}
+        second = await asyncio.create_subprocess_exec(sys.executable, "-m", "linnetstile", env=env,
+                                                      stderr=asyncio.subprocess.PIPE)
+        _, errors = await second.communicate()
+        assert second.returncode == 1 and errors.count(b"\n") == 1
+        assert b"another process works in it" in errors and str(process.state).encode() in errors
+        await process.end(signal.SIGKILL)  # a dead one leaves no lock behind
+        server.usual = answer(200)
+        await process.start()
+        await until(lambda: [seen.headers["x-trace-id"] for seen in server.seen][-1:] == ["m"])
+        assert await process.end(signal.SIGTERM) == 0
+    run(work())
+
+
+def test_a_state_folder_that_is_missing_ends_the_start_with_one_line(tmp_path: Path) -> None:
+    raw = raw_config(tmp_path / "nowhere", Agent(address=("127.0.0.1", 1)))
+    (tmp_path / "config.json").write_text(json.dumps(raw))
+    env = {**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json")}
+    done = subprocess.run([sys.executable, "-m", "linnetstile"], capture_output=True, text=True, timeout=60,
+                          env=env)
+    assert done.returncode == 1 and done.stderr.count("\n") == 1 and "nowhere" in done.stderr
