The service manager's protocols: notifications with a watchdog, and sockets handed over

Need: instances are to be started, reloaded, watched and restarted by a service manager like any service. Nothing of it is on without the manager's variables.

--- a/linnetstile/__main__.py
+++ b/linnetstile/__main__.py
@@ -10,6 +10,8 @@
 from .assembly import assemble
 from .config import ConfigError, load
 from .core.host import Host
+from .fleet.handover import HandoverError, handed_over
+from .fleet.notify import Notifier, NotifyError
 from .garbage import tend
 from .store.lock import FolderBusy
 
@@ -22,25 +24,35 @@
     loop.add_signal_handler(signal.SIGHUP, changed.set)  # before the file is read: no change is missed
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    built = assemble(load())
+    notifier = Notifier.of()
+    built = assemble(load(), handed_over())
     host = built.host
+    notifier.start()
     await built.start()
+    notifier.ready()
     logging.info("%s serves on %s:%d", host.config.name, *host.config.listen)
-    host.tasks.start(follow(host, changed))
+    host.tasks.start(follow(host, changed, notifier))
     host.tasks.start(tend(lambda: len(host.messages.held)))
     await stopping.wait()
-    await host.stop()
+    notifier.stopping()
+    try:
+        await host.stop()
+    finally:
+        notifier.close()
 
 
-async def follow(host: Host, changed: asyncio.Event) -> None:
+async def follow(host: Host, changed: asyncio.Event, notifier: Notifier) -> None:
     """Takes over what a replaced configuration says, also while the relay is stopping."""
     while True:
         await changed.wait()
         changed.clear()
+        notifier.reloading()
         try:
             host.reload(load())
         except ConfigError as error:
             log.error("the new configuration is passed over: %s", error)
+            notifier.status(f"the new configuration is passed over: {error}")
+        notifier.ready()
 
 
 def main() -> int:
@@ -49,7 +61,7 @@
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         asyncio.run(serve())
-    except ConfigError as error:
+    except (ConfigError, HandoverError, NotifyError) as error:
         print(f"linnetstile: {error}", file=sys.stderr)
         return 2
     except (OSError, FolderBusy) as error:
--- a/linnetstile/assembly.py
+++ b/linnetstile/assembly.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import logging
+import socket
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from .config import Config
 from .core.host import Host
 from .core.seams import Update
+from .fleet.handover import CLIENTS
 from .http import front
 from .http.calls import Calls
 from .http.register import Register
@@ -29,12 +32,14 @@
         await self.host.start(self.known)
 
 
-def assemble(config: Config) -> Assembly:
+def assemble(config: Config, sockets: Mapping[str, socket.socket] | None = None) -> Assembly:
+    """With the listening sockets that a service manager has handed over, if any."""
     settings, host = config.settings, Host(config)
     idle, ending = max(1, config.sockets // 8), max(1, config.sockets // 16)
     # Clients get what calls cannot need: so a flood of connections leaves every call its descriptor.
     clients = config.sockets - OWN_SOCKETS - settings.slots - idle - ending
-    http = front.Front(host.messages, config, max(1, clients), config.sockets // 12)
+    http = front.Front(host.messages, config, max(1, clients), config.sockets // 12,
+                       (sockets or {}).get(CLIENTS))
     calls = Calls(settings.idle_ms, settings.connect_timeout_ms, idle, ending)
     register = Register(config.discovery)
     host.plug_in({front.NAME: http}, calls, [register])
--- /dev/null
+++ b/linnetstile/fleet/handover.py
@@ -0,0 +1,47 @@
+"""Listening sockets that the service manager holds: `LISTEN_PID`, `LISTEN_FDS` and `LISTEN_FDNAMES`.
+
+As sd_listen_fds(3) describes it. The manager keeps them open while this process restarts, so that clients who
+connect meanwhile wait in the system's queue instead of being refused.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import MutableMapping
+
+FIRST = 3  # the first descriptor handed over
+MOST = 16
+CLIENTS = "clients"  # the name of the one on which messages are taken
+
+
+class HandoverError(ValueError):
+    """What was handed over makes no sense."""
+
+
+def handed_over(env: MutableMapping[str, str] = os.environ, first: int = FIRST) -> dict[str, socket.socket]:
+    """The sockets by name, if they are meant for this process; a single one without a name is for clients.
+    Removes the variables, so that no child takes them for its own. Raises HandoverError."""
+    pid, number = env.pop("LISTEN_PID", ""), env.pop("LISTEN_FDS", "")
+    names = env.pop("LISTEN_FDNAMES", "")
+    if not number or pid != str(os.getpid()):
+        return {}
+    if not number.isdecimal() or not 0 < int(number) <= MOST:
+        raise HandoverError(f"LISTEN_FDS: {number!r} must be a number from 1 to {MOST}")
+    named = names.split(":") if names else []
+    if len(named) not in (0, int(number)) or len(set(named)) != len(named):
+        raise HandoverError(f"LISTEN_FDNAMES: {names!r} must give {number} different names, or none")
+    found: dict[str, socket.socket] = {}
+    for n in range(int(number)):
+        try:
+            os.set_inheritable(first + n, False)
+            sock = socket.socket(fileno=first + n)
+            listens = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        except OSError as error:
+            raise HandoverError(f"LISTEN_FDS: descriptor {first + n} is no socket: {error}") from error
+        if sock.type != socket.SOCK_STREAM or not listens:
+            raise HandoverError(f"LISTEN_FDS: descriptor {first + n} is no listening stream socket")
+        found[named[n] if named else CLIENTS if n == 0 else str(n)] = sock
+    if CLIENTS not in found and len(found) == 1 and named in (["unknown"], ["connection"]):
+        return {CLIENTS: next(iter(found.values()))}
+    return found
--- a/linnetstile/http/front.py
+++ b/linnetstile/http/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from ..config import Config
 from ..core.seams import Desk, End, Malformed, Offer
@@ -19,8 +20,9 @@
 class Front:
     """`most` connections of clients at once; so many idle ones as `roomy` says are few."""
 
-    def __init__(self, desk: Desk, config: Config, most: int, roomy: int) -> None:
-        self.desk, self.listen = desk, config.listen
+    def __init__(self, desk: Desk, config: Config, most: int, roomy: int,
+                 handed: socket.socket | None = None) -> None:
+        self.desk, self.listen, self.handed = desk, config.listen, handed
         self.clients = Clients(self.take, desk.withdraw, most, roomy)
         self.notices = Notices(Agent(config.discovery), desk.told)
         self.tasks = Tasks()
@@ -29,7 +31,7 @@
     async def open(self) -> None:
         self.telling = self.tasks.start(self.notices.run())
         self.tasks.start(self.clients.watch())
-        await self.clients.listen(*self.listen)
+        await self.clients.listen(*self.listen, self.handed)
 
     def end(self, end: End) -> None:
         self.notices.add(end.id, end.state, end.after_ms)
--- a/linnetstile/http/intake.py
+++ b/linnetstile/http/intake.py
@@ -6,6 +6,7 @@
 import logging
 import re
 import select
+import socket
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -338,9 +339,17 @@
         self.lingering: dict[ClientConnection, None] = {}  # answered for the last time
         self.server: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> None:
+    async def listen(self, host: str, port: int, handed: socket.socket | None = None) -> None:
+        """At an address, or on a socket that was handed over."""
+        def connection() -> ClientConnection:
+            return ClientConnection(self)
+
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: ClientConnection(self), host, port, backlog=BACKLOG)
+        if handed is not None:
+            handed.setblocking(False)
+            self.server = await loop.create_server(connection, sock=handed, backlog=BACKLOG)
+        else:
+            self.server = await loop.create_server(connection, host, port, backlog=BACKLOG)
 
     async def watch(self) -> None:
         """Ends what takes too long; one look at all costs less than a timer for each."""
--- /dev/null
+++ b/tests/fleet/test_daemon.py
@@ -0,0 +1,215 @@
+"""The relay under a service manager (standins.manager): what it says, when, and what it is handed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from linnetstile.fleet.handover import HandoverError, handed_over
+from linnetstile.fleet.notify import RETRY_S, Notifier, NotifyError
+from standins.manager import Manager
+
+from ..loopback import Agent, Client, Server, message, raw_config, run, until
+
+
+class World:
+    def __init__(self, folder: Path, watchdog_s: float = 0.0) -> None:
+        self.folder, self.agent, self.server = folder, Agent(), Server()
+        self.manager = Manager(folder, ("127.0.0.1", 0), watchdog_s)
+        self.config = folder / "config.json"
+
+    async def prepare(self) -> None:
+        await self.agent.start()
+        await self.server.start()
+        (self.folder / "state").mkdir()
+        # The address that it is told is another's: only what is handed over can be listened on.
+        raw = raw_config(self.folder / "state", self.agent, self.server,
+                         listen=f"127.0.0.1:{self.manager.port}")
+        self.config.write_text(json.dumps(raw))
+
+    async def start(self) -> None:
+        await self.manager.start(sys.executable, "-m", "linnetstile", env={"RELAY_CONFIG": str(self.config)})
+
+
+@asynccontextmanager
+async def world(folder: Path, watchdog_s: float = 0.0) -> AsyncIterator[World]:
+    it = World(folder, watchdog_s)
+    await it.prepare()
+    try:
+        yield it
+    finally:
+        process = it.manager.process
+        if process is not None and process.returncode is None:
+            process.kill()
+            await process.wait()
+        it.manager.close()
+
+
+def test_ready_reload_and_stop_are_said_in_order(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with world(tmp_path) as w:
+            w.manager.read()
+            await w.start()
+            assert await w.manager.heard("READY") == {"READY": "1"}
+            async with Client(w.manager.port) as client:
+                assert await client.ask(message("m")) == 202
+            before = time.monotonic_ns() // 1000
+            w.manager.tell(signal.SIGHUP)
+            said = await w.manager.heard("RELOADING")
+            assert before <= int(said["MONOTONIC_USEC"]) <= time.monotonic_ns() // 1000
+            await w.manager.heard("READY", 2)
+            good = w.config.read_text()
+            w.config.write_text("{")
+            w.manager.tell(signal.SIGHUP)
+            assert "passed over" in (await w.manager.heard("STATUS"))["STATUS"]
+            await w.manager.heard("READY", 3)  # it serves on with what it has
+            w.config.write_text(good)
+            assert await w.manager.end() == 0
+            await w.manager.heard("STOPPING")
+            names = [name for lines in w.manager.said for name in lines if name in ("READY", "STOPPING")]
+            assert names == ["READY", "READY", "READY", "STOPPING"]
+    run(work())
+
+
+def test_a_restart_refuses_no_connection(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with world(tmp_path) as w:
+            w.manager.read()
+            await w.start()
+            await w.manager.heard("READY")
+            await w.manager.end(signal.SIGKILL)
+            async with Client(w.manager.port) as client:  # nobody is there to accept it
+                client.writer.write(message("m"))
+                await w.start()
+                assert await client.status() == 202
+            await until(lambda: len(w.server.seen) == 1)
+            assert await w.manager.end() == 0
+    run(work())
+
+
+def test_the_watchdog_is_told_while_the_loop_turns_and_not_while_it_is_frozen(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with world(tmp_path, watchdog_s=0.4) as w:
+            w.manager.read()
+            await w.start()
+            await w.manager.heard("READY")
+            await until(lambda: len(w.manager.beats) >= 4)
+            w.manager.tell(signal.SIGSTOP)
+            await asyncio.sleep(0.1)  # what it said before
+            beats = len(w.manager.beats)
+            await asyncio.sleep(1.0)
+            assert len(w.manager.beats) == beats
+            w.manager.tell(signal.SIGCONT)
+            await until(lambda: len(w.manager.beats) > beats)
+            assert await w.manager.end() == 0
+    run(work())
+
+
+def test_a_manager_that_does_not_listen_holds_up_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with world(tmp_path, watchdog_s=0.2) as w:
+            assert w.manager.fill() > 0
+            await w.start()
+            async with Client(w.manager.port) as client:
+                assert await client.ask(message("m")) == 202
+            w.manager.tell(signal.SIGHUP)
+            await until(lambda: len(w.server.seen) == 1)
+            assert await w.manager.end() == 0  # SIGTERM while the socket is full
+    run(work())
+
+
+def test_reload_and_stop_at_the_same_moment_lose_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with world(tmp_path) as w:
+            w.manager.read()
+            await w.start()
+            await w.manager.heard("READY")
+            w.server.hold = asyncio.Event()
+            async with Client(w.manager.port) as client:
+                assert await client.ask(message("m")) == 202
+            await w.server.came.get()
+            w.manager.tell(signal.SIGHUP)
+            w.manager.tell(signal.SIGTERM)
+            w.server.hold.set()
+            assert w.manager.process is not None and await w.manager.process.wait() == 0
+            assert len(w.server.seen) == 1 and w.agent.notices.empty()
+    run(work())
+
+
+def test_what_cannot_be_said_at_once_is_said_later_and_does_not_pile_up(tmp_path: Path) -> None:
+    async def work() -> None:
+        manager = Manager(tmp_path, ("127.0.0.1", 0))
+        notifier = Notifier(str(manager.path))
+        notifier.start()
+        manager.fill()
+        notifier.ready()
+        for n in range(1000):
+            notifier.status(f"line {n}\nof two")
+        assert notifier.waiting == {"READY": "1", "STATUS": "line 999 of two"} and len(notifier.timers) == 1
+        manager.read()
+        await until(lambda: bool(manager.said) and "READY" in manager.said[-1])
+        assert manager.said[-1] == {"READY": "1", "STATUS": "line 999 of two"} and not notifier.waiting
+        notifier.close()
+        manager.close()
+    assert RETRY_S < 1.0
+    run(work())
+
+
+def test_a_manager_that_has_gone_is_no_fault(tmp_path: Path) -> None:
+    async def work() -> None:
+        notifier = Notifier(str(tmp_path / "nowhere"))
+        notifier.start()
+        notifier.ready()
+        assert not notifier.waiting
+        notifier.close()
+    run(work())
+
+
+@pytest.mark.parametrize(("env", "says"), [
+    ({"NOTIFY_SOCKET": "run/x"}, "NOTIFY_SOCKET"), ({"WATCHDOG_USEC": "soon"}, "WATCHDOG_USEC"),
+    ({"WATCHDOG_USEC": "0"}, "WATCHDOG_USEC")])
+def test_an_environment_that_makes_no_sense_names_its_variable(env: dict[str, str], says: str) -> None:
+    with pytest.raises(NotifyError, match=says):
+        Notifier.of(env)
+
+
+def test_the_variables_are_taken_out_and_meant_for_one_process() -> None:
+    env = {"NOTIFY_SOCKET": "@x", "WATCHDOG_USEC": "500000", "WATCHDOG_PID": "1", "OTHER": "y"}
+    notifier = Notifier.of(env)
+    assert env == {"OTHER": "y"} and notifier.address == "@x" and notifier.watchdog_s == 0.0
+    mine = {"WATCHDOG_USEC": "500000", "WATCHDOG_PID": str(os.getpid())}
+    assert Notifier.of(mine).watchdog_s == 0.5
+    env = {"LISTEN_PID": "1", "LISTEN_FDS": "1", "LISTEN_FDNAMES": "clients"}
+    assert handed_over(env) == {} and env == {}
+
+
+@pytest.mark.parametrize(("number", "names", "says"), [
+    ("x", "", "LISTEN_FDS"), ("17", "", "LISTEN_FDS"), ("0", "", "LISTEN_FDS"),
+    ("1", "a:b", "LISTEN_FDNAMES"), ("2", "a:a", "LISTEN_FDNAMES")])
+def test_a_handover_that_makes_no_sense_is_told(number: str, names: str, says: str) -> None:
+    with pytest.raises(HandoverError, match=says):
+        handed_over({"LISTEN_PID": str(os.getpid()), "LISTEN_FDS": number, "LISTEN_FDNAMES": names})
+
+
+def test_only_listening_sockets_are_taken() -> None:
+    def env() -> dict[str, str]:
+        return {"LISTEN_PID": str(os.getpid()), "LISTEN_FDS": "1"}
+
+    with socket.socket() as idle, open("/dev/null") as null, socket.create_server(("127.0.0.1", 0)) as good:
+        with pytest.raises(HandoverError, match="no socket"):
+            handed_over(env(), first=os.dup(null.fileno()))
+        with pytest.raises(HandoverError, match="no listening"):
+            handed_over(env(), first=os.dup(idle.fileno()))
+        (name, sock), = handed_over(env(), first=os.dup(good.fileno())).items()
+        assert name == "clients" and sock.getsockname() == good.getsockname()
+        sock.close()
