--- a/linnetstile/garbage.py
+++ b/linnetstile/garbage.py
@@ -11,7 +11,7 @@
 import gc
 from collections.abc import Callable
 
-YOUNG, MIDDLE, NEVER = 5_000, 20, 1_000_000  # allocations, and passes over the younger, between passes
+YOUNG, MIDDLE, NEVER = 5_000, 4, 1_000_000  # allocations, and passes over the younger, between passes
 EVERY_S = 300.0
 LOOK_S = 5.0
 QUIET = 500  # so many messages held are little: a pass takes some milliseconds
