Configuration, settings and what was learned are decoded by msgspec, with paths

Need: the hand-written decoding told a fault without its place, and 1e999 in the file of what was learned ended the start although loading 'never raises'.

--- a/linnetstile/config.py
+++ b/linnetstile/config.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import json
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from .interface import Settings
 from .settings import SettingsError, settings_from
 
@@ -53,34 +54,54 @@
                          f"and limits.memory_mb is {float(memory_mb):g}: hold {most} at most, or raise it")
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    memory_mb: float | None = None
+    sockets: int = 1024
+    disk_mb: float = 3.0
+
+
+class _File(msgspec.Struct):
+    """The file, as far as a relay reads it; the platform may add to it."""
+
+    settings: msgspec.Raw
+    name: str | None = None
+    listen: str | None = None
+    discovery: str | None = None
+    state: str | None = None
+    seed: str = "0"
+    limits: _Limits = _Limits()
+    known: dict[str, Any] | None = None
+
+
+class _Zones(msgspec.Struct):
+    zones: tuple[str, ...] = ()
+
+
 def load(env: Mapping[str, str] = os.environ) -> Config:
     """Reads the file that RELAY_CONFIG names; the other RELAY_ variables go before what it says, but for
-    discovery: there the file is what gets replaced in service, and a process keeps its old environment."""
+    discovery: there the file is what gets replaced in service, and a process keeps its old environment.
+    Raises ConfigError."""
     path = env.get("RELAY_CONFIG", "")
     if not path:
         raise ConfigError("RELAY_CONFIG is not set")
     try:
-        raw = json.loads(Path(path).read_text())
-        told = {key: env.get(f"RELAY_{key.upper()}") or raw.get(key) for key in
+        raw: _File = msgspec.json.decode(Path(path).read_bytes(), type=_File, strict=False)
+        told = {key: env.get(f"RELAY_{key.upper()}") or getattr(raw, key) for key in
                 ("name", "listen", "state")}
-        told["discovery"] = raw.get("discovery") or env.get("RELAY_DISCOVERY")
+        told["discovery"] = raw.discovery or env.get("RELAY_DISCOVERY")
         missing = [key for key, value in told.items() if not value]
         if missing:
             raise ConfigError(f"{path}: {missing[0]} is missing")
-        limits = raw.get("limits", {})
-        settings = settings_from(json.dumps(raw["settings"]))
-        carried(settings.hold, limits.get("memory_mb"))
+        settings = settings_from(bytes(raw.settings))
+        zones: _Zones = msgspec.json.decode(raw.settings, type=_Zones)
+        carried(settings.hold, raw.limits.memory_mb)
         return Config(
             name=str(told["name"]), listen=address(told["listen"]), discovery=address(told["discovery"]),
-            state=Path(str(told["state"])), seed=int(str(raw.get("seed", "0")), 16),
-            sockets=min(1024, int(limits.get("sockets", 1024))),
-            disk_bytes=int(float(limits.get("disk_mb", 3)) * 1e6),
-            known=dict(raw.get("known") or {}), settings=settings,
-            zones=tuple(raw["settings"].get("zones", ())),
+            state=Path(str(told["state"])), seed=int(raw.seed, 16), sockets=min(1024, raw.limits.sockets),
+            disk_bytes=int(raw.limits.disk_mb * 1e6), known=raw.known or {}, settings=settings,
+            zones=zones.zones,
         )
     except OSError as error:
         raise ConfigError(f"RELAY_CONFIG: {error}") from error
-    except KeyError as error:
-        raise ConfigError(f"{path}: {error} is missing") from error
-    except (ValueError, TypeError, AttributeError, SettingsError) as error:
+    except (ValueError, SettingsError) as error:
         raise ConfigError(f"{path}: {error}") from error
--- a/linnetstile/settings.py
+++ b/linnetstile/settings.py
@@ -1,74 +1,171 @@
-"""Translates the settings text, which the simulator and the configuration share, to `Settings`."""
+"""Translates the settings text, which the simulator and the configuration share, to `Settings`.
+
+The text's own shape stands below as msgspec structs: what is missing or of another type is told by path.
+Keys that are not known are skipped, since the platform's settings say more than a relay needs.
+"""
 
 from __future__ import annotations
 
-import json
-from typing import Any
+from enum import Enum
 
-from . import interface as api
+import msgspec
 
-EFFECTS = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
-SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.ENDPOINT}
-RATES = {"nominal": api.Rates.NOMINAL, "rough": api.Rates.ROUGH}
+from . import interface as api
 
 
 class SettingsError(ValueError):
     """The settings lack something, or hold what makes no sense."""
 
 
+class _Effect(Enum):
+    REPEATABLE, BY_KEY, ONCE = "repeatable", "by_key", "once"
+
+
+class _Scope(Enum):
+    ALL, ZONE, CELL = "all", "zone", "cell"
+
+
+class _Raw(msgspec.Struct, frozen=True, rename=lambda name: name.replace("_", "-")):
+    """A part of the text: names with hyphens."""
+
+
+class _Class(_Raw, frozen=True):
+    name: str
+    effect: _Effect
+    aim_ms: float
+    deadline_ms: float
+    worth: float = 1.0
+    late_share: float = 0.0
+    window_ms: float = 0.0
+    dedup_scope: _Scope = _Scope.ALL
+    by_arrival: bool = False
+
+
+class _Extra(_Raw, frozen=True):
+    call_slots: int
+    per_call: list[int] = []
+    separate_routes: list[bool] = []
+    loses_worth: str = ""
+    carriage: list[float] = []
+
+
+class _Limits(_Raw, frozen=True):
+    open_cap: int
+    try_limit: int
+    probing: bool = False
+    cancelling: bool = False
+    streams_per_conn: int = 1
+    conn_idle_ms: float = 0.0
+    connect_timeout_ms: float = 0.0
+    max_retry_after_ms: float = 0.0
+
+
+class _Safety(_Raw, frozen=True):
+    answer_slack_ms: float = 0.0
+    drain_grace_ms: float = 0.0
+    cold_from: float = 1.0
+    cold_ms: float = 0.0
+    fall_multiple: float = 1.0
+    fall_ms: float = 1000.0
+    ask_within_ms: float = 0.0
+    key_quiet_ms: float = 0.0
+
+
+class _Goal(_Raw, frozen=True):
+    whole: float = 1.0
+    worst_window: float = 0.0
+    worst_class: float = 0.0
+    worst_tenant: float = 0.0
+
+
+class _Feedback(_Raw, frozen=True):
+    fields: list[str] = []
+
+
+class _Prices(_Raw, frozen=True):
+    cross_zone: float = 0.0
+
+
+class _Habits(_Raw, frozen=True):
+    marks_retry: bool = False
+
+
+class _Org(_Raw, frozen=True):
+    name: str
+    quota_per_s: float
+
+
+class _Settings(_Raw, frozen=True):
+    classes: list[_Class]
+    kinds: list[str]
+    extra: _Extra
+    limits: _Limits
+    safety: _Safety
+    balancers: int = 1
+    az: int = 0
+    orgs: list[_Org] = []
+    over_share_worth: float = 1.0
+    weight_kind: str = "silent"
+    registry_mode: str = ""
+    tick_ms: float = 1.0
+    goal: _Goal = _Goal()
+    feedback: _Feedback = _Feedback()
+    prices: _Prices = _Prices()
+    client_habits: _Habits = _Habits()
+
+
+EFFECTS = {_Effect.REPEATABLE: api.Effect.SAFE, _Effect.BY_KEY: api.Effect.KEYED,
+           _Effect.ONCE: api.Effect.UNSAFE}
+SCOPES = {_Scope.ALL: api.Scope.ALL, _Scope.ZONE: api.Scope.ZONE, _Scope.CELL: api.Scope.ENDPOINT}
+RATES = {"nominal": api.Rates.NOMINAL, "rough": api.Rates.ROUGH}
+
+
 def settings_from(text: bytes | str) -> api.Settings:
-    """Translates the settings text; keys that are not known are skipped."""
+    """Translates the settings text. Raises SettingsError, which names the field."""
     try:
-        raw: dict[str, Any] = json.loads(text)
-        extra, limits, safety = raw["extra"], raw["limits"], raw["safety"]
-        goal, feedback, prices = raw.get("goal", {}), raw.get("feedback", {}), raw.get("prices", {})
-        kinds = raw["kinds"]
-        batches = extra.get("per-call", [])
-        apart = extra.get("separate-routes", [])
-        fields = feedback.get("fields", [])
-        return api.Settings(
-            classes=tuple(
-                api.MessageClass(
-                    name=c["name"], effect=EFFECTS[c["effect"]], aim_ms=c["aim-ms"],
-                    deadline_ms=c["deadline-ms"], worth=c.get("worth", 1.0),
-                    late_share=c.get("late-share", 0.0), key_window_ms=c.get("window-ms", 0.0),
-                    key_scope=SCOPES[c.get("dedup-scope", "all")], in_order=bool(c.get("by-arrival", False)),
-                )
-                for c in raw["classes"]
-            ),
-            kinds=tuple(
-                api.DestinationKind(
-                    name=name, batch=batches[n] if n < len(batches) else 1,
-                    routes_apart=bool(apart[n]) if n < len(apart) else False,
-                )
-                for n, name in enumerate(kinds)
-            ),
-            slots=extra["call-slots"], hold=limits["open-cap"], attempts=limits["try-limit"],
-            relays=raw.get("balancers", 1), zone=raw.get("az", 0),
-            tenants=tuple(api.Tenant(t["name"], t["quota-per-s"]) for t in raw.get("orgs", [])),
-            over_share_worth=raw.get("over-share-worth", 1.0),
-            decay=api.Decay.HALVES if extra.get("loses-worth") == "halves" else api.Decay.LINE,
-            rates=RATES.get(raw.get("weight-kind", "silent"), api.Rates.NONE),
-            ask_for_list=raw.get("registry-mode") == "ask",
-            probing=bool(limits.get("probing", False)), cancelling=bool(limits.get("cancelling", False)),
-            streams_per_connection=limits.get("streams-per-conn", 1),
-            idle_ms=limits.get("conn-idle-ms", 0.0),
-            connect_timeout_ms=limits.get("connect-timeout-ms", 0.0), tick_ms=raw.get("tick-ms", 1.0),
-            marks_repeats=bool(raw.get("client-habits", {}).get("marks-retry", False)),
-            longest_advice_ms=limits.get("max-retry-after-ms", 0.0),  # told also where few clients heed it
-            cross_zone_price=prices.get("cross-zone", 0.0), route_fees=tuple(extra.get("carriage", [])),
-            limit_report=(fields.index("x0"), fields.index("x1")) if {"x0", "x1"} <= set(fields) else None,
-            safety=api.Safety(
-                answer_slack_ms=safety.get("answer-slack-ms", 0.0),
-                drain_grace_ms=safety.get("drain-grace-ms", 0.0), cold_share=safety.get("cold-from", 1.0),
-                cold_ms=safety.get("cold-ms", 0.0), fall_multiple=safety.get("fall-multiple", 1.0),
-                fall_ms=safety.get("fall-ms", 1000.0), ask_within_ms=safety.get("ask-within-ms", 0.0),
-                key_rest_ms=safety.get("key-quiet-ms", 0.0),
-            ),
-            goal=api.Goal(goal.get("whole", 1.0), goal.get("worst-window", 0.0),
-                          goal.get("worst-class", 0.0), goal.get("worst-tenant", 0.0)),
-        )
-    except KeyError as error:
-        raise SettingsError(f"settings: {error} is missing or not known") from error
-    except (ValueError, TypeError, AttributeError, IndexError) as error:
+        raw: _Settings = msgspec.json.decode(text, type=_Settings, strict=False)
+        return _translated(raw)
+    except (ValueError, IndexError) as error:  # msgspec's own errors are ValueErrors
         raise SettingsError(f"settings: {error}") from error
+
+
+def _translated(raw: _Settings) -> api.Settings:
+    extra, limits, fields = raw.extra, raw.limits, raw.feedback.fields
+    return api.Settings(
+        classes=tuple(_class(item) for item in raw.classes),
+        kinds=tuple(_kind(name, n, extra) for n, name in enumerate(raw.kinds)),
+        slots=extra.call_slots, hold=limits.open_cap, attempts=limits.try_limit, relays=raw.balancers,
+        zone=raw.az, tenants=tuple(api.Tenant(org.name, org.quota_per_s) for org in raw.orgs),
+        over_share_worth=raw.over_share_worth,
+        decay=api.Decay.HALVES if extra.loses_worth == "halves" else api.Decay.LINE,
+        rates=RATES.get(raw.weight_kind, api.Rates.NONE), ask_for_list=raw.registry_mode == "ask",
+        probing=limits.probing, cancelling=limits.cancelling,
+        streams_per_connection=limits.streams_per_conn, idle_ms=limits.conn_idle_ms,
+        connect_timeout_ms=limits.connect_timeout_ms, tick_ms=raw.tick_ms,
+        marks_repeats=raw.client_habits.marks_retry,
+        longest_advice_ms=limits.max_retry_after_ms,  # told also where few clients heed it
+        cross_zone_price=raw.prices.cross_zone, route_fees=tuple(extra.carriage),
+        limit_report=(fields.index("x0"), fields.index("x1")) if {"x0", "x1"} <= set(fields) else None,
+        safety=_safety(raw.safety),
+        goal=api.Goal(raw.goal.whole, raw.goal.worst_window, raw.goal.worst_class, raw.goal.worst_tenant),
+    )
+
+
+def _class(raw: _Class) -> api.MessageClass:
+    return api.MessageClass(
+        name=raw.name, effect=EFFECTS[raw.effect], aim_ms=raw.aim_ms, deadline_ms=raw.deadline_ms,
+        worth=raw.worth, late_share=raw.late_share, key_window_ms=raw.window_ms,
+        key_scope=SCOPES[raw.dedup_scope], in_order=raw.by_arrival)
+
+
+def _kind(name: str, number: int, extra: _Extra) -> api.DestinationKind:
+    batches, apart = extra.per_call, extra.separate_routes
+    return api.DestinationKind(name, batches[number] if number < len(batches) else 1,
+                               apart[number] if number < len(apart) else False)
+
+
+def _safety(raw: _Safety) -> api.Safety:
+    return api.Safety(
+        answer_slack_ms=raw.answer_slack_ms, drain_grace_ms=raw.drain_grace_ms, cold_share=raw.cold_from,
+        cold_ms=raw.cold_ms, fall_multiple=raw.fall_multiple, fall_ms=raw.fall_ms,
+        ask_within_ms=raw.ask_within_ms, key_rest_ms=raw.key_quiet_ms)
--- a/linnetstile/store/learned.py
+++ b/linnetstile/store/learned.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import os
-from dataclasses import asdict, replace
+from dataclasses import replace
 from pathlib import Path
-from typing import Any
+
+import msgspec
 
 from ..interface import Learned
 
@@ -22,6 +22,20 @@
 OLD_MS = 60_000.0  # older knowledge is no use: outages are shorter
 
 
+class _Lane(msgspec.Struct, forbid_unknown_fields=True):
+    destination: int
+    wait_ms: float
+    out: bool
+    bad_ms: float | None
+    cold_ms: float | None
+
+
+class _File(msgspec.Struct, forbid_unknown_fields=True):
+    version: int
+    at: float
+    lanes: list[_Lane]
+
+
 class LearnedFile:
     def __init__(self, folder: Path) -> None:
         self.path, self.spare = folder / "learned", folder / "learned.new"
@@ -30,34 +44,32 @@
     def load(self, now: float) -> list[Learned]:
         """With the time since it was written taken into account; `now` in Unix ms. Never raises."""
         try:
-            raw = json.loads(self.path.read_bytes())
-            if raw["version"] != VERSION:
-                raise ValueError(f"version {raw['version']!r} is not known, {VERSION} is")
-            age = max(0.0, now - float(raw["at"]))
-            lanes = [self._aged(item, age) for item in raw["lanes"]]
+            raw: _File = msgspec.json.decode(self.path.read_bytes(), type=_File)
+            if raw.version != VERSION:
+                raise ValueError(f"version {raw.version} is not known, {VERSION} is")
+            age = max(0.0, now - raw.at)
+            lanes = [self._aged(lane, age) for lane in raw.lanes]
         except FileNotFoundError:
             return []
-        except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+        except (OSError, ValueError) as error:  # msgspec's own errors are ValueErrors
             log.warning("%s: passed over: %s", self.path, error)
             return []
         return lanes if age < OLD_MS else [replace(lane, out=False, bad_ms=None, cold_ms=None)
                                            for lane in lanes if lane.wait_ms > 0]
 
     @staticmethod
-    def _aged(item: dict[str, Any], age: float) -> Learned:
-        def later(name: str) -> float | None:
-            return None if item.get(name) is None else float(item[name]) + age
-
-        return Learned(int(item["destination"]), max(0.0, float(item["wait_ms"]) - age), bool(item["out"]),
-                       later("bad_ms"), later("cold_ms"))
+    def _aged(lane: _Lane, age: float) -> Learned:
+        return Learned(lane.destination, max(0.0, lane.wait_ms - age), lane.out,
+                       None if lane.bad_ms is None else lane.bad_ms + age,
+                       None if lane.cold_ms is None else lane.cold_ms + age)
 
     def save(self, now: float, lanes: list[Learned]) -> None:
         """Only where there is something to tell, or was; what does not fit is left out. Never raises."""
         if not lanes and not self.lanes:
             return
         self.lanes = lanes
-        items = [json.dumps(asdict(lane), separators=(",", ":")) for lane in lanes]
-        head, size, kept = f'{{"version":{VERSION},"at":{now:.0f},"lanes":[', 64, list[str]()
+        items = [msgspec.json.encode(lane) for lane in lanes]
+        head, size, kept = f'{{"version":{VERSION},"at":{now:.0f},"lanes":['.encode(), 64, list[bytes]()
         for item in items:
             size += len(item) + 1
             if size > FILE_BYTES:
@@ -65,7 +77,7 @@
                 break
             kept.append(item)
         try:
-            self.spare.write_text(head + ",".join(kept) + "]}")
+            self.spare.write_bytes(head + b",".join(kept) + b"]}")
             os.replace(self.spare, self.path)
         except OSError as error:
             log.warning("%s: cannot be written: %s", self.path, error)
