The operator's file, commands (run, check, fleet, status, demo), and logs for machines

Need: what is new could not be set from any file, a fleet had to be started by hand, and nothing told what an instance holds.

Change: deploy/relay.toml, checked as a whole with each field's path; fleet/plan.py decides for the supervisor (no I/O), fleet/supervisor.py carries it out with handed-over sockets, notifications, watchdogs and a lifeline; fleet/report.py and status.py tell an instance's state over a Unix socket; an instance that is no longer one of the fleet retires; Share follows another number of instances and a clock that was set.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -30,6 +30,8 @@
 from linnetstile import interface as api
 from linnetstile.control import Relay
 
+from standins.agreed import Agreed, Answer
+
 from .report import report
 
 WARM_MS = 25_000.0  # so long the fleet has run before anything counts
@@ -44,30 +46,19 @@
 Event = tuple[float, int, int, Any]  # when, a number, which instance, what
 
 
+OUTCOMES = {Answer.TAKEN: api.Outcome.OK, Answer.FULL: api.Outcome.FULL,
+            Answer.DOWN: api.Outcome.CONNECT_FAILED}
+
+
 @dataclass
-class Partner:
-    rate: float
-    calls: list[float] = field(default_factory=list)
-    taken: list[float] = field(default_factory=list)
+class Partner(Agreed):
+    """Keeps all calls."""
 
-    def can(self, at: float) -> float:
-        """Calls a second that it can do."""
-        if DOWN_MS <= at < BACK_MS:
-            return 0.0
-        if at < DOWN_MS:
-            return self.rate
-        return self.rate * min(1.0, COLD + (1 - COLD) * (at - BACK_MS) / COLD_MS)
+    calls: list[float] = field(default_factory=list)
 
-    def call(self, at: float) -> api.Outcome:
+    def outcome(self, at: float) -> api.Outcome:
         self.calls.append(at)
-        if DOWN_MS <= at < BACK_MS:
-            return api.Outcome.CONNECT_FAILED
-        begins = max(at - 1000.0, BACK_MS) if at >= BACK_MS else at - 1000.0
-        recent = len(self.taken) - bisect_left(self.taken, begins)
-        if recent + 1 > max(1.0, 1.05 * self.can(at) * (at - begins) / 1000 + 2):
-            return api.Outcome.FULL
-        self.taken.append(at)
-        return api.Outcome.OK
+        return OUTCOMES[self.call(at)]
 
 
 @dataclass
@@ -79,8 +70,8 @@
     seed: int
 
     def __post_init__(self) -> None:
-        self.rng, self.numbers = random.Random(self.seed), count()
-        self.partner, self.queue = Partner(self.rate), list[Event]()
+        self.rng, self.numbers, self.queue = random.Random(self.seed), count(), list[Event]()
+        self.partner = Partner(self.rate, ((DOWN_MS, BACK_MS),), COLD, COLD_MS, keep=True)
         self.relays: dict[int, Relay] = {}
         self.delivered: set[int] = set()
         self.counted: set[int] = set()
@@ -148,7 +139,7 @@
         for act in relay.handle(now, list(events)):
             if isinstance(act, api.Send):
                 number = self.tries[act.id] = self.tries.get(act.id, -1) + 1
-                outcome = self.partner.call(now)
+                outcome = self.partner.outcome(now)
                 took = 150.0 if outcome is api.Outcome.OK else 5.0
                 self.at(now + took, n, (relay, api.AttemptEnded(
                     act.id, number, act.endpoint, outcome, took, outcome is api.Outcome.OK)))
--- /dev/null
+++ b/linnetstile/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The commands: `python -m linnetstile COMMAND`, one file each. Needs the extra `ops`."""
--- /dev/null
+++ b/linnetstile/cli/fleet.py
@@ -0,0 +1,52 @@
+"""`fleet`: many instances under one command, where there is no service manager."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from ..fleet.operator import INSTANCES, LogPart, OperatorError, read
+from ..fleet.status import folder_of
+from ..fleet.supervisor import Supervisor
+from ..logs import plain, structured
+
+
+async def supervise(file: Path) -> None:
+    """Raises OperatorError, or OSError where a port or a folder cannot be had."""
+    told = read(file)
+    if told.log != LogPart():
+        structured(told.log.format, told.log.level, told.log.lines)
+    folder = folder_of(told.status.folder)
+    if folder is not None:
+        folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+    await Supervisor(file, told, folder).run()
+
+
+@click.command()
+@click.option(
+    "--config", "file", type=click.Path(path_type=Path), required=True, help="The operator's file (TOML)."
+)
+@click.option("--instances", type=click.IntRange(1, 1000), help="Goes before fleet.instances of the file.")
+def fleet(file: Path, instances: int | None) -> None:
+    """Start, watch, restart and end the instances of a fleet.
+
+    SIGHUP reads the file again, SIGUSR2 restarts all one by one, SIGTERM ends all.
+    """
+    plain()
+    if instances is not None:
+        os.environ[INSTANCES] = str(instances)
+    try:
+        asyncio.run(supervise(file.resolve()))
+    except OperatorError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    except (OSError, ImportError) as error:
+        click.echo(f"linnetstile: {error}", err=True)
+        sys.exit(1)
+    finally:
+        logging.shutdown()
--- /dev/null
+++ b/linnetstile/cli/run.py
@@ -0,0 +1,24 @@
+"""`run`: one instance in the foreground."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from ..process import OPERATOR
+from ..process import main as work
+
+
+@click.command()
+@click.option("--config", type=click.Path(path_type=Path), help="The operator's file (TOML).")
+@click.option("--instance", type=click.IntRange(min=0), help="Which one of fleet.instances this is.")
+def run(config: Path | None, instance: int | None) -> None:
+    """Run one instance until SIGTERM; SIGHUP reads its files again."""
+    if config is not None:
+        os.environ[OPERATOR] = str(config)
+    if instance is not None:
+        os.environ["RELAY_INSTANCE"] = str(instance)
+    sys.exit(work())
--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -10,12 +10,14 @@
 
 import heapq
 import random
+from dataclasses import replace
 from typing import NamedTuple
 
 from .index import Index
 from .interface import (
-    Action, AttemptEnded, Closing, Effect, Endpoint, EndpointList, Event, Fail, Learned, Listing, ListKind,
-    Message, Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
+    Action, AttemptEnded, Closing, Effect, Endpoint, EndpointList, Event, Fail, Fleet, Learned, Listing,
+    ListKind, Message, Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList,
+    Withdrawn,
 )
 from .share import Share
 from .state import FOREVER, NEVER, Board, Bound, Door, Held, Lane, Queue
@@ -132,6 +134,8 @@
                 case Closing():
                     self.closing_at = event.at_ms
                     self.board.due.update(dict.fromkeys(self.board.queues, True))
+                case Fleet():
+                    self._resized(event)
         if self.ask_at is not None and now_ms >= self.ask_at:
             acts.append(WatchList())
             self.ask_at = now_ms + self.s.safety.ask_within_ms / 2  # asks again should no answer come
@@ -244,6 +248,14 @@
                 found.append(Learned(dest, max(0.0, lane.wait_until - now), lane.sick, bad, cold))
         return found
 
+    def _resized(self, fleet: Fleet) -> None:
+        """There are more instances or fewer, or the shared clock was set: slots lie elsewhere from now on."""
+        self.s = replace(self.s, relays=fleet.size, fleet=fleet if self.s.fleet is not None else None)
+        for lane in (lane for lanes in self.lanes.values() for lane in lanes.values()):
+            if lane.share is not None:
+                lane.share.resized(fleet)
+        self.board.due.update(dict.fromkeys(self.board.queues, True))
+
     def _recall(self, now: float, event: Learned) -> None:
         """Guards a returning destination, and told waits, against a process that has seen nothing of them."""
         lane = self.lanes.get(event.destination, {}).get(-1)
--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -91,18 +91,31 @@
         await asyncio.sleep(SERVE_ON_S)
         for intake in self.intakes.values():
             intake.stop()
-        while (self.messages.held or self._reading()) and loop.time() < begun + CALLS_END_S + 0.1:
+        while (self.messages.held or self.reading) and loop.time() < begun + CALLS_END_S + 0.1:
             await asyncio.sleep(LOOK_S)
-        while self._unsettled() and loop.time() < begun + GONE_S:
+        while self.unsettled and loop.time() < begun + GONE_S:
             await asyncio.sleep(LOOK_S)
         log.info("%d messages and %d answers are left to the journal", len(self.messages.held),
-                 self._unsettled())
+                 self.unsettled)
         await self.close()
 
-    def _reading(self) -> int:
+    def retire(self) -> None:
+        """Takes no new message from now on, and goes on with those that it holds."""
+        self.messages.retiring = True
+
+    @property
+    def idle(self) -> bool:
+        """Nothing is owed to anybody."""
+        return not (self.messages.held or self.unsettled)
+
+    @property
+    def reading(self) -> int:
+        """Connections on which clients may still be answered."""
         return sum(intake.reading for intake in self.intakes.values())
 
-    def _unsettled(self) -> int:
+    @property
+    def unsettled(self) -> int:
+        """Ends that are still to be passed on."""
         return sum(intake.unsettled for intake in self.intakes.values())
 
     async def close(self) -> None:
--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -47,6 +47,7 @@
         self.numbers: dict[str, int] = {}
         self.last_number = 0
         self.ready = False
+        self.retiring = False  # takes nothing new, for good
 
     # -- the desk ----------------------------------------------------------------------------------------
 
@@ -55,6 +56,8 @@
         self._check(offer)
         if offer.id in self.journal.entries:
             return Receipt(True)  # also while it is under way: it is one message, however often it comes
+        if self.retiring:
+            return Receipt(False, why="this relay is being taken out of service", retry_s=RETRY_S)
         if len(self.held) >= self.settings.hold:
             return Receipt(False, why="this relay holds as many messages as it may", retry_s=RETRY_S)
         now = unix_ms()
--- /dev/null
+++ b/linnetstile/fleet/instance.py
@@ -0,0 +1,136 @@
+"""An instance with an operator's file: one of a fleet, with a report, logs for machines, and a lifeline."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import time
+from dataclasses import replace
+
+from ..config import Config, ConfigError, load
+from ..core.messages import unix_ms
+from ..logs import Note, structured
+from ..process import Life, Signals
+from . import lifeline, operator, report
+from .notify import Notifier
+from .size import Place
+from .status import LoopLag, StatusError, StatusSocket, folder_of
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 1.0  # how often the shared clock and the fleet's size are looked at
+RETIRED_S = 0.1  # how often one that retires looks whether it holds nothing any more
+
+
+def clock_ms() -> float:
+    """What is to be added to the loop's clock for the one that all machines read."""
+    return unix_ms() - asyncio.get_running_loop().time() * 1000
+
+
+def operated(signals: Signals, notifier: Notifier) -> OperatedLife:
+    """As the environment says. Raises ConfigError, where the operator's file makes no sense too."""
+    try:
+        told = operator.named()
+        assert told is not None
+        number = operator.instance(told)
+        lifeline.hold()
+        if told.log.format != "plain" or told.log != operator.LogPart():
+            structured(told.log.format, told.log.level, told.log.lines)
+    except ImportError as error:
+        raise ConfigError(f"log.format: needs the extra 'ops' ({error})") from error
+    except ValueError as error:
+        raise ConfigError(str(error)) from error
+    config = load()
+    if told.state.own:
+        owned(config)
+    return OperatedLife(config, signals, notifier, told, number)
+
+
+def owned(config: Config) -> None:
+    """Guards a folder against a process that would leave files there which its owner cannot use."""
+    try:
+        uid = config.state.stat().st_uid
+    except OSError:
+        return  # told better when it is opened
+    if uid != os.geteuid():
+        raise ConfigError(
+            f"state: {config.state} belongs to user {uid}, and this process runs as "
+            f"{os.geteuid()}: run it as its owner, or set state.own = false"
+        )
+
+
+class OperatedLife(Life):
+    def __init__(
+        self, config: Config, signals: Signals, notifier: Notifier, told: operator.Operator, number: int
+    ) -> None:
+        self.told, self.number, self.began = told, number, time.time()
+        clock = clock_ms()
+        self.place = Place(number, max(told.fleet.instances, number + 1), clock)
+        super().__init__(
+            replace(config, settings=operator.applied(config.settings, told, number, clock)),
+            signals,
+            notifier,
+        )
+        self.state, self.lag = "starting", LoopLag()
+        folder = folder_of(told.status.folder)
+        self.status = None if folder is None else StatusSocket(folder / f"{number}.sock", self.report)
+
+    def report(self) -> report.Report:
+        return report.of(
+            self.host, self.number, self.state, self.began, self.lag.told(), self.told.status.destinations
+        )
+
+    async def serving(self) -> None:
+        self.state = "serving"
+        if self.status is not None:
+            self.lag.start()
+            try:
+                await self.status.open()
+            except StatusError as error:  # one without a report still serves
+                log.error(Note("no report is given", why=error))
+        self.host.tasks.start(self.look())
+        if self.number >= self.told.fleet.instances:
+            self.retire()
+
+    def ended(self) -> None:
+        self.lag.stop()
+        if self.status is not None:
+            self.status.close()
+
+    async def look(self) -> None:
+        """Follows the shared clock and the fleet's size."""
+        while True:
+            now = self.host.turns.now()
+            fleet = self.place.look(now, clock_ms())
+            if fleet is not None:
+                log.info(Note("the fleet has changed", instances=fleet.size, clock_ms=round(fleet.clock_ms)))
+                self.host.turns.feed(fleet)
+            await asyncio.sleep(LOOK_S)
+
+    def reload(self) -> None:
+        try:
+            told = operator.named()
+        except operator.OperatorError as error:
+            raise ConfigError(str(error)) from error
+        assert told is not None
+        if told.fleet.share_rates != self.told.fleet.share_rates:
+            log.warning(Note("a change of fleet.share_rates waits for a restart"))
+        super().reload()
+        self.told = told
+        logging.getLogger().setLevel(told.log.level.upper())
+        if not self.place.told(self.host.turns.now(), told.fleet.instances, told.fleet.settle_s * 1000):
+            self.retire()
+
+    def retire(self) -> None:
+        """It is not one of the fleet any more: takes nothing new, ends what it holds, and then itself."""
+        if self.state != "retiring":
+            self.state = "retiring"
+            log.info(Note("retiring", held=len(self.host.messages.held)))
+            self.host.retire()
+            self.host.tasks.start(self.retired())
+
+    async def retired(self) -> None:
+        while not self.host.idle:
+            await asyncio.sleep(RETIRED_S)
+        self.signals.stop.set()
--- /dev/null
+++ b/linnetstile/fleet/operator.py
@@ -0,0 +1,192 @@
+"""The operator's file (TOML): all that is not the platform's; without one a relay runs as it does there.
+
+Checked as a whole: each fault is told with its field's path and what would be right, and a name that is not
+known with the nearest one that is. `deploy/relay.toml` shows every field with its default.
+"""
+
+from __future__ import annotations
+
+import difflib
+import os
+import tomllib
+from collections.abc import Iterator, Mapping
+from dataclasses import replace
+from pathlib import Path
+from typing import Annotated, Any, Literal, get_args, get_origin
+
+import msgspec
+from msgspec import Meta
+
+from ..interface import Fleet, Settings
+
+VARIABLE, NUMBER = "RELAY_OPERATOR", "RELAY_INSTANCE"
+INSTANCES = "RELAY_INSTANCES"  # goes before fleet.instances
+RETIRE = "RELAY_RETIRE"  # "1": it is no longer one of the fleet, and ends what an earlier process left
+
+Seconds = Annotated[float, Meta(ge=0.05, le=3600)]
+Count = Annotated[int, Meta(ge=1, le=1000)]
+Lines = Annotated[int, Meta(ge=10, le=1_000_000)]
+
+
+class OperatorError(ValueError):
+    """The operator's file can't be used; each of its lines tells one fault."""
+
+
+class FleetPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Of how many instances this is one, and what they keep together."""
+
+    instances: Count = 1  # all there are, on all machines
+    share_rates: bool = False  # keep each listed rate together, by slots of the shared clock
+    settle_s: Seconds = 20.0  # a larger part of a rate is taken up so long after instances became fewer
+
+
+class LogPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    format: Literal["plain", "json", "console"] = "plain"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    lines: Lines = 2000  # wait at the most for a slow reader; later ones are dropped and counted
+
+
+class StatusPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where `status` asks: a socket with mode 0600 for each instance."""
+
+    folder: str = ""  # empty: $RUNTIME_DIRECTORY; neither: there is no report
+    destinations: Annotated[int, Meta(ge=0, le=10_000)] = 200  # told one by one at the most, busiest first
+
+
+class StatePart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    own: bool = True  # refuse a state folder that belongs to another user
+
+
+class SupervisorPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """For `fleet`: what instance N is given, and how instances are started and ended."""
+
+    config: str = ""  # the platform's part, the same for each: what RELAY_CONFIG names
+    host: str = "127.0.0.1"
+    port: Annotated[int, Meta(ge=1, le=65535)] = 7000  # instance N listens on port + N
+    state: str = "state"  # instance N works in state/N
+    together: Count = 8  # started at once at the most
+    stagger_s: Annotated[float, Meta(ge=0, le=60)] = 0.05  # between one start and the next
+    ready_s: Seconds = 30.0  # one that is not ready by then is ended and started anew
+    stop_s: Seconds = 10.0  # one that has not ended so long after SIGTERM is killed
+    watchdog_s: Annotated[float, Meta(ge=0, le=3600)] = (
+        10.0  # one whose loop is silent so long is killed; 0: none
+    )
+    first_wait_s: Seconds = 0.5  # before one that crashed is started again; doubles, with jitter
+    most_wait_s: Seconds = 30.0
+    loop_crashes: Annotated[int, Meta(ge=2, le=100)] = 5  # so many crashes
+    loop_s: Seconds = 120.0  # within so long are a crash loop, which is reported
+
+    def __post_init__(self) -> None:
+        if self.most_wait_s < self.first_wait_s:
+            raise ValueError(
+                f"most_wait_s: {self.most_wait_s:g} must be first_wait_s ({self.first_wait_s:g}) or more"
+            )
+
+
+class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    fleet: FleetPart = FleetPart()
+    log: LogPart = LogPart()
+    status: StatusPart = StatusPart()
+    state: StatePart = StatePart()
+    supervisor: SupervisorPart = SupervisorPart()
+
+    def __post_init__(self) -> None:
+        last = self.supervisor.port + self.fleet.instances - 1
+        if last > 65535:
+            raise ValueError(
+                f"supervisor.port: with {self.fleet.instances} instances the last would listen on "
+                f"{last}: {65536 - self.fleet.instances} at most"
+            )
+
+
+def read(path: Path, env: Mapping[str, str] = os.environ) -> Operator:
+    """Raises OperatorError with all faults of the file, a line each."""
+    try:
+        raw = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise OperatorError(f"{path}: {error.strerror}") from error
+    except ValueError as error:  # not TOML, or not text
+        raise OperatorError(f"{path}: {error}") from error
+    told = env.get(INSTANCES, "")
+    if told:
+        if not told.isdecimal() or not isinstance(raw.get("fleet", {}), dict):
+            raise OperatorError(f"{INSTANCES}: {told!r} must be a number of instances")
+        raw.setdefault("fleet", {})["instances"] = int(told)
+    return decoded(raw, str(path))
+
+
+def decoded(raw: Mapping[str, Any], where: str) -> Operator:
+    found = list(faults(raw, Operator, ""))
+    if found:
+        raise OperatorError("\n".join(f"{where}: {fault}" for fault in found))
+    return msgspec.convert(raw, Operator)
+
+
+def faults(raw: object, shape: type[msgspec.Struct], path: str) -> Iterator[str]:
+    """Every fault of a table, with the path of its field."""
+    if not isinstance(raw, Mapping):
+        yield f"{path}: must be a table"
+        return
+    known = {field.encode_name: field.type for field in msgspec.structs.fields(shape)}
+    clean = True
+    for name, value in raw.items():
+        where = f"{path}.{name}" if path else str(name)
+        for fault in _field(name, value, known, where):
+            clean = False
+            yield fault
+    if clean:
+        try:
+            msgspec.convert(raw, shape)
+        except msgspec.ValidationError as error:
+            yield f"{path}.{_said(error)}" if path else _said(error)
+
+
+def _field(name: str, value: object, known: Mapping[str, Any], where: str) -> Iterator[str]:
+    if name not in known:
+        near = difflib.get_close_matches(name, known, 1, 0.5)
+        yield f"{where}: is not known; " + (
+            f"{near[0]!r} is the nearest name" if near else f"known are {', '.join(known)}"
+        )
+    elif isinstance(known[name], type) and issubclass(known[name], msgspec.Struct):
+        yield from faults(value, known[name], where)
+    else:
+        try:
+            msgspec.convert(value, known[name])
+        except msgspec.ValidationError as error:
+            choices = get_args(known[name]) if get_origin(known[name]) is Literal else ()
+            right = f"one of {', '.join(choices)} is needed" if choices else _said(error)
+            yield f"{where}: {value!r}: {right}"
+
+
+def _said(error: Exception) -> str:
+    return str(error).partition(" - at `")[0]
+
+
+def named(env: Mapping[str, str] = os.environ) -> Operator | None:
+    """What the environment names; None: there is no such file, as on the platform. Raises OperatorError."""
+    path = env.get(VARIABLE, "")
+    return read(Path(path), env) if path else None
+
+
+def instance(operator: Operator, env: Mapping[str, str] = os.environ) -> int:
+    """Which one this is; raises OperatorError unless it is one of the fleet, or retires from it."""
+    size = operator.fleet.instances
+    text = env.get(NUMBER, "")
+    if not text and size == 1:
+        return 0
+    if not text.isdecimal() or len(text) > 4:
+        raise OperatorError(f"{NUMBER}: {text!r} must be a number from 0 to {size - 1}")
+    if int(text) >= size and env.get(RETIRE) != "1":
+        raise OperatorError(
+            f"{NUMBER}: {int(text)} is not among fleet.instances = {size}: 0 to {size - 1} are"
+        )
+    return int(text)
+
+
+def applied(settings: Settings, operator: Operator, number: int, clock_ms: float) -> Settings:
+    """The platform's settings with what the operator's file says of the fleet."""
+    size = max(
+        operator.fleet.instances, number + 1
+    )  # one that retires takes a part as if it were still there
+    fleet = Fleet(number, size, clock_ms) if operator.fleet.share_rates else None
+    return replace(settings, relays=size, fleet=fleet)
--- /dev/null
+++ b/linnetstile/fleet/report.py
@@ -0,0 +1,157 @@
+"""What an instance and a supervisor tell of themselves: `status` shows it. Read from the parts; changes
+nothing."""
+
+from __future__ import annotations
+
+import heapq
+import os
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from ..core.host import Host
+from ..state import Lane
+
+VERSION = 1
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+class Destination(msgspec.Struct, frozen=True):
+    """One lane: a destination, or one route of it where routes are apart."""
+
+    destination: int
+    route: int | None
+    endpoints: int  # that take calls
+    held: int  # messages that wait for the destination
+    out: int  # calls out
+    pace: float  # calls a second that this instance allows itself
+    part: float | None  # of its slots, where a rate is kept together
+    blame: float  # 0 to 1
+    down: bool  # taken as out
+    wait_ms: float  # told, and still to be waited
+    cold_ms: float | None  # since it came back, while it is cold
+    latency_ms: float
+
+
+class Lag(msgspec.Struct, frozen=True):
+    """How late the loop came to a timer, over the last seconds (fleet/status.py), in ms."""
+
+    median_ms: float = 0.0
+    p99_ms: float = 0.0
+    most_ms: float = 0.0
+
+
+class Report(msgspec.Struct, frozen=True):
+    name: str
+    instance: int
+    instances: int
+    pid: int
+    state: str  # starting, serving, retiring or stopping
+    at_ms: float  # Unix time of this report
+    up_s: float
+    held: int
+    hold: int  # the most
+    by_class: dict[str, int]
+    slots_out: int
+    slots: int
+    ends_waiting: int  # final answers that are still to be passed on
+    reading: int  # connections of clients
+    journal_bytes: int
+    journal_live: int  # of them, what a compaction would keep
+    journal_limit: int
+    rss_mb: float
+    cpu_s: float
+    lag: Lag
+    destinations: list[Destination]
+    more: int  # destinations that are not told
+    kind: str = "instance"
+    version: int = VERSION
+
+
+class InstanceLine(msgspec.Struct, frozen=True):
+    """One instance as its supervisor sees it."""
+
+    instance: int
+    state: str
+    pid: int | None
+    for_s: float  # in this state
+    crashes: int  # within supervisor.loop_s
+    crash_loop: bool
+    restarts: int
+    why: str
+
+
+class FleetReport(msgspec.Struct, frozen=True):
+    pid: int
+    at_ms: float
+    instances: int  # wanted
+    up: int
+    stopping: bool
+    rolling: int  # instances that the rolling restart has still to do
+    lines: list[InstanceLine]
+    kind: str = "fleet"
+    version: int = VERSION
+
+
+def rss_mb() -> float:
+    """Resident memory of this process (proc(5), statm)."""
+    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE / 1e6
+
+
+def of(host: Host, number: int, state: str, began: float, lag: Lag, most: int) -> Report:
+    """`began`: Unix time in s; `most` destinations are told one by one."""
+    now, messages, settings = host.turns.now(), host.messages, host.relay.s
+    counts = Counter(held.entry.class_ for held in messages.held.values())
+    lanes = [(dest, key, lane) for dest, routes in host.relay.lanes.items() for key, lane in routes.items()]
+    waiting = _waiting(host)
+    told = heapq.nlargest(most, lanes, key=lambda item: (waiting(item[0]), len(item[2].out), item[2].blame))
+    return Report(
+        name=host.config.name,
+        instance=number,
+        instances=settings.relays,
+        pid=os.getpid(),
+        state=state,
+        at_ms=time.time() * 1000,
+        up_s=time.time() - began,
+        held=len(messages.held),
+        hold=settings.hold,
+        by_class={cls.name: counts[cls.name] for cls in settings.classes},
+        slots_out=host.relay.busy,
+        slots=settings.slots,
+        ends_waiting=host.unsettled,
+        reading=host.reading,
+        journal_bytes=host.journal.size,
+        journal_live=host.journal.live,
+        journal_limit=host.journal.budget,
+        rss_mb=rss_mb(),
+        cpu_s=time.process_time(),
+        lag=lag,
+        destinations=[_destination(host, dest, key, lane, waiting(dest), now) for dest, key, lane in told],
+        more=len(lanes) - len(told),
+    )
+
+
+def _waiting(host: Host) -> Callable[[int], int]:
+    queues = host.relay.board.queues
+    return lambda dest: len(queues[dest]) if dest in queues else 0
+
+
+def _destination(host: Host, dest: int, key: int, lane: Lane, held: int, now: float) -> Destination:
+    cold = now - lane.cold_since
+    return Destination(
+        destination=dest,
+        route=None if key == -1 else key,
+        endpoints=len(lane.doors),
+        held=held,
+        out=len(lane.out),
+        pace=round(lane.pace, 3),
+        part=None if lane.share is None else round(lane.share.part(now), 3),
+        blame=round(lane.blame, 3),
+        down=lane.sick,
+        wait_ms=round(max(0.0, lane.wait_until - now)),
+        cold_ms=round(cold) if cold < host.relay.s.safety.cold_ms else None,
+        latency_ms=round(lane.mean, 1),
+    )
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -141,7 +141,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Fleet:
-    """Which of how many instances this is, where each partner's agreed rate is to be kept by all together."""
+    """Which of how many instances this is, where each partner's agreed rate is to be kept by all together. As
+    an event: from now on."""
 
     number: int  # from 0
     size: int
@@ -278,7 +279,7 @@
             _need(value is None or value >= 0, f"learned.{field}", "must not be negative")
 
 
-Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Closing, Learned]
+Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Closing, Learned, Fleet]
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/share.py
+++ b/linnetstile/share.py
@@ -22,6 +22,7 @@
 SILENCE_MS = 4000.0  # no answer for so long: the partner may have been out (outages seen last longer),
 SILENT_TURNS = 2.5  # unless fewer turns than this of its own have passed
 WARMING = 1.1  # of what a warming partner can do: instances that learn late leave as much of it unused
+EDGE = 1e-6  # of a frame: rounding does not cost a slot
 MIDDLE = 0.5  # of the time between a failure and the first answer: the partner came back at some moment in it
 SEARCH = 64  # slots ahead in which an open one is sought: one in six is open at the least usual part
 GOLDEN = (math.sqrt(5) - 1) / 2
@@ -33,19 +34,28 @@
     def __init__(self, fleet: Fleet, rate: float, safety: Safety) -> None:
         """`rate`: calls a second of all instances together."""
         self.fleet, self.cold, self.cold_ms = fleet, max(safety.cold_share, 0.01), safety.cold_ms
-        self.frame_ms = 1000 * fleet.size / (rate * GUARD)
-        self.late_ms = min(LATE_MS, self.frame_ms / 2)
+        self.sent_at = NEVER  # when the latest slot began in which it sent
+        self.rated(rate)
         self.since: float | None = None  # when the evidence began that it still has
         self.failed_at = NEVER  # the latest failure
         self.good_until = NEVER  # how long the latest answer says something
-        self.used = -1  # the latest frame in which it sent
-        self.found = 0  # the frame that `next_at` told last
-        self.turn = spread(fleet.number, fleet.size)
+        self.found, self.begins = 0, NEVER  # the frame that `next_at` told last, and when its slot begins
 
     def rated(self, rate: float) -> None:
-        """Another rate was agreed."""
-        self.frame_ms = 1000 * self.fleet.size / (rate * GUARD)
-        self.late_ms, self.used = min(LATE_MS, self.frame_ms / 2), -1
+        """Another rate was agreed. The slots lie elsewhere then, so that one may begin right after the last
+        one used: a whole frame lies between them all the same."""
+        self.rate, self.frame_ms = rate, 1000 * self.fleet.size / (rate * GUARD)
+        self.late_ms = min(LATE_MS, self.frame_ms / 2)
+        self.used = -1  # the latest frame in which it may not send any more
+        if self.sent_at > NEVER:
+            place = (self.sent_at + self.fleet.clock_ms - self._offset()) / self.frame_ms
+            self.used = math.ceil(place - EDGE)
+        self.turn = spread(self.fleet.number, self.fleet.size)
+
+    def resized(self, fleet: Fleet) -> None:
+        """Another number of instances, or another reading of the shared clock."""
+        self.fleet = fleet
+        self.rated(self.rate)
 
     def answered(self, now: float) -> None:
         if self.since is None or now > self.good_until:
@@ -75,14 +85,14 @@
         begun = math.floor((now + self.fleet.clock_ms - self.late_ms - self._offset()) / self.frame_ms)
         first = max(begun, self.used) + 1
         for self.found in range(first, first + SEARCH):
-            begins = self.found * self.frame_ms + self._offset() - self.fleet.clock_ms
-            if self._open(self.found, self.part(max(now, begins))):
+            self.begins = self.found * self.frame_ms + self._offset() - self.fleet.clock_ms
+            if self._open(self.found, self.part(max(now, self.begins))):
                 break
-        return max(now, begins)
+        return max(now, self.begins)
 
     def sent(self) -> None:
         """The slot that was told last is used."""
-        self.used = self.found
+        self.used, self.sent_at = self.found, self.begins
 
     def _offset(self) -> float:
         return self.fleet.number * self.frame_ms / self.fleet.size
--- a/standins/agent.py
+++ b/standins/agent.py
@@ -1,22 +1,24 @@
 """The platform's agent: one list of endpoints that does not change, and notices, counted.
 
-    python -m standins.agent --listen 127.0.0.1:0 --list FILE
+    python -m standins.agent --listen 127.0.0.1:0 --list FILE [--ledger FILE]
 
-FILE holds the list in discovery's form. A watch is held for as long as it asks to be; notices get 204.
-"""
+FILE holds the list in discovery's form. A watch is held for as long as it asks to be; notices get 204, and a
+line each in the ledger, as they came. """
 
 from __future__ import annotations
 
 import asyncio
 import json
 from pathlib import Path
+from typing import TextIO
 from urllib.parse import parse_qs, urlsplit
 
 from .serving import address, arguments, serve
 
 
 class Agent:
-    def __init__(self, listing: bytes) -> None:
+    def __init__(self, listing: bytes, ledger: TextIO | None = None) -> None:
+        self.ledger = ledger
         self.listing, self.generation = listing, int(json.loads(listing)["generation"])
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -26,17 +28,20 @@
                 method, target, _ = lines[0].split(" ", 2)
                 length = next((int(line.partition(":")[2]) for line in lines
                                if line.lower().startswith("content-length:")), 0)
-                await reader.readexactly(length)
-                status, body = await self.answer(method, target)
+                told = await reader.readexactly(length)
+                status, body = await self.answer(method, target, told)
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
 
-    async def answer(self, method: str, target: str) -> tuple[int, bytes]:
+    async def answer(self, method: str, target: str, told: bytes) -> tuple[int, bytes]:
         url = urlsplit(target)
         if method == "POST":
+            if self.ledger is not None:
+                self.ledger.write(told.decode().rstrip("\n") + "\n")
+                self.ledger.flush()
             return 204, b""
         query = parse_qs(url.query)
         if query.get("from", [""])[0] != str(self.generation):
@@ -48,8 +53,9 @@
 def main() -> None:
     parser = arguments("agent")
     parser.add_argument("--list", type=Path, required=True)
+    parser.add_argument("--ledger", type=lambda path: open(path, "a"))  # noqa: SIM115  it stays open
     args = parser.parse_args()
-    agent = Agent(args.list.read_bytes())
+    agent = Agent(args.list.read_bytes(), args.ledger)
     serve(lambda: asyncio.start_server(agent.serve, *address(args.listen)))
 
 
