--- a/linnetstile/fleet/plan.py
+++ b/linnetstile/fleet/plan.py
@@ -55,6 +55,7 @@
     retiring: bool = False  # it leaves the fleet by itself once it holds nothing
     crashes: deque[float] = field(default_factory=lambda: deque(maxlen=100))
     restarts: int = 0
+    start_s: float = 0.0  # the latest start took, until it was ready
     why: str = ""  # it is not up
 
     def to(self, state: State, now: float, why: str = "") -> None:
@@ -86,6 +87,7 @@
         one.reloading = False
         one.heard = now
         if one.state is State.STARTING:
+            one.start_s = now - one.since
             one.to(State.UP, now)
             if one.outdated:
                 self._reload(n)
--- a/linnetstile/fleet/report.py
+++ b/linnetstile/fleet/report.py
@@ -81,6 +81,7 @@
     crashes: int  # within supervisor.loop_s
     crash_loop: bool
     restarts: int
+    start_s: float  # from its latest start until it was ready; 0: it was not yet
     why: str
 
 
--- a/linnetstile/fleet/supervisor.py
+++ b/linnetstile/fleet/supervisor.py
@@ -290,7 +290,7 @@
                     for_s=round(now - one.since, 1),
                     crashes=sum(now - at <= self.plan.part.loop_s for at in one.crashes),
                     crash_loop=self.plan.loops(n, now),
-                    restarts=one.restarts,
+                    restarts=one.restarts, start_s=round(one.start_s, 3),
                     why=one.why or self.children[n].said.get("STATUS", ""),
                 )
             )
--- a/standins/partner.py
+++ b/standins/partner.py
@@ -16,7 +16,9 @@
 import asyncio
 import random
 import re
+import signal
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import TextIO
 
@@ -107,19 +109,27 @@
 class Outages:
     """Takes the listener away for as long as the partner is down."""
 
-    def __init__(self, partner: Partner, listen: tuple[str, int]) -> None:
-        self.partner, self.listen = partner, listen
+    def __init__(self, partner: Partner, listen: tuple[str, int], armed: bool) -> None:
+        self.partner, self.listen, self.armed = partner, listen, armed
         self.work: asyncio.Task[None] | None = None
 
     async def start(self) -> asyncio.Server:
         server = await self._server()
         if self.partner.agreed is not None and self.partner.agreed.downs:
             self.listen = server.sockets[0].getsockname()[:2]
-            zero = time.time() * 1000  # outages are told from now on
-            self.partner.agreed.downs = [(zero + a, zero + b) for a, b in self.partner.agreed.downs]
-            self.work = asyncio.ensure_future(self._run(server))
+            downs, self.partner.agreed.downs = self.partner.agreed.downs, ()
+            if self.armed:
+                asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, self._begin, downs, server)
+            else:
+                self._begin(downs, server)
         return server
 
+    def _begin(self, downs: Sequence[tuple[float, float]], server: asyncio.Server) -> None:
+        assert self.partner.agreed is not None
+        zero = time.time() * 1000
+        self.partner.agreed.downs = [(zero + begin, zero + end) for begin, end in downs]
+        self.work = asyncio.ensure_future(self._run(server))
+
     async def _server(self) -> asyncio.Server:
         return await asyncio.get_running_loop().create_server(lambda: Connection(self.partner), *self.listen,
                                                               backlog=1024)
@@ -145,6 +155,7 @@
     parser.add_argument("--calls", type=lambda path: open(path, "a"))  # noqa: SIM115
     parser.add_argument("--rate", type=float, help="calls a second")
     parser.add_argument("--down", type=spans, default=[], metavar="FROM:LENGTH,...")
+    parser.add_argument("--armed", action="store_true", help="outages count from SIGUSR1, not from the start")
     parser.add_argument("--cold", type=float, default=0.18, help="share of the rate right after an outage")
     parser.add_argument("--warm-s", type=float, default=11.0, help="from then until it can do all of it")
     args = parser.parse_args()
@@ -153,7 +164,7 @@
     agreed = None if args.rate is None else Agreed(args.rate, args.down, args.cold, args.warm_s * 1000)
     partner = Partner(args.answer_ms / 1000, args.refuse, args.error, args.hang, random.Random(args.seed),
                       args.ledger, agreed=agreed, log=args.calls)
-    serve(Outages(partner, address(args.listen)).start)
+    serve(Outages(partner, address(args.listen), args.armed).start)
 
 
 if __name__ == "__main__":
