--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -2,7 +2,7 @@
 
     python -m benchmarks.processes [--json] [--instances 40] [--rate 60] [--modes shared,alone] [--rolls 1]
 
-The supervisor (`python -m linnetstile fleet`), the partner (standins.partner) and the register (standins.agent)
+The supervisor (`linnetstile fleet`), the partner (standins.partner) and the register (standins.agent)
 are processes of their own. Clients hand in at 80% of the rate, open loop, evenly over the instances. The
 partner is down for 12 s, comes back at 18% of its rate and is warm 11 s later; then all instances are
 restarted one by one, with traffic going on. `shared`: listed rates are kept together; `alone`: they are not.
@@ -239,9 +239,9 @@
         return found
 
     def broken(self, taken: dict[str, str]) -> list[str]:
-        """Messages that were taken and have not exactly one end, or took effect twice. One that failed may have
-        taken effect: that promises nothing. One that is returned may have, where its class makes it harmless
-        to hand it in again."""
+        """Messages that were taken and have not exactly one end, or took effect twice. One that failed may
+        have taken effect: that promises nothing. One that is returned may have, where its class makes that
+        harmless."""
         effects, ends = self.effects(), self.ends()
         bad = [f"{ident}: took effect {count} times" for ident, count in effects.items() if count > 1]
         bad += [f"{ident}: told {sorted(states)}" for ident, states in ends.items() if len(states) > 1]
--- a/linnetstile/fleet/plan.py
+++ b/linnetstile/fleet/plan.py
@@ -100,6 +100,7 @@
     def exited(self, n: int, now: float, code: int) -> None:
         """Its process has ended and is reaped."""
         one = self.all[n]
+        self.steps = [step for step in self.steps if step[1] != n]  # they were meant for that process
         if self.stopping or n >= self.count and code in (0, BAD_CONFIG):
             one.to(State.GONE, now, f"ended with {code}")
             return
@@ -158,6 +159,8 @@
             one.outdated = one.state is State.STARTING
         for n in range(count):
             self.all.setdefault(n, Instance(since=now, at=now))
+        if self.rolling and self.rolling[0] >= count:
+            self.rolled_at = None  # the one in work leaves
         self.rolling = deque(n for n in self.rolling if n < count)
 
     def _reload(self, n: int) -> None:
@@ -206,7 +209,7 @@
     def _overdue(self, now: float) -> None:
         part = self.part
         for n, one in self.all.items():
-            if one.retiring and one.state is State.UP and now >= one.retire_by:
+            if one.retiring and one.state is State.UP and now >= one.retire_by and not one.killed:
                 self._note("a retiring instance still holds messages: they stay in its journal", instance=n)
                 self._term(n, now)
             if one.killed:
@@ -233,7 +236,7 @@
             return
         n = self.rolling[0]
         one = self.all[n]
-        if one.state is State.UP:
+        if one.state is State.UP and not one.killed:
             if all(other.state is not State.ENDING for other in self.all.values()):
                 self.rolled_at = now
                 one.restarts += 1
--- a/tests/test_share.py
+++ b/tests/test_share.py
@@ -156,3 +156,52 @@
     assert fleet["over 1 s"] <= 1.0 and fleet["over cold"] <= 1.3 and fleet["refused"] == 0
     assert fleet["tries"] < 0.7 * alone["tries"] and fleet["delivered"] > 0.6
     assert alone["over 1 s"] > 1.0  # or the world would ask for nothing
+
+
+@settings(max_examples=40)
+@given(st.integers(0, 2**32), st.integers(2, 30), st.integers(10, 120))
+def test_the_rate_holds_while_instances_become_more_or_fewer_at_different_moments(
+    seed: int, size: int, rate: int
+) -> None:
+    """Each hears of it at another moment: a smaller part at once, a larger one when others have left."""
+    rng = random.Random(seed)
+    other = rng.randint(1, 40)
+    sent: list[float] = []
+    for number in range(max(size, other)):
+        clock = rng.uniform(-1e7, 1e7)
+        heard = 1e6 + rng.uniform(3000.0, 5000.0)
+        if other < size:
+            heard = 1e6 + 6000.0 if number < other else 1e6 + 5000.0
+        begin, end = 1e6, 1e6 + 9000.0
+        if number >= size:
+            begin = 1e6 + 5000.0  # a newcomer starts when all have heard
+        if number < size:
+            one = share(number, size, rate, clock, cold=1.0)
+            sent += sends(one, begin - clock, min(heard, end) - clock, rng)
+            if number >= other:
+                continue  # it has left
+            one.resized(api.Fleet(number, other, clock))
+        else:
+            one, heard = share(number, other, rate, clock, cold=1.0), begin
+        sent += sends(one, heard - clock, end - clock, rng)
+    assert most(sent, 999.9) <= max(rate, 1) + 1  # one window may hold both an old slot and a new one
+
+
+def test_a_clock_that_is_set_costs_no_second_call_in_a_frame() -> None:
+    one = share(5, 40, 60.0, cold=1.0)
+    sent = sends(one, 0.0, 5000.0)
+    one.resized(api.Fleet(5, 40, -150.0))
+    later = sends(one, 5000.0, 9000.0)
+    assert later[0] + 150.0 - sent[-1] >= one.frame_ms - 0.01
+
+
+def test_the_relay_follows_another_size() -> None:
+    relay = Relay(make_settings(fleet=api.Fleet(2, 10), safety=SAFETY), 1)
+    entry = api.Endpoint(1, 1, api.Listing.READY, rate=50.0)
+    relay.handle(0.0, [api.EndpointList(api.ListKind.WHOLE, (entry,))])
+    relay.handle(5.0, [api.Fleet(2, 20)])
+    lane = relay.lanes[1][-1]
+    assert relay.s.relays == 20 and lane.share is not None and lane.share.fleet.size == 20
+    alone = Relay(make_settings(), 1)
+    alone.handle(5.0, [api.Fleet(2, 20)])
+    assert alone.s.relays == 20 and alone.s.fleet is None
