--- a/linnetstile/assembly.py
+++ b/linnetstile/assembly.py
@@ -14,6 +14,7 @@
 from .http import front
 from .http.calls import Calls
 from .http.register import Register
+from .logs import Note
 
 log = logging.getLogger(__name__)
 
@@ -48,5 +49,5 @@
         try:
             known = register.known(config.known)
         except ValueError as error:
-            log.warning("the known list of endpoints is passed over: %s", error)
+            log.warning(Note("the known list of endpoints is passed over", why=error))
     return Assembly(host, http, calls, register, known)
--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -8,6 +8,7 @@
 from .. import interface as api
 from ..config import Config
 from ..control import Relay
+from ..logs import Note
 from ..store.journal import Journal
 from ..store.learned import FILE_BYTES, LearnedFile
 from ..store.lock import FolderLock
@@ -95,8 +96,7 @@
             await asyncio.sleep(LOOK_S)
         while self.unsettled and loop.time() < begun + GONE_S:
             await asyncio.sleep(LOOK_S)
-        log.info("%d messages and %d answers are left to the journal", len(self.messages.held),
-                 self.unsettled)
+        log.info(Note("what is left to the journal", messages=len(self.messages.held), ends=self.unsettled))
         await self.close()
 
     def retire(self) -> None:
@@ -162,16 +162,16 @@
             case api.WatchList():
                 pass  # the sources are always watched
             case api.Log(text):
-                log.info("module: %s", text)
+                log.info(Note("decisions", say=text))
             case _:
-                log.error("the module wants %r, which this relay cannot do", action)
+                log.error(Note("the decisions want what this relay cannot do", action=repr(action)))
 
     def _pass_on(self, origin: str, end: End) -> None:
         intake = self.intakes.get(origin)
         if intake is not None:
             intake.end(end)
         else:  # it stays in the journal, and is passed on once that front is back
-            log.error("message %s came by %r, which is not set up: its end waits", end.id, origin)
+            log.error(Note("an end waits for a front that is not set up", id=end.id, front=origin))
 
     def listed(self, update: Update) -> None:
         """A source has told something."""
--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from .. import interface as api
+from ..logs import Note
 from ..store.journal import Entry, Journal, JournalError
 from .seams import End, Malformed, Offer, Receipt
 
@@ -66,7 +67,7 @@
         try:
             self.journal.take(entry)
         except JournalError as error:
-            log.warning("refused a message: %s", error)
+            log.warning(Note("a message is refused", id=offer.id, why=error))
             return Receipt(False, why=str(error), retry_s=RETRY_S)
         self._hold(entry, float(offer.left_ms))
         return Receipt(True, new=True)
@@ -158,7 +159,7 @@
             write()
             return True
         except JournalError as error:
-            log.error("%s", error)
+            log.error(Note("a record is not written", why=error))
             return False
 
     # -- destinations ------------------------------------------------------------------------------------
--- a/linnetstile/fleet/notify.py
+++ b/linnetstile/fleet/notify.py
@@ -17,6 +17,8 @@
 from collections.abc import MutableMapping
 from dataclasses import dataclass, field
 
+from ..logs import Note
+
 log = logging.getLogger(__name__)
 
 STATUS_BYTES = 500  # of a status line, at most
@@ -105,5 +107,5 @@
             if "retry" not in self.timers:
                 self.timers["retry"] = asyncio.get_running_loop().call_later(RETRY_S, self._retry)
         except OSError as error:
-            log.warning("the service manager at %s does not listen: %s", self.address, error)
+            log.warning(Note("the service manager does not listen", at=self.address, why=error))
             self.waiting.clear()
--- a/linnetstile/http/notices.py
+++ b/linnetstile/http/notices.py
@@ -9,6 +9,8 @@
 
 from .agent import Agent, AgentError, Backoff
 
+from ..logs import Note
+
 log = logging.getLogger(__name__)
 
 BATCH = 200  # lines in one request
@@ -47,7 +49,7 @@
                     await self._send(list(self.waiting)[: self.batch])
                     backoff.reset()
                 except AgentError as error:
-                    log.warning("notices: %s", error)
+                    log.warning(Note("notices failed", waiting=len(self.waiting), why=error))
                     await backoff.pause()
                 except Exception:
                     log.exception("notices: a batch could not be sent")
--- a/linnetstile/http/register.py
+++ b/linnetstile/http/register.py
@@ -9,6 +9,7 @@
 from ..config import Address, Config, address
 from ..core.seams import Member, Told, Update
 from ..interface import Listing
+from ..logs import Note
 from .agent import Agent, AgentError, Backoff
 
 log = logging.getLogger(__name__)
@@ -33,7 +34,7 @@
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
             # Guards the others against one entry that cannot be read: where its endpoint is known already,
             # that stands, but for what it says of its life.
-            log.warning("discovery: an entry is passed over: %r", error)
+            log.warning(Note("discovery: an entry is passed over", why=repr(error)))
             if isinstance(item, dict) and "instanceId" in item:
                 listing = LISTINGS.get(str(item.get("lifecycle")), Listing.DRAINING)
                 lives.append((str(item["instanceId"]), listing))
@@ -79,7 +80,7 @@
                 self.version = version
                 backoff.reset()  # and at once again: a late call would begin a new watch
             except (AgentError, ValueError) as error:
-                log.warning("discovery: %s", error)
+                log.warning(Note("discovery failed", why=error))
                 self.agent.close()
                 await backoff.pause()
             except Exception:
--- a/linnetstile/store/journal.py
+++ b/linnetstile/store/journal.py
@@ -15,6 +15,8 @@
 from pathlib import Path
 from typing import Any
 
+from ..logs import Note
+
 log = logging.getLogger(__name__)
 
 BLOCK = 512  # each file counts in whole blocks
@@ -216,7 +218,7 @@
             data += chunk
         whole = data.rfind(b"\n") + 1
         if whole < len(data):
-            log.warning("journal: a torn record of %d bytes at its end is dropped", len(data) - whole)
+            log.warning(Note("journal: a torn record at its end is dropped", bytes=len(data) - whole))
             os.ftruncate(self.file, whole)
         self.size = whole
         for number, line in enumerate(data[:whole].splitlines(), 1):
@@ -224,7 +226,7 @@
                 self._apply(decode(line))
             except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
                 # Reported and passed over: stopping here would end every later start as well.
-                log.error("journal: record %d cannot be used: %r", number, error)
+                log.error(Note("journal: a record cannot be used", number=number, why=repr(error)))
         for entry in self.entries.values():
             if entry.out is not None:  # its outcome died with the process: it may have run
                 entry.risk, entry.out = entry.risk or entry.out, None
@@ -257,7 +259,7 @@
         """Old and new lie side by side until the rename; a kill at any point leaves one of them whole."""
         lines = b"".join(encode(snapshot(entry)) for entry in self.entries.values())
         if self._blocks(self.size) + self._blocks(len(lines)) > self.budget:
-            log.error("journal: no room to compact %d bytes to %d", self.size, len(lines))
+            log.error(Note("journal: no room to compact", size=self.size, live=len(lines)))
             return
         try:
             new = os.open(self.spare, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
@@ -270,7 +272,7 @@
                 self.spare.unlink(missing_ok=True)
                 raise
         except OSError as error:
-            log.error("journal: cannot compact: %s", error)
+            log.error(Note("journal: cannot compact", why=error))
             return
         os.close(self.file)
         self.file, self.size = new, len(lines)
--- a/linnetstile/store/learned.py
+++ b/linnetstile/store/learned.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from ..interface import Learned
+from ..logs import Note
 
 log = logging.getLogger(__name__)
 
@@ -52,7 +53,7 @@
         except FileNotFoundError:
             return []
         except (OSError, ValueError) as error:  # msgspec's own errors are ValueErrors
-            log.warning("%s: passed over: %s", self.path, error)
+            log.warning(Note("what was learned is passed over", path=self.path, why=error))
             return []
         return lanes if age < OLD_MS else [replace(lane, out=False, bad_ms=None, cold_ms=None)
                                            for lane in lanes if lane.wait_ms > 0]
@@ -73,11 +74,11 @@
         for item in items:
             size += len(item) + 1
             if size > FILE_BYTES:
-                log.warning("%s: %d of %d lanes have no room", self.path, len(items) - len(kept), len(items))
+                log.warning(Note("lanes have no room", path=self.path, left_out=len(items) - len(kept)))
                 break
             kept.append(item)
         try:
             self.spare.write_bytes(head + b",".join(kept) + b"]}")
             os.replace(self.spare, self.path)
         except OSError as error:
-            log.warning("%s: cannot be written: %s", self.path, error)
+            log.warning(Note("what was learned cannot be written", path=self.path, why=error))
--- a/linnetstile/store/lock.py
+++ b/linnetstile/store/lock.py
@@ -8,6 +8,8 @@
 import os
 from pathlib import Path
 
+from ..logs import Note
+
 log = logging.getLogger(__name__)
 
 
@@ -29,7 +31,8 @@
                 self.release()
                 raise FolderBusy(f"{folder}: another process works in it; end that one first, "
                                  "or name another folder") from error
-            log.warning("%s: cannot be locked (%s): see to it that one process works in it", folder, error)
+            log.warning(Note("a folder cannot be locked: see to it that one process works in it",
+                             folder=folder, why=error))
 
     def release(self) -> None:
         """May be called more than once."""
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -115,6 +115,24 @@
     run(work())
 
 
+def test_the_watchdog_is_told_also_while_the_journal_is_compacted(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with world(tmp_path, watchdog_s=1.0) as w:
+            await w.serve()
+            journal, largest = tmp_path / "state" / "journal", 0
+            async with Client(w.manager.port) as client:
+                for n in range(400):
+                    status = await client.ask(message(f"m{n}", body=b"x" * 4000))
+                    assert status in (202, 503)
+                    largest = max(largest, journal.stat().st_size)
+            await until(lambda: journal.stat().st_size < largest // 2)
+            await asyncio.sleep(1.0)
+            gaps = [b - a for a, b in zip(w.manager.beats, w.manager.beats[1:], strict=False)]
+            assert largest > 256 * 1024 and len(gaps) >= 3 and max(gaps) < 1.0
+            assert await w.manager.end() == 0
+    run(work())
+
+
 def test_a_manager_that_does_not_listen_holds_up_nothing(tmp_path: Path) -> None:
     async def work() -> None:
         async with world(tmp_path, watchdog_s=0.2) as w:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -54,7 +54,7 @@
         caplog.clear()
         journal = Journal(tmp_path, DISK)
         assert "m0" in journal.entries and journal.entries["m2"].end == "failed"
-        assert "record 2" in caplog.text
+        assert "a record cannot be used number=2" in caplog.text
         journal.close()
 
 
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,14 +1,14 @@
-"""The README's example runs as it is printed."""
+"""The example for those who embed the decisions runs as it is printed."""
 
 import pathlib
 import subprocess
 import sys
 
-README = pathlib.Path(__file__).parent.parent / "README.md"
+ROOT = pathlib.Path(__file__).parent.parent
 
 
 def test_the_embedding_example_runs() -> None:
-    code = README.read_text().split("```python\n")[1].split("```")[0]
+    code = (ROOT / "docs" / "embedding.md").read_text().split("```python\n")[1].split("```")[0]
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60,
-                          cwd=README.parent)
+                          cwd=ROOT)
     assert done.stderr == "" and done.stdout == "1 7\n"
