--- /dev/null
+++ b/benchmarks/store.py
@@ -0,0 +1,153 @@
+"""The journal in segments beside the one file that it replaced, on the real mix, in the same run.
+
+    python -m benchmarks.store [--json] [--messages 20000] [--rounds 3] [--old DIR]
+
+The mix: bodies of 200 bytes to 60 KB (log-normal, median 400), 55% delivered at the first try, others after
+some more, 4% end as failed or returned and are told; each is known for 16 s at 120 messages a second, budget
+2.96 MB. `--old` names a checkout of the version with one file (commit 41140d3), which is then measured by a
+process of its own in each round. `pause` is the longest call, `p99` of a take, `amplification` bytes written
+over bytes of new records, `peak` the most that lay on the disk, against the budget. """
+
+from __future__ import annotations
+
+import argparse
+import gc
+import json
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from collections import deque
+from pathlib import Path
+from typing import Any
+
+from linnetstile.store.journal import Entry, Journal, JournalError
+
+from .report import report
+
+BUDGET = 2_967_552  # of the platform's 3 MB, without what was learned
+RATE, LIFE_MS, OPEN = 120.0, 16_000.0, 150
+
+
+def on_disk(folder: Path) -> int:
+    return sum(-(-path.stat().st_size // 512) * 512 for path in folder.iterdir())
+
+
+class Mix:
+    """The same calls to whatever journal: what it took for each."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.takes: list[float] = []
+        self.others: list[float] = []
+        self.refused = 0
+        self.peak = 0
+
+    def timed(self, into: list[float], call: Any, *args: Any) -> None:
+        begun = time.perf_counter()
+        try:
+            call(*args)
+        finally:
+            into.append((time.perf_counter() - begun) * 1000)
+
+    def run(self, journal: Any, make: Any, folder: Path, messages: int) -> None:
+        rng, now, waiting = self.rng, 1e6, deque[Any]()
+        for n in range(messages):
+            now += 1000 / RATE
+            body = bytes(min(60_000, max(200, int(rng.lognormvariate(6.0, 1.0)))))
+            entry = make(f"{n:016x}", "order", "t", 7, f"k{n:016x}", now, now + LIFE_MS, "", body)
+            try:
+                self.timed(self.takes, journal.take, entry)
+                waiting.append(entry)
+            except Exception as error:
+                if type(error).__name__ not in ("JournalFull", "JournalError"):
+                    raise
+                self.refused += 1
+            while len(waiting) > OPEN or waiting and rng.random() < 0.5:
+                self.end(journal, waiting.popleft(), now)
+            if n % 120 == 0:
+                self.timed(self.others, journal.tidy, now)
+                self.peak = max(self.peak, on_disk(folder))
+
+    def end(self, journal: Any, entry: Any, now: float) -> None:
+        rng = self.rng
+        while True:
+            self.timed(self.others, journal.tried, entry, now, "s-5be2a07c", 0)
+            if rng.random() < 0.55:
+                break
+            self.timed(self.others, journal.outcome, entry, False)
+            if rng.random() < 0.09:
+                self.timed(self.others, journal.ended, entry, rng.choice(("failed", "returned")), 500.0)
+                self.timed(self.others, journal.told, [entry.id])
+                return
+        self.timed(self.others, journal.ended, entry, "delivered")
+
+
+def measure(messages: int, seed: int) -> dict[str, Any]:
+    """Of the journal that this process imports, new or old."""
+    with tempfile.TemporaryDirectory() as name:
+        folder, mix = Path(name), Mix(seed)
+        journal: Any = Journal(folder, BUDGET)
+        gc.collect()
+        gc.disable()  # its pauses are the process's, not the journal's
+        begun = time.perf_counter()
+        mix.run(journal, Entry, folder, messages)
+        took = time.perf_counter() - begun
+        size, live = on_disk(folder), len(journal.entries)
+        copied, written = getattr(journal, "copied", 0), getattr(journal, "written", 1)
+        journal.close()
+        begun = time.perf_counter()
+        again: Any = Journal(folder, BUDGET)
+        restored = time.perf_counter() - begun
+        assert len(again.entries) >= live
+        again.close()
+        takes, every = sorted(mix.takes), sorted(mix.takes + mix.others)
+        return {"us a message": took / messages * 1e6, "p99 ms": takes[int(0.99 * len(takes))],
+                "p999 ms": takes[int(0.999 * len(takes))], "pause ms": every[-1], "refused": mix.refused,
+                "amplification": (copied + written) / written, "peak": mix.peak, "over": mix.peak > BUDGET,
+                "bytes a known": size / max(1, live), "recovery ms": restored * 1000,
+                "recovery MB/s": size / 1e6 / restored}
+
+
+def old(folder: Path, messages: int, seed: int) -> dict[str, Any]:
+    """The same by the version in another folder: this file's loop, that version's journal."""
+    code = ("import json, sys; from benchmarks.store import measure;"
+            f"print(json.dumps(measure({messages}, {seed})))")
+    here = Path(__file__).parents[1]
+    with tempfile.TemporaryDirectory() as name:
+        (Path(name) / "benchmarks").mkdir()
+        for part in ("__init__.py", "report.py", "store.py"):
+            (Path(name) / "benchmarks" / part).symlink_to(here / "benchmarks" / part)
+        (Path(name) / "linnetstile").symlink_to(folder / "linnetstile")
+        done = subprocess.run([sys.executable, "-c", code], cwd=name, capture_output=True, text=True,
+                              check=True, env={**os.environ, "PYTHONPATH": name})
+    return dict(json.loads(done.stdout))
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.store")
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--messages", type=int, default=20_000)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--old", type=Path)
+    args = parser.parse_args()
+    rows = []
+    for seed in range(args.rounds):
+        rows.append({"store": "segments", **measure(args.messages, seed)})
+        if args.old is not None:
+            rows.append({"store": "one file", **old(args.old.resolve(), args.messages, seed)})
+    report(rows, args.json, (
+        f"{args.messages} messages, budget {BUDGET} bytes",
+        "store     us/message  p99 ms  p999 ms  pause ms  refused  amplification     peak  recovery ms"
+        "   MB/s"),
+        "{store:9}{us a message:11.1f}{p99 ms:8.3f}{p999 ms:9.3f}{pause ms:10.2f}{refused:9}"
+        "{amplification:15.2f}{peak:9}{recovery ms:13.1f}{recovery MB/s:7.0f}")
+    return 0
+
+
+__all__ = ["JournalError", "main", "measure"]
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/linnetstile/cli/main.py
+++ b/linnetstile/cli/main.py
@@ -7,6 +7,7 @@
 from .check import check
 from .demo import demo
 from .fleet import fleet
+from .journal import journal
 from .run import run
 from .status import status
 
@@ -19,7 +20,7 @@
     """
 
 
-for command in (run, check, fleet, status, demo):
+for command in (run, check, fleet, status, journal, demo):
     group.add_command(command)
 
 
--- a/linnetstile/config.py
+++ b/linnetstile/config.py
@@ -36,6 +36,7 @@
     known: dict[str, Any]
     settings: Settings
     zones: tuple[str, ...]
+    sync_ms: float | None = None  # of the journal: see store/durability.py; None: as on the platform, no sync
 
 
 def address(text: object) -> Address:
--- a/linnetstile/core/attempts.py
+++ b/linnetstile/core/attempts.py
@@ -34,10 +34,10 @@
         known = self.directory.by_number.get(endpoint)
         result = Result(api.Outcome.NOT_SENT)
         try:
-            if known is not None:
+            gate = None if known is None else self._gate(number, entry, known)
+            if known is not None and gate is not None and await self._safe(gate, until_ms):
                 result = await self.transport.attempt(Attempt(
-                    endpoint, known.address, entry.id, entry.key, entry.body, until_ms / 1000,
-                    self._gate(number, entry, known),
+                    endpoint, known.address, entry.id, entry.key, entry.body, until_ms / 1000, gate,
                     careful=self.messages.effect(entry) is api.Effect.UNSAFE))
         except asyncio.CancelledError:
             result = Result(api.Outcome.CANCELLED)  # by the module, or at the end of the process
@@ -49,6 +49,23 @@
             number, attempt, endpoint, result.outcome, self.turns.now() - begun, result.over, result.wait_ms,
             result.no_slot))
 
+    async def _safe(self, gate: Callable[[], bool], until_ms: float) -> bool:
+        """Where a record has to outlast a power cut before it counts, it is written before the connection is
+        looked for; elsewhere right before the first byte."""
+        durability = self.messages.journal.durability
+        if durability is None or not durability.group:
+            return True
+        if not gate():
+            return False
+        safe = durability.barrier()
+        try:
+            async with asyncio.timeout_at(until_ms / 1000):
+                if safe is not None:
+                    await asyncio.shield(safe)
+        except TimeoutError:
+            return False
+        return True
+
     def _gate(self, number: int, entry: Entry, known: Known) -> Callable[[], bool]:
         """Asked before the first byte on each connection, and before the last; one attempt in the journal."""
         noted = False
--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -36,7 +36,8 @@
         self.relay = Relay(config.settings, config.seed)
         self.turns = Turns(self.relay, config.settings.tick_ms, self._act)
         self.lock = FolderLock(config.state)
-        self.journal = Journal(config.state, config.disk_bytes - 2 * FILE_BYTES)
+        self.journal = Journal(config.state, config.disk_bytes - 2 * FILE_BYTES,
+                               sync_ms=config.sync_ms)
         self.learned = LearnedFile(config.state)
         self.directory = Directory(config.settings, config.zones)
         self.messages = Messages(config.settings, self.journal, self.turns.now, self.turns.feed,
@@ -64,6 +65,8 @@
         self.turns.step()
         self._watch()
         self.tasks.start(self._sweep())
+        if self.journal.durability is not None:
+            self.tasks.start(self.journal.durability.run())
         self.messages.ready = True
         for intake in self.intakes.values():
             await intake.open()
@@ -106,7 +109,7 @@
     @property
     def idle(self) -> bool:
         """Nothing is owed to anybody."""
-        return not (self.messages.held or self.unsettled)
+        return not (self.messages.held or self.unsettled or self.messages.unsaid)
 
     @property
     def reading(self) -> int:
--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 from collections.abc import Callable
@@ -17,6 +18,7 @@
 NAME_BYTES = 200  # an id or a key, at most
 BODY_BYTES = 64 * 1024  # of a message, at most
 LEFT_MS = 999_999_999  # the longest time to live that makes sense
+AGAIN_S = 0.05  # a disk that takes no records is tried again so much later
 RETRY_S = 1.0  # a client that finds the hold full is told to come again so much later
 DEST_MS = 60_000.0  # a destination without endpoints is known for so long: past any message's time
 
@@ -47,6 +49,7 @@
         self.held: dict[int, Held] = {}
         self.numbers: dict[str, int] = {}
         self.last_number = 0
+        self.unsaid: list[Entry] = []  # ended, but the journal does not take it yet: no more than are held
         self.ready = False
         self.retiring = False  # takes nothing new, for good
 
@@ -70,7 +73,7 @@
             log.warning(Note("a message is refused", id=offer.id, why=error))
             return Receipt(False, why=str(error), retry_s=RETRY_S)
         self._hold(entry, float(offer.left_ms))
-        return Receipt(True, new=True)
+        return Receipt(True, new=True, when=self.journal.barrier())
 
     def _check(self, offer: Offer) -> None:
         class_ = self.classes.get(offer.class_)
@@ -149,9 +152,33 @@
             held.entry.body = b""
 
     def end(self, entry: Entry, state: str, after_ms: float = 0.0) -> None:
-        self.write(lambda: self.journal.ended(entry, state, after_ms))
-        if entry.owes_notice:
-            self.pass_on(entry.origin, End(entry.id, state, after_ms))
+        written = self.write(lambda: self.journal.ended(entry, state, after_ms))
+        if not entry.owes_notice:
+            return
+        if written:
+            self._tell(entry)
+        else:
+            # Guards against a process that is killed now, takes the message up again and says something else.
+            self.unsaid.append(entry)
+            if len(self.unsaid) == 1:
+                asyncio.get_running_loop().call_later(AGAIN_S, self.say)
+
+    def say(self) -> None:
+        """Passes on the ends that could not be written when they came, once they are."""
+        if not self.write(self.journal.catch_up):
+            asyncio.get_running_loop().call_later(AGAIN_S, self.say)
+            return
+        unsaid, self.unsaid = self.unsaid, []
+        for entry in unsaid:
+            self._tell(entry)
+
+    def _tell(self, entry: Entry) -> None:
+        """Its end is written: passes it on, once that outlasts what it has to."""
+        end, safe = End(entry.id, entry.end, entry.after_ms), self.journal.barrier()
+        if safe is None:
+            self.pass_on(entry.origin, end)
+        else:
+            safe.add_done_callback(lambda done: None if done.cancelled() else self.pass_on(entry.origin, end))
 
     @staticmethod
     def write(write: Callable[[], None]) -> bool:
--- a/linnetstile/core/seams.py
+++ b/linnetstile/core/seams.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -40,6 +41,7 @@
     new: bool = False  # if not, it was taken on before
     why: str = ""
     retry_s: float = 0.0  # when to come again
+    when: asyncio.Future[None] | None = None  # the answer has to wait for it; cancelled: it must not be given
 
 
 class Malformed(Exception):
--- a/linnetstile/fleet/instance.py
+++ b/linnetstile/fleet/instance.py
@@ -67,11 +67,8 @@
         self.told, self.number, self.began = told, number, time.time()
         clock = clock_ms()
         self.place = Place(number, max(told.fleet.instances, number + 1), clock)
-        super().__init__(
-            replace(config, settings=operator.applied(config.settings, told, number, clock)),
-            signals,
-            notifier,
-        )
+        settings = operator.applied(config.settings, told, number, clock)
+        super().__init__(replace(config, settings=settings, sync_ms=told.state.every_ms), signals, notifier)
         self.state, self.lag = "starting", LoopLag()
         folder = folder_of(told.status.folder)
         self.status = None if folder is None else StatusSocket(folder / f"{number}.sock", self.report)
--- a/linnetstile/fleet/operator.py
+++ b/linnetstile/fleet/operator.py
@@ -55,6 +55,13 @@
 
 class StatePart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     own: bool = True  # refuse a state folder that belongs to another user
+    durability: Literal["none", "interval", "group"] = "none"  # what a power cut may cost: docs/store.md
+    sync_ms: Annotated[float, Meta(ge=1, le=60_000)] = 50.0  # with interval: between two syncs
+
+    @property
+    def every_ms(self) -> float | None:
+        """As the journal takes it."""
+        return {"none": None, "interval": self.sync_ms, "group": 0.0}[self.durability]
 
 
 class SupervisorPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/linnetstile/http/front.py
+++ b/linnetstile/http/front.py
@@ -72,7 +72,7 @@
         except Malformed as error:
             return Reply(400, f"{FIELDS.get(error.field, error.field)}: {error.text}")
         if receipt.taken:
-            return Reply(202, accepted=offer.id if receipt.new else None)
+            return Reply(202, accepted=offer.id if receipt.new else None, when=receipt.when)
         return Reply(503, receipt.why, retry_s=receipt.retry_s)
 
 
--- a/linnetstile/http/intake.py
+++ b/linnetstile/http/intake.py
@@ -29,6 +29,7 @@
 LINGER_S = 1.0  # after a last answer: closing on unread bytes would reset that answer away
 DISCARD_S = 4.0  # the same for a body that is far too long
 DISCARD_BYTES = 64 << 20  # and how much of it is read and thrown away
+WAIT_S = 5.0  # an answer waits for a sync no longer; its client gives up after 0.4 s
 PENALTY_S = 0.1  # what follows a request that made no sense is read so much later
 SWEEP_S = 0.1  # how often it is looked whose time is up
 # A message whose head says one of these twice has two meanings: ours and that of whoever reads it next.
@@ -58,6 +59,7 @@
     text: str = ""
     accepted: str | None = None  # id of the message that this answer takes on, if it is new
     retry_s: float = 0.0  # when the client may come again; 0 = not told
+    when: asyncio.Future[None] | None = None  # not before; cancelled: never
 
 
 def plain_request(data: bytes) -> Request | None:
@@ -242,6 +244,25 @@
             self._end(Reply(400, "one request at a time on a connection, and no more than its length"))
             return
         reply = self._handled(request)
+        if reply.when is None or reply.when.done():
+            self._reply(http, reply)
+            return
+        if reply.accepted is not None:
+            self.unsent.append(reply.accepted)  # if the client goes away meanwhile, it has not heard of it
+        if self.transport is not None:
+            self.transport.pause_reading()
+        self.deadline = asyncio.get_running_loop().time() + WAIT_S
+        reply.when.add_done_callback(lambda when: self._late(http, reply, when))
+
+    def _late(self, http: h11.Connection | None, reply: Reply, when: asyncio.Future[None]) -> None:
+        """What its answer had to wait for has come."""
+        if self.transport is None or self.transport.is_closing() or self.over or when.cancelled():
+            return  # the connection's end has withdrawn it, or does
+        self.unsent.clear()
+        self._reply(http, reply)
+        self._read_on()
+
+    def _reply(self, http: h11.Connection | None, reply: Reply) -> None:
         # Guards clients that may hold only so many connections against those that ask once and stay.
         self.last = self.last or self.server.crowded
         self._answer(reply)
--- a/linnetstile/process.py
+++ b/linnetstile/process.py
@@ -14,6 +14,7 @@
 from .fleet.notify import Notifier, NotifyError
 from .garbage import tend
 from .logs import Note, plain
+from .store.frame import NewerFormat
 from .store.lock import FolderBusy
 
 log = logging.getLogger(__name__)
@@ -99,7 +100,7 @@
     plain()
     try:
         asyncio.run(serve())
-    except (ConfigError, HandoverError, NotifyError) as error:
+    except (ConfigError, HandoverError, NotifyError, NewerFormat) as error:
         print(f"linnetstile: {error}", file=sys.stderr)
         return REFUSED
     except (OSError, FolderBusy) as error:
--- /dev/null
+++ b/linnetstile/store/durability.py
@@ -0,0 +1,99 @@
+"""What outlasts a power cut, and when: syncs on a thread of their own, many records with each.
+
+| setting | what is on the disk after a power cut |
+| --- | --- |
+| none | what the system had written by itself; a killed process loses nothing all the same |
+| interval | all but the last `sync_ms` and a sync: a message of that time may be lost, or sent again |
+| group | all that was promised: a 202, a first byte and a final answer wait for their sync |
+
+A segment is unlinked only when what was copied out of it is on the disk. A sync that fails may have lost
+what it was to write, and the next would not tell (the system forgets such pages): so all is written anew,
+elsewhere. """
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from ..logs import Note
+from .files import Files
+
+log = logging.getLogger(__name__)
+
+AGAIN_S = 0.2  # after a sync that failed
+
+
+class Durability:
+    def __init__(self, files: Files, sync_ms: float) -> None:
+        """`sync_ms`: between one sync and the next; 0: whenever something waits, and all wait for it."""
+        self.files, self.group, self.every_s = files, sync_ms <= 0, sync_ms / 1000
+        self.written = self.durable = 0  # sequence of the latest record that is appended, and that is safe
+        self.dirty: dict[str, None] = {}  # files with records that are not
+        self.waiting: deque[tuple[int, asyncio.Future[None]]] = deque()
+        self.later: deque[tuple[int, Callable[[], None]]] = deque()
+        self.wake = asyncio.Event()
+        self.anew: Callable[[], None] = lambda: None  # writes all that is known once more
+        self.thread = ThreadPoolExecutor(1, "sync")
+
+    def appended(self, name: str, sequence: int) -> None:
+        self.dirty[name] = None
+        self.written = sequence
+        self.wake.set()
+
+    def barrier(self) -> asyncio.Future[None] | None:
+        """Done when all that is written by now outlasts a power cut; None: nothing has to wait."""
+        if not self.group or self.durable >= self.written:
+            return None
+        if self.waiting and self.waiting[-1][0] == self.written:
+            return self.waiting[-1][1]
+        future = asyncio.get_running_loop().create_future()
+        self.waiting.append((self.written, future))
+        return future
+
+    def after(self, call: Callable[[], None]) -> None:
+        """Once what is written by now is safe."""
+        self.later.append((self.written, call))
+
+    async def run(self) -> None:
+        """Never ends by itself."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self.wake.wait()
+            if not self.group:
+                await asyncio.sleep(self.every_s)
+            self.wake.clear()
+            names, upto = list(self.dirty), self.written
+            self.dirty.clear()
+            try:
+                await loop.run_in_executor(self.thread, self._sync, names)
+            except OSError as error:
+                log.error(Note("journal: a sync failed: all is written anew", why=error))
+                await asyncio.sleep(AGAIN_S)
+                self.anew()
+                self.wake.set()
+                continue
+            self._safe(upto)
+
+    def _sync(self, names: list[str]) -> None:
+        for name in names:
+            with contextlib.suppress(FileNotFoundError):  # given up: what was in it lies in a later one
+                self.files.sync(name)
+
+    def _safe(self, upto: int) -> None:
+        self.durable = upto
+        while self.waiting and self.waiting[0][0] <= upto:
+            future = self.waiting.popleft()[1]
+            if not future.done():
+                future.set_result(None)
+        while self.later and self.later[0][0] <= upto:
+            self.later.popleft()[1]()
+
+    def close(self) -> None:
+        """What still waits is never done: its promise was not made."""
+        for _, future in self.waiting:
+            future.cancel()
+        self.thread.shutdown(wait=True)
--- a/linnetstile/store/journal.py
+++ b/linnetstile/store/journal.py
@@ -1,28 +1,41 @@
-"""What the relay has taken on, kept in its lasting folder: append-only records, compacted in time.
+"""What the relay has taken on, kept in its lasting folder: a log in segments, given up from its oldest end.
 
-A record is one line: a checksum and a JSON object. What a line changes is applied by the same code when
-it is written and when it is read back. Times in it are Unix milliseconds: no other clock outlasts a process.
-"""
+A record is appended before what it says is promised. The oldest segment is given up by writing what is still
+known of its messages anew at the head, and then unlinking it. So what lies in the folder is one piece of the
+log at each moment, and reading it in order gives the latest state of each message: a kill at any point
+leaves a message either in both places or in one (docs/design/store.md). Whether there is room, and how much
+to copy when, is room.py's. """
 
 from __future__ import annotations
 
-import base64
-import json
+import asyncio
+import errno
+import heapq
 import logging
 import os
-import zlib
-from dataclasses import dataclass
+from collections import deque
 from pathlib import Path
-from typing import Any
+from zlib import crc32
 
 from ..logs import Note
+from . import legacy
+from .durability import Durability
+from .files import Files, FolderFiles
+from .frame import HEADER_BYTES, Header, NewerFormat, frame, frame_bytes
+from .records import PACK, Attempt, Book, Ended, Entry, Kind, Tried, change, snapshot
+from .recovery import Found, Segment, name_of, recover
+from .room import BLOCK, CENSUS, OPEN, OWED, Room, blocks
 
 log = logging.getLogger(__name__)
 
-BLOCK = 512  # each file counts in whole blocks
-SMALL = 1024  # no record but an accepted message's is longer, nor what they add to its line
-SLACK = 64 * BLOCK  # kept free for the records of messages that are held already
-ROOMY = 256 * 1024  # a file under this size is left alone
+FIXED = 96  # of a snapshot: its numbers, flags and lengths
+ASIDE = "aside-"  # a damaged segment, kept for people while there is room
+HOPELESS = (errno.EACCES, errno.EPERM, errno.EROFS, errno.ENOENT, errno.ENOTDIR)  # no room helps with these
+TOLD = 20  # findings in the log at the most; `journal verify` has all
+ASIDE_PART = 8  # such a part of the room they may take together
+MADE = "seg.new"  # what takes the place of the old file at one stroke
+
+__all__ = ["Attempt", "Entry", "Journal", "JournalError", "JournalFull"]
 
 
 class JournalError(Exception):
@@ -33,246 +46,414 @@
     """The folder's limit leaves no room for another message."""
 
 
-@dataclass(slots=True)
-class Attempt:
-    at: float  # Unix ms, right before its first byte
-    endpoint: str
-    zone: int
-
-
-@dataclass(slots=True)
-class Entry:
-    """A message taken on: what a client said of it, and what has become of it."""
-
-    id: str
-    class_: str
-    tenant: str
-    dest: int
-    key: str | None
-    since: float  # Unix ms, when it came in
-    due: float
-    again: str
-    body: bytes
-    tries: int = 0
-    out: Attempt | None = None
-    risk: Attempt | None = None  # the first attempt that may have run
-    end: str = ""  # how it ended: delivered, failed, returned or over
-    after_ms: float = 0.0
-    told: bool = False  # the platform has its notice
-    origin: str = "http"  # the front by which it came
-
-    @property
-    def owes_notice(self) -> bool:
-        return self.end in ("failed", "returned") and not self.told
-
-
-def encode(record: dict[str, Any]) -> bytes:
-    text = json.dumps(record, separators=(",", ":")).encode()
-    return b"%08x %s\n" % (zlib.crc32(text), text)
-
-
-def decode(line: bytes) -> dict[str, Any]:
-    """ValueError if it is not a whole record as written."""
-    check, _, text = line.partition(b" ")
-    if len(check) != 8 or int(check, 16) != zlib.crc32(text):
-        raise ValueError("the checksum does not match")
-    record = json.loads(text)
-    if not isinstance(record, dict):
-        raise ValueError("not a record")
-    return record
+def space(entry: Entry) -> int:
+    """At most what its snapshot takes with all records that may still come; of one that is open, the attempts
+    count as such records."""
+    names = f"{entry.class_}{entry.tenant}{entry.key}{entry.again}{entry.origin}"
+    payload = FIXED + len(names.encode())
+    if not entry.end:
+        return frame_bytes(len(entry.id.encode()), payload + len(entry.body)) + OPEN
+    if entry.risk is not None:
+        payload += 24 + len(entry.risk.endpoint.encode())
+    return frame_bytes(len(entry.id.encode()), payload) + (OWED if entry.owes_notice else 0)
 
 
-def attempt(raw: list[Any] | None) -> Attempt | None:
-    return Attempt(float(raw[0]), str(raw[1]), int(raw[2])) if raw else None
-
-
-def snapshot(entry: Entry) -> dict[str, Any]:
-    """All that is known of a message, as one record; one that has ended needs its body no more."""
-    def flat(tried: Attempt | None) -> list[Any] | None:
-        return [round(tried.at), tried.endpoint, tried.zone] if tried else None
+class Journal:
+    def __init__(self, folder: Path, disk_bytes: int, files: Files | None = None,
+                 sync_ms: float | None = None) -> None:
+        """`disk_bytes`: of the folder, for the journal; `sync_ms`: see durability.py, None: no syncs.
+        Raises NewerFormat; OSError if the folder can't be used."""
+        self.files: Files = files or FolderFiles(folder)
+        self.durability = None if sync_ms is None else Durability(self.files, sync_ms)
+        if self.durability is not None:
+            self.durability.anew = self._anew
+        self.room = Room(disk_bytes)
+        # bytes to begin one, at most
+        self.new_segment = 2 * BLOCK + HEADER_BYTES + self.room.segment // CENSUS
+        self.book = Book()
+        self.entries = self.book.entries
+        self.home: dict[str, Segment] = {}  # where the latest snapshot of each lies
+        self.dying: list[tuple[float, str]] = []  # heap: ended and told, and until when they are remembered
+        self.behind: dict[str, None] = {}  # messages of which memory knows more than the disk
+        self.credit = 0  # bytes that may be copied by now
+        self.copied = self.written = 0  # bytes, since the start
+        self.segments: deque[Segment] = deque()
+        self.aside: dict[str, int] = {}  # blocks of each damaged segment that is kept
+        self.leaving = 0  # of them, in segments that go with the next sync
+        self.used = 0  # bytes on the disk, in whole blocks
+        self.sequence = 1  # of the next record
+        self.began = self.last_written = 0  # bytes: of the head when it was new; `written` at the latest look
+        self.findings: list[str] = []  # what was damaged when this process started
+        self._restore()
 
-    return {
-        "k": "take", "id": entry.id, "class": entry.class_, "tenant": entry.tenant, "dest": entry.dest,
-        "key": entry.key, "since": round(entry.since), "due": round(entry.due), "again": entry.again,
-        "tries": entry.tries, "out": flat(entry.out), "risk": flat(entry.risk), "end": entry.end,
-        "after": entry.after_ms, "told": entry.told, "from": entry.origin,
-        "body": "" if entry.end else base64.b64encode(entry.body).decode(),
-    }
+    @property
+    def budget(self) -> int:
+        return self.room.budget
 
+    @property
+    def size(self) -> int:
+        """Bytes on the disk, in whole blocks."""
+        return self.used
 
-class Journal:
-    def __init__(self, folder: Path, disk_bytes: int) -> None:
-        self.path, self.spare = folder / "journal", folder / "journal.new"
-        self.budget = disk_bytes // BLOCK * BLOCK
-        self.entries: dict[str, Entry] = {}
-        self.sizes: dict[str, int] = {}  # of each entry's line, were it compacted now
-        self.live = 0  # their sum
-        self.size = 0
-        self.spare.unlink(missing_ok=True)  # a compaction that did not get to its rename
-        self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
-        self._restore()
+    @property
+    def live(self) -> int:
+        return self.book.total
 
     # -- records -----------------------------------------------------------------------------------------
 
     def take(self, entry: Entry) -> None:
         """Must come before the client's answer."""
-        line = encode(snapshot(entry))
-        if not self._fits(len(line)):
+        size = space(entry)
+        if not self.room.takes(self.live, size):
             self._drop_ended()
-            if not self._fits(len(line)):
+            if not self.room.takes(self.live, size):
                 raise JournalFull("no room for another message")
-        self._make_room(len(line))
-        self._write(line)
-        self._put(entry)
+        if self.behind:
+            self.catch_up()  # Raises: the disk does not take what is owed, so that it takes nothing new
+        self._append(Kind.TAKE, entry.id, snapshot(entry))
+        self._settle(entry)
+        self._move(entry.id)
+        self._give_up_some()
 
     def tried(self, entry: Entry, at: float, endpoint: str, zone: int) -> None:
         """Must come before the attempt's first byte."""
-        self._record({"k": "try", "id": entry.id, "at": round(at), "ep": endpoint, "zone": zone})
+        self._record(entry, Kind.TRY, PACK(Tried(round(at), endpoint, zone)))
 
     def outcome(self, entry: Entry, may_have_run: bool) -> None:
-        self._record({"k": "out", "id": entry.id, "ran": may_have_run})
+        self._record(entry, Kind.OUT, PACK(may_have_run))
 
     def ended(self, entry: Entry, state: str, after_ms: float = 0.0) -> None:
-        self._record({"k": "end", "id": entry.id, "state": state, "after": after_ms})
+        """Must come before the end is told: if it can't be written, `behind` names it until `catch_up`."""
+        self._record(entry, Kind.END, PACK(Ended(state, after_ms)))
 
     def told(self, idents: list[str]) -> None:
         for ident in idents:
             if ident in self.entries:
-                self._record({"k": "told", "id": ident})
+                self._record(self.entries[ident], Kind.TOLD, b"")
 
     def withdrawn(self, entry: Entry) -> None:
-        self._record({"k": "drop", "id": entry.id})
+        self._record(entry, Kind.DROP, b"")
+
+    def catch_up(self) -> None:
+        """Writes what could not be written when it happened. Raises JournalError if it still can't be."""
+        for ident in list(self.behind):
+            entry = self.entries.get(ident)
+            if entry is None:
+                self._append(Kind.DROP, ident, b"")
+            else:
+                self._copy(entry)
+            del self.behind[ident]
 
     def tidy(self, now: float) -> None:
         """Forgets the ended whose time is up (until then a repeated id gets its answer again)."""
-        old = [e for e in self.entries.values() if e.end and not e.owes_notice and e.due < now]
-        for entry in old:
-            self._forget(entry.id)
-        if self.size > max(ROOMY, 4 * self.live):
-            self._compact()
+        while self.dying and self.dying[0][0] < now:
+            _, ident = heapq.heappop(self.dying)
+            entry = self.entries.get(ident)
+            if entry is not None and not entry.owed and entry.due < now:
+                self._forget(ident)
+        try:
+            self.catch_up()
+            self._give_up_some(self.room.segment // 8)
+        except JournalError as error:
+            log.error(Note("journal: cannot tidy", why=error))
+
+    def barrier(self) -> asyncio.Future[None] | None:
+        """Done when all that is written may be promised; None: it may now."""
+        return None if self.durability is None else self.durability.barrier()
+
+    def _anew(self) -> None:
+        try:
+            self._begin()
+            self._mend()
+        except JournalError as error:
+            log.error(Note("journal: cannot be written anew", why=error))
 
     def close(self) -> None:
-        os.close(self.file)
-        self.file = -1  # Guards whatever gets this descriptor next against a late record
+        if self.durability is not None:
+            self.durability.close()
+        self.files.close()
 
     # -- memory ------------------------------------------------------------------------------------------
 
-    def _record(self, record: dict[str, Any]) -> None:
-        """The change holds in memory also if it can't be written: what is then read back is safe, since a
-        try without an outcome may have run, and an end is at worst told twice."""
-        line = encode(record)
-        self._make_room(len(line))  # before the change: a compaction after it would count it twice
-        self._apply(record)
-        self._write(line)
-
-    def _apply(self, record: dict[str, Any]) -> None:
-        ident = str(record["id"])
-        if record["k"] == "take":
-            self._put(Entry(
-                ident, str(record["class"]), str(record["tenant"]), int(record["dest"]), record["key"],
-                float(record["since"]), float(record["due"]), str(record["again"]),
-                base64.b64decode(record["body"]), int(record["tries"]), attempt(record["out"]),
-                attempt(record["risk"]), str(record["end"]), float(record["after"]), bool(record["told"]),
-                str(record.get("from", "http")),
-            ))
+    def _record(self, entry: Entry, kind: Kind, payload: bytes) -> None:
+        """The change holds in memory also if it can't be written: it is then written later, and what a kill
+        leaves is safe, since a try without an outcome may have run. A try is not: it must not be made."""
+        try:
+            self._append(kind, entry.id, payload)
+        except JournalError:
+            if kind is not Kind.TRY:
+                self._change(entry, kind, payload)
+                self.behind[entry.id] = None
+            raise
+        self._change(entry, kind, payload)
+        self._give_up_some()
+
+    def _change(self, entry: Entry, kind: Kind, payload: bytes) -> None:
+        if kind is Kind.DROP:
+            self._forget(entry.id)
             return
-        entry = self.entries[ident]
-        match record["k"]:
-            case "try":
-                entry.tries += 1
-                entry.out = Attempt(float(record["at"]), str(record["ep"]), int(record["zone"]))
-            case "out":
-                if record["ran"] and entry.risk is None:
-                    entry.risk = entry.out
-                entry.out = None
-            case "end":
-                entry.end, entry.after_ms, entry.body = str(record["state"]), float(record["after"]), b""
-                self._put(entry)
-            case "told":
-                entry.told = True
-            case "drop":
-                self._forget(ident)
-            case kind:
-                raise ValueError(f"unknown record {kind!r}")
-
-    def _put(self, entry: Entry) -> None:
-        self.live -= self.sizes.get(entry.id, 0)
-        size = len(entry.id) + len(entry.class_) + len(entry.tenant) + len(entry.key or "")
-        size += SMALL + 4 * ((len(entry.body) + 2) // 3)
-        self.entries[entry.id], self.sizes[entry.id] = entry, size
-        self.live += size
+        change(entry, kind, payload)
+        if kind in (Kind.END, Kind.TOLD) and entry.id in self.entries:
+            self._settle(entry)
+
+    def _settle(self, entry: Entry) -> None:
+        self.book.put(entry, space(entry))
+        if not entry.owed:
+            heapq.heappush(self.dying, (entry.due, entry.id))
+
+    def _move(self, ident: str) -> None:
+        """Its latest snapshot lies in the head now."""
+        before = self.home.get(ident)
+        if before is not None:
+            before.homes.pop(ident, None)
+        self.home[ident] = self.segments[-1]
+        self.segments[-1].homes[ident] = None
 
     def _forget(self, ident: str) -> None:
-        del self.entries[ident]
-        self.live -= self.sizes.pop(ident)
+        self.book.forget(ident)
+        self.home.pop(ident).homes.pop(ident, None)
 
     def _drop_ended(self) -> None:
-        for entry in [e for e in self.entries.values() if e.end and not e.owes_notice]:
-            self._forget(entry.id)
-
-    # -- the file ----------------------------------------------------------------------------------------
-
-    def _restore(self) -> None:
-        data = b""
-        while chunk := os.read(self.file, 1 << 20):
-            data += chunk
-        whole = data.rfind(b"\n") + 1
-        if whole < len(data):
-            log.warning(Note("journal: a torn record at its end is dropped", bytes=len(data) - whole))
-            os.ftruncate(self.file, whole)
-        self.size = whole
-        for number, line in enumerate(data[:whole].splitlines(), 1):
-            try:
-                self._apply(decode(line))
-            except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
-                # Reported and passed over: stopping here would end every later start as well.
-                log.error(Note("journal: a record cannot be used", number=number, why=repr(error)))
+        for _, ident in self.dying:
+            if ident in self.entries and not self.entries[ident].owed:
+                self._forget(ident)
+        self.dying.clear()
+
+    # -- the log -----------------------------------------------------------------------------------------
+
+    def _append(self, kind: Kind, ident: str, payload: bytes, copying: bool = False) -> None:
+        """Raises JournalError; then nothing has changed."""
+        name = ident.encode()
+        need = frame_bytes(len(name), len(payload))
+        if not copying and self.used + need + self.new_segment > self.room.usable:
+            self._give_up_all(need)
+        head = self.segments[-1]
+        if head.damaged or head.size + need > self.room.segment and head.size > self.began:
+            self._begin(copying)
+            head = self.segments[-1]
+        data = frame(head.salt, self.sequence, kind, name, payload)
+        self._put(head, data)
+        self.sequence += 1
+        if copying:
+            self.copied += need
+        else:
+            self.written += need
+
+    def _put(self, head: Segment, data: bytes) -> None:
+        more = blocks(head.size + len(data)) - blocks(head.size)
+        if self.used + more > self.budget:
+            raise JournalError("journal: the folder's limit is reached")
+        try:
+            self.files.append(head.name, data)
+        except OSError as error:
+            # What was written of it may stand there: only what the next segment's header counts is read.
+            self._look_at(head)
+            raise JournalError(f"journal: {error}") from error
+        head.check = crc32(data, head.check)
+        head.size += len(data)
+        self.used += more
+        if self.durability is not None:
+            self.durability.appended(head.name, self.sequence)
+
+    def _look_at(self, head: Segment) -> None:
+        """After a failed append: does anything of it stand there?"""
+        try:
+            size = self.files.sizes().get(head.name, 0)
+        except OSError:
+            head.damaged = True
+            return
+        if size != head.size:
+            head.damaged = True
+            self.used += blocks(size) - blocks(max(head.size, head.on_disk))
+            head.on_disk = size
+
+    def _begin(self, copying: bool = False) -> None:
+        """A new head, with the ids of all that is owed: so that they are known if earlier records are
+        lost."""
+        before = self.segments[-1] if self.segments else Segment(0)
+        new = Segment(before.number + 1, salt=int.from_bytes(os.urandom(4), "little"))
+        data = Header(new.number, self.sequence, before.size, before.check, new.salt).encode()
+        origins: dict[str, list[str]] = {}
         for entry in self.entries.values():
-            if entry.out is not None:  # its outcome died with the process: it may have run
-                entry.risk, entry.out = entry.risk or entry.out, None
-
-    def _blocks(self, size: int) -> int:
-        return -(-size // BLOCK) * BLOCK
-
-    def _fits(self, more: int) -> bool:
-        """Room for a message, so that a compaction (old file and new together) stays possible."""
-        live = self.live + more + SMALL
-        return 2 * self._blocks(live) + 2 * SLACK <= self.budget
-
-    def _make_room(self, more: int) -> None:
-        if self._blocks(self.size + more) + self._blocks(self.live + more) > self.budget - SLACK:
-            self._compact()
+            if entry.owed:
+                origins.setdefault(entry.origin, []).append(entry.id)
+        census = PACK(origins)
+        counted = len(census) <= self.room.segment // CENSUS
+        if counted:
+            data += frame(new.salt, self.sequence, Kind.CENSUS, b"", census)
+        try:
+            if self.files.sizes().get(new.name) is not None:
+                self.files.unlink(new.name)  # what an attempt to begin it has left
+        except OSError as error:
+            raise JournalError(f"journal: {error}") from error
+        self._put(new, data)
+        new.damaged = False
+        self.segments.append(new)
+        self.sequence += counted
+        self.began = new.size
+
+    # -- giving up old segments --------------------------------------------------------------------------
+
+    def _copy(self, entry: Entry) -> None:
+        self._append(Kind.TAKE, entry.id, snapshot(entry), copying=True)
+        self._move(entry.id)
+
+    def _give_up_some(self, bytes_: int | None = None) -> None:
+        """A part in proportion to what was written; a failure costs nothing but the room."""
+        written, self.last_written = self.written - self.last_written, self.written
+        quota = self.room.quota(self.used, self.live, len(self.segments), bytes_ or written)
+        if not quota:
+            self.credit = 0
+            return
+        self.credit = min(self.credit + quota, self.room.segment)
+        try:
+            while self.credit > 0 and len(self.segments) > 1:
+                oldest = self.segments[0]
+                ident = next(iter(oldest.homes), None)
+                if ident is None:
+                    self._retire(oldest)
+                    return  # a file at a time: each unlink takes a while
+                entry = self.entries[ident]
+                size = self.book.sizes[ident]
+                if size > self.credit and self.credit < self.room.segment // 2:
+                    return  # its turn comes when there is credit for it
+                self.credit -= size
+                self._copy(entry)
+        except JournalError as error:
+            log.error(Note("journal: a segment cannot be given up", why=error))
+
+    def _give_up_all(self, need: int) -> None:
+        """As many of the oldest as it takes; those kept for people go first."""
+        for name in [name for name in self.aside]:
+            self._drop_aside(name)
+        last = self.segments[-1].number
+        more = need + self.new_segment
+        if self.leaving and not self.room.short(self.used - self.leaving, more):
+            raise JournalFull("journal: room comes with the next sync")
+        while self.room.short(self.used - self.leaving, more) and self.segments[0].number <= last:
+            if len(self.segments) == 1:
+                self._begin()
+            oldest = self.segments[0]
+            for ident in list(oldest.homes):
+                self._copy(self.entries[ident])
+            self._retire(oldest)
+        if self.room.short(self.used, need):
+            raise JournalFull("journal: the folder's limit is reached")
+
+    def _retire(self, oldest: Segment) -> None:
+        """What was copied out of it must outlast all that it does not: a power cut too, where that counts."""
+        if self.durability is None:
+            self._unlink(oldest)
+            self.segments.popleft()
+        else:
+            self.segments.popleft()
+            self.leaving += blocks(max(oldest.on_disk, oldest.size))
+            self.durability.after(lambda: self._unlink_later(oldest))
+
+    def _unlink_later(self, oldest: Segment) -> None:
+        self.leaving -= blocks(max(oldest.on_disk, oldest.size))
+        try:
+            self._unlink(oldest)
+        except JournalError as error:  # its room is missing until the next start, which finds it
+            log.error(Note("journal: a segment cannot be removed", why=error))
 
-    def _write(self, line: bytes) -> None:
+    def _unlink(self, oldest: Segment) -> None:
         try:
-            if self._blocks(self.size + len(line)) > self.budget:
-                raise OSError("the folder's limit is reached")
-            written = os.write(self.file, line)
-            if written < len(line):
-                os.ftruncate(self.file, self.size)  # half a record would spoil the next
-                raise OSError("short write")
+            self.files.unlink(oldest.name)
+        except FileNotFoundError:
+            pass  # somebody cleared it away
         except OSError as error:
             raise JournalError(f"journal: {error}") from error
-        self.size += len(line)
+        self.used -= blocks(max(oldest.on_disk, oldest.size))
 
-    def _compact(self) -> None:
-        """Old and new lie side by side until the rename; a kill at any point leaves one of them whole."""
-        lines = b"".join(encode(snapshot(entry)) for entry in self.entries.values())
-        if self._blocks(self.size) + self._blocks(len(lines)) > self.budget:
-            log.error(Note("journal: no room to compact", size=self.size, live=len(lines)))
-            return
+    # -- the start ---------------------------------------------------------------------------------------
+
+    def _restore(self) -> None:
         try:
-            new = os.open(self.spare, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-            try:
-                if os.write(new, lines) < len(lines):
-                    raise OSError("short write")
-                os.rename(self.spare, self.path)
-            except OSError:
-                os.close(new)
-                self.spare.unlink(missing_ok=True)
-                raise
+            found = recover(self.files)
+        except NewerFormat as error:
+            raise NewerFormat(f"journal: {error}: start one that does, or name another folder") from None
+        self._take_over(found)
+        for name in found.empty:
+            self.files.unlink(name)
+        sizes = self.files.sizes()
+        self.aside = {name: blocks(size) for name, size in sizes.items() if name.startswith(ASIDE)}
+        self.segments.extend(found.segments)
+        self.sequence = found.sequence
+        self.used = sum(self.aside.values()) + sum(blocks(each.on_disk) for each in self.segments)
+        for segment in self.segments:
+            self.home.update(dict.fromkeys(segment.homes, segment))
+        for entry in found.entries.values():
+            self._settle(entry)
+            self.home.setdefault(entry.id, Segment(0))  # one of which only the id is left
+        self.findings = found.findings
+        if found.torn:
+            log.warning(Note("journal: a torn record at its end is dropped", bytes=found.torn))
+        for text in found.findings[:TOLD]:
+            log.error(Note("journal: damage", what=text, of=len(found.findings)))
+        try:
+            self._begin()
+            if found.findings:
+                self._mend()
+        except JournalError as error:  # it refuses new messages until there is room
+            if isinstance(error.__cause__, OSError) and error.__cause__.errno in HOPELESS:
+                raise error.__cause__ from None
+            log.error(Note("journal: cannot begin a segment", why=error))
+            if not self.segments:
+                self.segments.append(Segment(0, damaged=True))
+            self.segments[-1].damaged = True
+
+    def _take_over(self, found: Found) -> None:
+        """From the one file of earlier versions; it goes once a segment holds all that it said."""
+        sizes = self.files.sizes()
+        if "journal" in sizes and not found.segments:
+            data, whole = self.files.read("journal")
+            entries, findings = legacy.read(data)
+            found.findings += [] if whole else ["journal: parts cannot be read from the disk"]
+            found.findings += findings
+            found.entries.update(entries)
+            salt = int.from_bytes(os.urandom(4), "little")
+            text = Header(1, 1, 0, 0, salt).encode()
+            for n, entry in enumerate(entries.values()):
+                text += frame(salt, 1 + n, Kind.TAKE, entry.id.encode(), snapshot(entry))
+            if MADE in sizes:
+                self.files.unlink(MADE)
+            self.files.append(MADE, text)
+            self.files.sync(MADE)
+            self.files.rename(MADE, name_of(1))
+            found.segments.append(Segment(1, len(text), len(text), crc32(text), salt, dict.fromkeys(entries)))
+            found.sequence = 1 + len(entries)
+            log.info(Note("journal: taken over from an earlier version", messages=len(entries)))
+        for name in (*legacy.NAMES, MADE):
+            if name in self.files.sizes():
+                self.files.unlink(name)
+
+    def _mend(self) -> None:
+        """Writes all that is known anew, so that the next start finds it well; keeps what was damaged
+        aside."""
+        for entry in list(self.entries.values()):
+            self._copy(entry)
+        while len(self.segments) > 1 and self.segments[0].number < self.segments[-1].number:
+            oldest = self.segments[0]
+            if oldest.homes:
+                break
+            size = blocks(max(oldest.on_disk, oldest.size))
+            if oldest.damaged and sum(self.aside.values()) + size <= self.budget // ASIDE_PART:
+                try:
+                    self.files.rename(oldest.name, ASIDE + oldest.name)
+                except OSError as error:
+                    raise JournalError(f"journal: {error}") from error
+                self.segments.popleft()
+                self.aside[ASIDE + oldest.name] = size
+            else:
+                self._retire(oldest)
+
+    def _drop_aside(self, name: str) -> None:
+        log.error(Note("journal: a damaged segment is dropped: its room is needed", name=name))
+        try:
+            self.files.unlink(name)
         except OSError as error:
-            log.error(Note("journal: cannot compact", why=error))
-            return
-        os.close(self.file)
-        self.file, self.size = new, len(lines)
+            raise JournalError(f"journal: {error}") from error
+        self.used -= self.aside.pop(name)
+
+
--- /dev/null
+++ b/linnetstile/store/records.py
@@ -0,0 +1,184 @@
+"""What records say, and what each does to what is known of its message. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+import msgspec
+
+UNKNOWN = "?"  # an endpoint that no record names: no endpoint has this name
+
+
+class Kind(IntEnum):
+    TAKE = 1  # all that is known of a message: at its start, and again when its segment is given up
+    TRY = 2
+    OUT = 3
+    END = 4
+    TOLD = 5
+    DROP = 6
+    CENSUS = 7  # the ids of all messages that are owed something, at the beginning of a segment
+
+
+TRY, OUT, END, TOLD = int(Kind.TRY), int(Kind.OUT), int(Kind.END), int(Kind.TOLD)  # compared for each record
+
+
+@dataclass(slots=True)
+class Attempt:
+    at: float  # Unix ms, right before its first byte
+    endpoint: str
+    zone: int
+
+
+@dataclass(slots=True)
+class Entry:
+    """A message taken on: what a client said of it, and what has become of it."""
+
+    id: str
+    class_: str
+    tenant: str
+    dest: int
+    key: str | None
+    since: float  # Unix ms, when it came in
+    due: float
+    again: str
+    body: bytes
+    tries: int = 0
+    out: Attempt | None = None
+    risk: Attempt | None = None  # the first attempt that may have run
+    end: str = ""  # how it ended: delivered, failed, returned or over
+    after_ms: float = 0.0
+    told: bool = False  # the platform has its notice
+    origin: str = "http"  # the front by which it came
+
+    @property
+    def owes_notice(self) -> bool:
+        return self.end in ("failed", "returned") and not self.told
+
+    @property
+    def owed(self) -> bool:
+        """Something is still to be done about it."""
+        return not self.end or self.owes_notice
+
+
+class Tried(msgspec.Struct, array_like=True, frozen=True):
+    at: int
+    endpoint: str
+    zone: int
+
+
+class Taken(msgspec.Struct, array_like=True, frozen=True):
+    class_: str
+    tenant: str
+    dest: int
+    key: str | None
+    since: int
+    due: int
+    again: str
+    tries: int
+    out: Tried | None
+    risk: Tried | None
+    end: str
+    after_ms: float
+    told: bool
+    origin: str
+    body: bytes
+
+
+class Ended(msgspec.Struct, array_like=True, frozen=True):
+    state: str
+    after_ms: float
+
+
+PACK = msgspec.msgpack.Encoder().encode
+Decoder = msgspec.msgpack.Decoder
+TAKEN: Decoder[Taken] = Decoder(Taken)
+TRIED: Decoder[Tried] = Decoder(Tried)
+ENDED: Decoder[Ended] = Decoder(Ended)
+RAN: Decoder[bool] = Decoder(bool)
+CENSUS: Decoder[dict[str, list[str]]] = Decoder(dict[str, list[str]])  # front -> ids
+
+
+def _flat(attempt: Attempt | None) -> Tried | None:
+    return None if attempt is None else Tried(round(attempt.at), attempt.endpoint, attempt.zone)
+
+
+def _attempt(tried: Tried | None) -> Attempt | None:
+    return None if tried is None else Attempt(float(tried.at), tried.endpoint, tried.zone)
+
+
+def snapshot(entry: Entry) -> bytes:
+    """All that is known of a message; one that has ended needs its body no more."""
+    return PACK(Taken(
+        entry.class_, entry.tenant, entry.dest, entry.key, round(entry.since), round(entry.due), entry.again,
+        entry.tries, _flat(entry.out), _flat(entry.risk), entry.end, entry.after_ms, entry.told, entry.origin,
+        b"" if entry.end else entry.body))
+
+
+def entry_of(ident: str, payload: bytes) -> Entry:
+    """ValueError if it is not a snapshot."""
+    raw = TAKEN.decode(payload)
+    return Entry(ident, raw.class_, raw.tenant, raw.dest, raw.key, float(raw.since), float(raw.due),
+                 raw.again, raw.body, raw.tries, _attempt(raw.out), _attempt(raw.risk), raw.end, raw.after_ms,
+                 raw.told, raw.origin)
+
+
+def change(entry: Entry, kind: int, payload: bytes) -> None:
+    """What a record of a message that is known does to it; the same when it is written and when it is read
+    back. ValueError if it can't be read."""
+    if kind == TRY:
+        raw = TRIED.decode(payload)
+        entry.out = Attempt(float(raw.at), raw.endpoint, raw.zone)
+        entry.tries += 1
+    elif kind == OUT:
+        if RAN.decode(payload) and entry.risk is None:
+            entry.risk = entry.out
+        entry.out = None
+    elif kind == END:
+        ended = ENDED.decode(payload)
+        entry.end, entry.after_ms, entry.body = ended.state, ended.after_ms, b""
+    elif kind == TOLD:
+        entry.told = True
+    else:
+        raise ValueError(f"record of kind {kind} is not known")
+
+
+def worst(entry: Entry) -> None:
+    """A record about it may be lost: then an attempt may have been made, as early as it could have been."""
+    if not entry.end and entry.risk is None:
+        entry.risk = Attempt(entry.since, UNKNOWN, -1)
+
+
+def worst_of(entry: Entry, kind: int) -> None:
+    """A record of this kind was there, and can't be read: whatever it may have said holds at its worst."""
+    match kind:
+        case Kind.TRY | Kind.OUT:
+            entry.tries += kind == Kind.TRY
+            worst(entry)
+            entry.out = None
+        case Kind.END:  # however it ended, it is not to be sent again, and a failure promises nothing
+            entry.end, entry.after_ms, entry.body = "failed", 0.0, b""
+        case _:
+            pass  # told: it is told again, which does no harm
+
+
+def only_known_by_id(ident: str, origin: str = "http") -> Entry:
+    """A message of which nothing else is left: it gets its `failed` all the same."""
+    return Entry(ident, "", "", 0, None, 0.0, 0.0, "", b"", end="failed", origin=origin)
+
+
+@dataclass(slots=True)
+class Book:
+    """All messages that are known, and what they take on the disk."""
+
+    entries: dict[str, Entry] = field(default_factory=dict)
+    sizes: dict[str, int] = field(default_factory=dict)  # of each snapshot with what may still come: at most
+    total: int = 0
+
+    def put(self, entry: Entry, size: int) -> None:
+        self.total += size - self.sizes.get(entry.id, 0)
+        self.entries[entry.id], self.sizes[entry.id] = entry, size
+
+    def forget(self, ident: str) -> None:
+        del self.entries[ident]
+        self.total -= self.sizes.pop(ident)
--- /dev/null
+++ b/tests/store/test_journal.py
@@ -0,0 +1,269 @@
+"""The journal on a real folder: torn ends, damage, a full disk, room, and the file of earlier versions."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from zlib import crc32
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from linnetstile.store.files import FolderFiles
+from linnetstile.store.frame import CHECK, HEADER, HEADER_BYTES, NewerFormat, frame
+from linnetstile.store.journal import Attempt, Entry, Journal, JournalError, JournalFull
+from linnetstile.store.records import PACK, Ended, Kind
+from linnetstile.store.recovery import lines
+from linnetstile.store.room import BLOCK
+
+DISK = 400_000
+
+
+def entry(ident: str, body: bytes = b"body", due: float = 9000.0) -> Entry:
+    return Entry(ident, "safe", "t", 7, None, 1000.0, due, "", body)
+
+
+def fill(folder: Path) -> Journal:
+    journal = Journal(folder, DISK)
+    for n in range(3):
+        journal.take(entry(f"m{n}"))
+    journal.tried(journal.entries["m1"], 1500.0, "s-1", 0)
+    journal.ended(journal.entries["m2"], "failed")
+    return journal
+
+
+def segments(folder: Path) -> list[Path]:
+    return sorted(folder.glob("seg-*"))
+
+
+def test_a_torn_tail_loses_only_the_torn_record(tmp_path: Path) -> None:
+    fill(tmp_path).close()
+    (only,) = segments(tmp_path)
+    whole = only.read_bytes()
+    last = max(line.at for line in lines(FolderFiles(tmp_path)))
+    for cut in range(last + 1, len(whole)):
+        folder = tmp_path / str(cut)
+        folder.mkdir()
+        (folder / only.name).write_bytes(whole[:cut])
+        journal = Journal(folder, DISK)
+        assert set(journal.entries) == {"m0", "m1", "m2"} and journal.entries["m2"].end == ""
+        assert not journal.findings
+        journal.ended(journal.entries["m0"], "delivered")
+        journal.close()
+        again = Journal(folder, DISK)
+        assert again.entries["m0"].end == "delivered" and again.entries["m1"].risk is not None
+        assert not again.findings
+        again.close()
+
+
+def test_damage_is_reported_once_mended_and_kept_aside(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    fill(tmp_path).close()
+    (only,) = segments(tmp_path)
+    data, lost = bytearray(only.read_bytes()), [line for line in lines(FolderFiles(tmp_path))
+                                                if line.kind == "try"]
+    data[lost[0].at + 24] ^= 4  # in what it says
+    only.write_bytes(data)
+    journal = Journal(tmp_path, DISK)
+    assert "a record of kind 2 of message m1 cannot be read" in caplog.text
+    assert journal.entries["m1"].risk is not None and journal.entries["m0"].risk is None
+    assert journal.entries["m2"].end == "failed"
+    journal.close()
+    assert (tmp_path / f"aside-{only.name}").read_bytes() == data
+    caplog.clear()
+    again = Journal(tmp_path, DISK)
+    assert not again.findings and again.entries["m1"].risk is not None
+    again.close()
+
+
+def test_a_folder_of_a_newer_format_is_refused_with_one_line(tmp_path: Path) -> None:
+    fill(tmp_path).close()
+    (only,) = segments(tmp_path)
+    data = bytearray(only.read_bytes())
+    for at in (0, HEADER_BYTES // 2):
+        data[at + 4] = 9
+        data[at + HEADER.size : at + HEADER.size + 4] = CHECK.pack(crc32(data[at : at + HEADER.size]))
+    only.write_bytes(data)
+    with pytest.raises(NewerFormat, match="its format is 9, and this program knows 2 at most"):
+        Journal(tmp_path, DISK)
+
+
+def test_a_body_that_looks_like_a_record_is_none(tmp_path: Path) -> None:
+    """A client that knows the format must not be able to have its bytes read as records after damage."""
+    fake = frame(0, 3, Kind.END, b"m0", PACK(Ended("delivered", 0.0)))
+    journal = Journal(tmp_path, DISK)
+    for n in range(3):
+        journal.take(entry(f"m{n}", fake * 5))
+    journal.close()
+    (only,) = segments(tmp_path)
+    data = bytearray(only.read_bytes())
+    places = [line.at for line in lines(FolderFiles(tmp_path)) if line.kind == "take"]
+    data[places[1]] ^= 1  # the reader has to look for the next frame, through that body
+    only.write_bytes(data)
+    again = Journal(tmp_path, DISK)
+    assert again.findings and again.entries["m0"].end == "" and again.entries["m1"].end == "failed"
+    again.close()
+
+
+def test_a_short_write_is_taken_back(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    journal, write = fill(tmp_path), os.write
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", lambda file, data: write(file, data[:20]))
+        with pytest.raises(JournalError):
+            journal.take(entry("lost"))
+    assert "lost" not in journal.entries
+    journal.take(entry("kept"))
+    journal.close()
+    again = Journal(tmp_path, DISK)
+    assert set(again.entries) == {"m0", "m1", "m2", "kept"} and not again.findings
+    again.close()
+
+
+def test_a_closed_journal_writes_nothing(tmp_path: Path) -> None:
+    """Guards the end of the process: its descriptor's number may be a socket's by then."""
+    journal = fill(tmp_path)
+    journal.close()
+    with open(tmp_path / "other", "wb"), pytest.raises(JournalError):
+        journal.ended(journal.entries["m0"], "failed")
+    assert (tmp_path / "other").read_bytes() == b""
+
+
+def disk(folder: Path) -> int:
+    return sum(-(-path.stat().st_size // BLOCK) * BLOCK for path in folder.iterdir())
+
+
+def test_the_folder_stays_under_its_limit_with_old_new_and_large_bodies(tmp_path: Path) -> None:
+    journal, full = Journal(tmp_path, DISK), 0
+    for n in range(300):
+        try:
+            journal.take(entry(f"m{n}", b"x" * (65536 if n % 3 else 100)))
+        except JournalFull:
+            full += 1
+            held = next(each for each in journal.entries.values() if not each.end)
+            for _ in range(8):
+                journal.tried(held, 1500.0, "s-1", 0)
+                journal.outcome(held, False)
+            journal.ended(held, "failed")
+            journal.told([held.id])
+        assert disk(tmp_path) == journal.size <= DISK
+    assert full > 10 and journal.segments[0].number > 10
+    held_now = {ident for ident, each in journal.entries.items() if not each.end}
+    journal.close()
+    again = Journal(tmp_path, DISK)
+    assert {ident for ident, each in again.entries.items() if not each.end} == held_now
+    assert all(len(again.entries[ident].body) in (100, 65536) for ident in held_now)
+    again.close()
+
+
+def test_a_full_folder_still_ends_all_that_was_taken(tmp_path: Path) -> None:
+    """With bodies of all sizes, each message with as many attempts as it can have."""
+    for size in (0, 300, 5000, 60000):
+        folder = tmp_path / str(size)
+        folder.mkdir()
+        journal = Journal(folder, DISK)
+        with pytest.raises(JournalFull):
+            for n in range(1000):
+                journal.take(entry(f"m{n}", b"x" * size))
+        held = list(journal.entries.values())
+        assert len(held) >= 3 and (size < 60000 or len(held) * size > DISK // 4)
+        for _ in range(8):
+            for one in held:
+                journal.tried(one, 1500.0, "a-name-of-an-endpoint", 0)
+                journal.outcome(one, True)
+        for one in held:
+            journal.ended(one, "failed")
+        for one in held:
+            journal.told([one.id])
+        assert disk(folder) == journal.size <= DISK and not journal.behind
+        journal.take(entry("more", b"x" * size))  # there is room again
+        journal.close()
+
+
+def test_notices_owed_for_long_are_kept_while_the_log_goes_on(tmp_path: Path) -> None:
+    journal = Journal(tmp_path, DISK)
+    for n in range(20):
+        journal.take(entry(f"owed{n}"))
+        journal.ended(journal.entries[f"owed{n}"], "returned", 25.0)
+    for n in range(3000):
+        one = entry(f"m{n}", b"x" * 400, due=9000.0 + n)
+        journal.take(one)
+        journal.ended(one, "delivered")
+        journal.tidy(9000.0 + n)
+    assert journal.segments[0].number > 10 and journal.copied < 0.5 * journal.written
+    journal.close()
+    again = Journal(tmp_path, DISK)
+    assert sum(each.owes_notice and each.after_ms == 25.0 for each in again.entries.values()) == 20
+    again.close()
+
+
+def test_the_old_file_is_taken_over_once(tmp_path: Path) -> None:
+    (tmp_path / "journal").write_bytes((Path(__file__).parent / "journal-1").read_bytes())
+    (tmp_path / "journal.new").write_bytes(b"of a compaction that was cut off")
+    journal = Journal(tmp_path, DISK)
+    got = journal.entries
+    assert [got[f"m{n}"].end for n in range(6)] == ["", "", "", "failed", "returned", "delivered"]
+    assert got["m1"].risk == Attempt(1500.0, "s-1", 0) and got["m2"].tries == 1 and got["m2"].risk is not None
+    assert got["m4"].told and got["m0"].body == bytes(10) and got["m2"].key == "k2"
+    journal.close()
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["seg-0000000001", "seg-0000000002"]
+    again = Journal(tmp_path, DISK)
+    assert again.entries == got
+    again.close()
+
+
+def test_of_the_old_file_a_record_that_cannot_be_read_is_taken_at_its_worst(tmp_path: Path) -> None:
+    lines_ = (Path(__file__).parent / "journal-1").read_bytes().splitlines()
+    lines_[0] = lines_[0].replace(b'"tenant":"t"', b'"tenant":"u"')
+    (tmp_path / "journal").write_bytes(b"\n".join([*lines_, b""]))
+    journal = Journal(tmp_path, DISK)
+    assert journal.entries["m0"].end == "failed" and journal.entries["m0"].owes_notice
+    assert journal.findings and not journal.entries["m2"].end
+    journal.close()
+
+
+def test_the_ended_are_forgotten_when_their_time_is_up_and_not_before_their_notice(tmp_path: Path) -> None:
+    journal = fill(tmp_path)
+    journal.ended(journal.entries["m0"], "delivered")
+    journal.tidy(8000.0)
+    assert set(journal.entries) == {"m0", "m1", "m2"}
+    journal.tidy(9001.0)
+    assert set(journal.entries) == {"m1", "m2"}
+    journal.told(["m2"])
+    journal.tidy(9001.0)
+    assert set(journal.entries) == {"m1"}
+
+
+@given(st.lists(st.tuples(st.sampled_from(["take", "try", "out", "ran", "end", "told", "drop", "compact"]),
+                          st.integers(0, 3)), max_size=40))
+def test_what_is_read_back_is_what_was_written(
+    tmp_path_factory: pytest.TempPathFactory, steps: list[tuple[str, int]]
+) -> None:
+    folder = tmp_path_factory.mktemp("state")
+    journal = Journal(folder, DISK)
+    for step, n in steps:
+        held = journal.entries.get(f"m{n}")
+        if step == "take" and held is None:
+            journal.take(entry(f"m{n}", bytes([n]) * n))
+        elif step == "compact":
+            journal._begin()
+            journal._mend()
+        elif held is not None:
+            if step == "try":
+                journal.tried(held, 1500.0, "s-1", 1)
+            elif step in ("out", "ran"):
+                journal.outcome(held, step == "ran")
+            elif step == "end":
+                journal.ended(held, "failed", 25.0)
+            elif step == "told":
+                journal.told([held.id])
+            elif step == "drop":
+                journal.withdrawn(held)
+    for held in journal.entries.values():  # a call that was out may have run
+        held.risk, held.out = held.risk or held.out, None
+    journal.close()
+    again = Journal(folder, DISK)
+    assert again.entries == journal.entries and again.live == journal.live
+    assert again.size == disk(folder)
+    again.close()
