--- /dev/null
+++ b/benchmarks/kills.py
@@ -0,0 +1,185 @@
+"""SIGKILL of the real process at random moments, while its journal gives up segments under traffic.
+
+    python -m benchmarks.kills [--kills 300] [--seed 1] [--json]
+
+One relay with a small budget for its journal (so that it gives up segments all the time), a partner that
+refuses, fails and hangs by chance (standins.partner), a register that counts notices (standins.agent),
+clients without pause. After each kill it is started anew on its folder. At the end every message that was
+taken must have an effect at the partner or a final answer, and no `pay` an effect twice: the partner's
+ledger takes a `pay` as often as it comes, since those carry no key. """
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+from .processes import lines, settings
+from .relay import free_port
+from .report import report
+
+CLIENTS = 6
+DISK_MB = 0.7
+READY_S = 30.0
+
+
+@dataclass
+class Row:
+    kills: int = 0
+    taken: int = 0
+    effects: int = 0
+    notices: int = 0
+    segments: int = 0  # that were begun
+    restart_s: float = 0.0  # mean, from the kill to the next 200 of /healthz
+    broken: list[str] = field(default_factory=list)
+
+
+async def started(*args: str, **env: str) -> tuple[asyncio.subprocess.Process, str]:
+    import os
+
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", *args, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
+        env={**os.environ, **env})
+    if args[0] == "linnetstile":
+        return process, ""
+    assert process.stdout is not None
+    return process, (await process.stdout.readline()).decode().split()[1]
+
+
+async def healthy(port: int) -> None:
+    async with asyncio.timeout(READY_S):
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"GET /healthz HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n")
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.close()
+                if b" 200 " in head[:15]:
+                    return
+            await asyncio.sleep(0.01)
+
+
+@dataclass
+class Traffic:
+    port: int
+    rng: random.Random
+    taken: dict[str, str] = field(default_factory=dict)
+    numbers: int = 0
+
+    async def client(self) -> None:
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                try:
+                    while True:
+                        async with asyncio.timeout(5.0):
+                            await self.one(reader, writer)
+                finally:
+                    writer.close()
+            await asyncio.sleep(0.02)
+
+    async def one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.numbers += 1
+        ident = f"m{self.numbers}"
+        class_ = self.rng.choice(("order", "pay", "status"))
+        body = bytes(self.rng.choice((100, 100, 400, 9000)))
+        key = f"Idempotency-Key: k{ident}\r\n" if class_ == "order" else ""
+        writer.write(f"POST /{class_} HTTP/1.1\r\nHost: r\r\nX-Trace-Id: {ident}\r\nX-Qos: {class_}\r\n"
+                     f"X-Customer: t\r\nX-Expires-In-Ms: {4000}\r\n{key}X-Addressing: dest=1\r\n"
+                     f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = head.lower().partition(b"content-length:")[2].split(b"\r", 1)[0]
+        await reader.readexactly(int(length or 0))
+        if b" 202 " in head[:13]:
+            self.taken[ident] = class_
+        else:
+            await asyncio.sleep(0.02)
+
+
+async def measure(folder: Path, kills: int, seed: int) -> Row:
+    rng, row = random.Random(seed), Row()
+    (folder / "state").mkdir()
+    partner, at = await started("standins.partner", "--answer-ms", "15", "--refuse", "0.08",
+                                "--error", "0.05", "--hang", "0.02",
+                                "--ledger", str(folder / "effects"))
+    known = {"generation": 1, "reset": True, "instances": [
+        {"instanceId": "p", "hostPort": at, "zone": "z", "machineType": "k", "cell": 1, "lifecycle": "ready",
+         "weight": 2000.0, "startedAtMs": 0}]}
+    (folder / "list.json").write_text(json.dumps(known))
+    agent, discovery = await started("standins.agent", "--list", str(folder / "list.json"), "--ledger",
+                                     str(folder / "notices"))
+    port = free_port()
+    raw = settings(0.25)
+    raw["extra"]["call-slots"] = 24
+    (folder / "config.json").write_text(json.dumps({
+        "name": "k", "listen": f"127.0.0.1:{port}", "discovery": discovery, "seed": "1", "known": known,
+        "state": str(folder / "state"), "settings": raw, "limits": {"disk_mb": DISK_MB}}))
+    traffic = Traffic(port, rng)
+    relay, _ = await started("linnetstile", RELAY_CONFIG=str(folder / "config.json"))
+    clients: list[asyncio.Task[None]] = []
+    try:
+        await healthy(port)
+        clients = [asyncio.ensure_future(traffic.client()) for _ in range(CLIENTS)]
+        for _ in range(kills):
+            await asyncio.sleep(rng.uniform(0.02, 0.5))
+            relay.send_signal(signal.SIGKILL)
+            await relay.wait()
+            begun = time.monotonic()
+            relay, _ = await started("linnetstile", RELAY_CONFIG=str(folder / "config.json"))
+            await healthy(port)
+            row.kills += 1
+            row.restart_s += (time.monotonic() - begun) / kills
+        for client in clients:
+            client.cancel()
+        await asyncio.gather(*clients, return_exceptions=True)
+        await asyncio.sleep(5.0)  # past every deadline
+        numbers = [int(path.name[4:]) for path in (folder / "state").glob("seg-*")]
+        row.segments = max(numbers)
+        relay.send_signal(signal.SIGTERM)
+        await relay.wait()
+    finally:
+        for process in (relay, agent, partner):
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+    effects = Counter(line.split()[1] for line in lines(folder / "effects"))
+    ends: dict[str, set[str]] = {}
+    for item in map(json.loads, lines(folder / "notices")):
+        ends.setdefault(item["id"], set()).add(item["state"])
+    row.taken, row.effects, row.notices = len(traffic.taken), len(effects), len(ends)
+    ended = effects.keys() | ends.keys()
+    row.broken += [f"{ident}: no end" for ident in traffic.taken if ident not in ended]
+    row.broken += [f"{ident}: told {sorted(states)}" for ident, states in ends.items() if len(states) > 1]
+    row.broken += [f"{ident}: took effect {effects[ident]} times" for ident, class_ in traffic.taken.items()
+                   if class_ == "pay" and effects[ident] > 1]
+    return row
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.kills")
+    parser.add_argument("--kills", type=int, default=300)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    args = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="linnetstile-") as folder:
+        row = asyncio.run(measure(Path(folder), args.kills, args.seed))
+    for text in row.broken:
+        print(text, file=sys.stderr)
+    report([{**asdict(row), "broken": len(row.broken)}], args.json, (
+        "SIGKILL at random moments, under traffic",
+        "kills   taken  effects  notices  segments  restart s  broken"),
+        "{kills:5}{taken:8}{effects:9}{notices:9}{segments:10}{restart_s:11.2f}{broken:8}")
+    return 1 if row.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/linnetstile/http/intake.py
+++ b/linnetstile/http/intake.py
@@ -258,6 +258,9 @@
         """What its answer had to wait for has come."""
         if self.transport is None or self.transport.is_closing() or self.over or when.cancelled():
             return  # the connection's end has withdrawn it, or does
+        if polled(self.transport, select.POLLRDHUP):
+            self.abort()  # it has stopped waiting, unnoticed while nothing was read, and hands it in again
+            return
         self.unsent.clear()
         self._reply(http, reply)
         self._read_on()
