--- a/linnetstile/store/journal.py
+++ b/linnetstile/store/journal.py
@@ -255,7 +255,7 @@
         except OSError as error:
             # What was written of it may stand there: only what the next segment's header counts is read.
             self._look_at(head)
-            head.damaged = True  # nothing more goes to this file: its limit may be reached, or its disk be bad
+            head.damaged = True  # nothing more goes to this file: its limit may be reached
             raise JournalError(f"journal: {error}") from error
         head.check = crc32(data, head.check)
         head.size += len(data)
