The state folder may come from the service manager's STATE_DIRECTORY

Need: the issue of the daemon names it, and only RUNTIME_DIRECTORY was read. Measured: a test with both orders; nothing changes on the platform, which sets RELAY_STATE.

--- a/linnetstile/config.py
+++ b/linnetstile/config.py
@@ -89,6 +89,7 @@
         raw: _File = msgspec.json.decode(Path(path).read_bytes(), type=_File, strict=False)
         told = {key: env.get(f"RELAY_{key.upper()}") or getattr(raw, key) for key in
                 ("name", "listen", "state")}
+        told["state"] = told["state"] or env.get("STATE_DIRECTORY", "").partition(":")[0]
         told["discovery"] = raw.discovery or env.get("RELAY_DISCOVERY")
         missing = [key for key, value in told.items() if not value]
         if missing:
--- a/tests/fleet/test_operator.py
+++ b/tests/fleet/test_operator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 import subprocess
 import sys
@@ -11,11 +12,13 @@
 from click.testing import CliRunner
 
 from linnetstile.cli.main import group
+from linnetstile.config import load
 from linnetstile.fleet.operator import Operator, OperatorError, applied, instance, read
 from linnetstile.fleet.size import STEP_MS, Place
 from linnetstile.interface import Fleet
 
 from ..conftest import make_settings
+from ..loopback import Agent, raw_config
 
 DEPLOY = Path(__file__).parents[2] / "deploy"
 
@@ -83,6 +86,14 @@
             read(path, {"RELAY_INSTANCES": told})
 
 
+def test_the_state_folder_may_come_from_the_service_manager(tmp_path: Path) -> None:
+    raw = raw_config(tmp_path, Agent(address=("127.0.0.1", 1)))
+    (tmp_path / "c.json").write_text(json.dumps({**raw, "state": ""}))
+    env = {"RELAY_CONFIG": str(tmp_path / "c.json"), "STATE_DIRECTORY": "/var/lib/a:/var/lib/b"}
+    assert load(env).state == Path("/var/lib/a")
+    assert load({**env, "RELAY_STATE": "/own"}).state == Path("/own")
+
+
 def test_check_tells_faults_and_exit_codes(tmp_path: Path) -> None:
     path = tmp_path / "relay.toml"
     path.write_text("[status]\nfolder = '/nowhere/at/all'\n[supervisor]\nconfig = '/nowhere.json'\n")
