--- a/linnetstile/fleet/plan.py
+++ b/linnetstile/fleet/plan.py
@@ -67,10 +67,8 @@
 class Plan:
     """Decides for all instances of one supervisor."""
 
-    def __init__(
-        self, part: SupervisorPart, count: int, now: float, seed: int, settle_s: float = 20.0
-    ) -> None:
-        self.part, self.rng, self.settle_s = part, random.Random(seed), settle_s
+    def __init__(self, part: SupervisorPart, count: int, now: float, seed: int) -> None:
+        self.part, self.rng = part, random.Random(seed)
         self.all = {n: Instance(since=now, at=now) for n in range(count)}
         self.count = count
         self.stopping = False
@@ -145,7 +143,7 @@
         longer among them retire: they take nothing new, and end once they hold nothing."""
         if self.stopping:
             return
-        self.part, self.count, self.settle_s = part, count, settle_s
+        self.part, self.count = part, count
         for n, one in self.all.items():
             if n >= count and one.state in (State.DOWN, State.FAILED) and not one.crashes:
                 one.to(State.GONE, now)
--- a/linnetstile/fleet/supervisor.py
+++ b/linnetstile/fleet/supervisor.py
@@ -74,7 +74,6 @@
             operator.fleet.instances,
             self.clock(),
             int.from_bytes(os.urandom(4), "big"),
-            operator.fleet.settle_s,
         )
         self.children: dict[int, Child] = {}
         self.turned = asyncio.Event()
--- a/linnetstile/store/files.py
+++ b/linnetstile/store/files.py
@@ -109,7 +109,7 @@
         self._fsync(self.folder / name)
         if name not in self.named:
             self._fsync(self.folder)
-            self.named = {name, *(each for each in self.named if each in os.listdir(self.folder))}
+            self.named = {name, *self.named.intersection(os.listdir(self.folder))}
 
     @staticmethod
     def _fsync(path: Path) -> None:
--- a/linnetstile/store/journal.py
+++ b/linnetstile/store/journal.py
@@ -232,7 +232,7 @@
         """Raises JournalError; then nothing has changed."""
         name = ident.encode()
         need = frame_bytes(len(name), len(payload))
-        if not copying and self.used + need + self.new_segment > self.room.usable:
+        if not copying and self.room.short(self.used, need + self.new_segment):
             self._give_up_all(need)
         head = self.segments[-1]
         if head.damaged or head.size + need > self.room.segment and head.size > self.began:
@@ -272,7 +272,7 @@
             return
         if size != head.size:
             head.damaged = True
-            self.used += blocks(size) - blocks(max(head.size, head.on_disk))
+            self.used += blocks(size) - head.blocks
             head.on_disk = size
 
     def _begin(self, copying: bool = False) -> None:
@@ -355,11 +355,11 @@
             self.segments.popleft()
         else:
             self.segments.popleft()
-            self.leaving += blocks(max(oldest.on_disk, oldest.size))
+            self.leaving += oldest.blocks
             self.durability.after(lambda: self._unlink_later(oldest))
 
     def _unlink_later(self, oldest: Segment) -> None:
-        self.leaving -= blocks(max(oldest.on_disk, oldest.size))
+        self.leaving -= oldest.blocks
         try:
             self._unlink(oldest)
         except JournalError as error:  # its room is missing until the next start, which finds it
@@ -372,7 +372,7 @@
             pass  # somebody cleared it away
         except OSError as error:
             raise JournalError(f"journal: {error}") from error
-        self.used -= blocks(max(oldest.on_disk, oldest.size))
+        self.used -= oldest.blocks
 
     # -- the start ---------------------------------------------------------------------------------------
 
@@ -445,7 +445,7 @@
             oldest = self.segments[0]
             if oldest.homes:
                 break
-            size = blocks(max(oldest.on_disk, oldest.size))
+            size = oldest.blocks
             if oldest.damaged and sum(self.aside.values()) + size <= self.budget // ASIDE_PART:
                 try:
                     self.files.rename(oldest.name, ASIDE + oldest.name)
--- a/linnetstile/store/recovery.py
+++ b/linnetstile/store/recovery.py
@@ -15,6 +15,7 @@
 from .files import Files
 from .frame import HEADER_BYTES, Gap, Header, Hurt, Piece, Record, Torn, header_of, salvaged, scan
 from .records import CENSUS, Entry, Kind, change, entry_of, only_known_by_id, worst, worst_of
+from .room import blocks
 
 TAKE, DROP, COUNT = int(Kind.TAKE), int(Kind.DROP), int(Kind.CENSUS)  # plain: compared for each record
 NAME = re.compile(r"seg-(\d{10})")
@@ -38,6 +39,11 @@
     def name(self) -> str:
         return name_of(self.number)
 
+    @property
+    def blocks(self) -> int:
+        """Bytes that its file takes on the disk."""
+        return blocks(max(self.on_disk, self.size))
+
 
 @dataclass(slots=True)
 class Found:
