--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -1,6 +1,6 @@
 """The journal in segments beside the one file that it replaced, on the real mix, in the same run.
 
-    python -m benchmarks.store [--json] [--messages 20000] [--rounds 3] [--old DIR]
+    python -m benchmarks.store [--json] [--messages 20000] [--rounds 3] [--old DIR | --recovery]
 
 The mix: bodies of 200 bytes to 60 KB (log-normal, median 400), 55% delivered at the first try, others after
 some more, 4% end as failed or returned and are told; each is known for 16 s at 120 messages a second, budget
@@ -22,8 +22,11 @@
 from collections import deque
 from pathlib import Path
 from typing import Any
+from zlib import crc32
 
+from linnetstile.store.files import FolderFiles
 from linnetstile.store.journal import Entry, Journal, JournalError
+from linnetstile.store.recovery import recover
 
 from .report import report
 
@@ -111,6 +114,25 @@
                 "recovery MB/s": size / 1e6 / restored}
 
 
+def recovery(size: int, total: int) -> dict[str, Any]:
+    """A start on so many bytes of messages of one size; the floor only reads the files and sums them up."""
+    with tempfile.TemporaryDirectory() as name:
+        journal = Journal(Path(name), 4 * total + 3000 * (total // size))  # its reserve
+        for n in range(total // size):
+            journal.take(Entry(f"{n:016x}", "order", "t", 7, f"k{n:016x}", 1e6, 2e6, "", bytes(size)))
+        journal.close()
+        paths = sorted(Path(name).iterdir())
+        begun = time.perf_counter()
+        read = sum(len(data) for data in (path.read_bytes() for path in paths) if crc32(data) >= 0)
+        floor = time.perf_counter() - begun
+        begun = time.perf_counter()
+        found = recover(FolderFiles(Path(name)))
+        took = time.perf_counter() - begun
+        assert len(found.entries) == total // size
+        return {"body": size, "MB": read / 1e6, "us a record": took / len(found.entries) * 1e6,
+                "MB/s": read / 1e6 / took, "floor": read / 1e6 / floor}
+
+
 def old(folder: Path, messages: int, seed: int) -> dict[str, Any]:
     """The same by the version in another folder: this file's loop, that version's journal."""
     code = ("import json, sys; from benchmarks.store import measure;"
@@ -132,7 +154,13 @@
     parser.add_argument("--messages", type=int, default=20_000)
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--old", type=Path)
+    parser.add_argument("--recovery", action="store_true", help="a start on messages of each size instead")
     args = parser.parse_args()
+    if args.recovery:
+        report([recovery(size, 20_000_000) for size in (100, 400, 1000, 4000, 16_000, 60_000)], args.json,
+               ("   body     MB  us/record    MB/s  read and sum up, MB/s",),
+               "{body:7}{MB:7.1f}{us a record:11.1f}{MB/s:8.0f}{floor:23.0f}")
+        return 0
     rows = []
     for seed in range(args.rounds):
         rows.append({"store": "segments", **measure(args.messages, seed)})
--- a/linnetstile/core/attempts.py
+++ b/linnetstile/core/attempts.py
@@ -82,7 +82,7 @@
 
     def _ended(self, number: int, held: Held, event: api.AttemptEnded) -> None:
         messages, entry, held.cancel = self.messages, held.entry, None
-        if entry.id in messages.journal.entries:
+        if messages.journal.entries.get(entry.id) is entry:  # and no later message under its id
             if event.finished:
                 messages.let_go(number)
                 messages.end(entry, "delivered" if event.outcome is api.Outcome.OK else "over")
--- a/linnetstile/store/durability.py
+++ b/linnetstile/store/durability.py
@@ -65,25 +65,33 @@
             await self.wake.wait()
             if not self.group:
                 await asyncio.sleep(self.every_s)
-            self.wake.clear()
-            names, upto = list(self.dirty), self.written
-            self.dirty.clear()
+            names, upto = self.begin()
             try:
-                await loop.run_in_executor(self.thread, self._sync, names)
+                await loop.run_in_executor(self.thread, self.sync, names)
             except OSError as error:
                 log.error(Note("journal: a sync failed: all is written anew", why=error))
                 await asyncio.sleep(AGAIN_S)
                 self.anew()
                 self.wake.set()
                 continue
-            self._safe(upto)
+            self.safe(upto)
 
-    def _sync(self, names: list[str]) -> None:
+    # -- one round, in three steps: a test takes them by itself ------------------------------------------
+
+    def begin(self) -> tuple[list[str], int]:
+        """Files that the next sync has to cover, and the record up to which all is safe then."""
+        self.wake.clear()
+        names, upto = list(self.dirty), self.written
+        self.dirty.clear()
+        return names, upto
+
+    def sync(self, names: list[str]) -> None:
+        """On the thread."""
         for name in names:
             with contextlib.suppress(FileNotFoundError):  # given up: what was in it lies in a later one
                 self.files.sync(name)
 
-    def _safe(self, upto: int) -> None:
+    def safe(self, upto: int) -> None:
         self.durable = upto
         while self.waiting and self.waiting[0][0] <= upto:
             future = self.waiting.popleft()[1]
@@ -94,7 +102,7 @@
 
     async def finish(self, seconds: float = 1.0) -> None:
         """The last sync of a process that stops in an orderly way; takes no longer than told."""
-        work = asyncio.get_running_loop().run_in_executor(self.thread, self._sync, list(self.dirty))
+        work = asyncio.get_running_loop().run_in_executor(self.thread, self.sync, list(self.dirty))
         try:
             await asyncio.wait_for(work, seconds)
         except (OSError, TimeoutError) as error:
--- a/linnetstile/store/journal.py
+++ b/linnetstile/store/journal.py
@@ -24,7 +24,7 @@
 from .frame import HEADER_BYTES, Header, NewerFormat, frame, frame_bytes
 from .records import PACK, Attempt, Book, Ended, Entry, Kind, Tried, change, snapshot
 from .recovery import Found, Segment, name_of, recover
-from .room import BLOCK, CENSUS, COUNTED, OPEN, OWED, Room, blocks
+from .room import BLOCK, CENSUS, COUNTED, OPEN, OWED, SLICE, Room, blocks
 
 log = logging.getLogger(__name__)
 
@@ -185,6 +185,11 @@
     def _record(self, entry: Entry, kind: Kind, payload: bytes) -> None:
         """The change holds in memory also if it can't be written: it is then written later, and what a kill
         leaves is safe, since a try without an outcome may have run. A try is not: it must not be made."""
+        if self.entries.get(entry.id) is not entry:
+            # Guards whoever has its id now: a late word of a call must not be read as one of the new message.
+            if kind is Kind.TRY:
+                raise JournalError(f"journal: message {entry.id} is over")
+            return
         try:
             self._append(kind, entry.id, payload)
         except JournalError:
@@ -282,16 +287,17 @@
         new = Segment(before.number + 1, salt=int.from_bytes(os.urandom(4), "little"))
         data = Header(new.number, self.sequence, before.size, before.check, new.salt).encode()
         origins: dict[str, list[str]] = {}
-        for entry in self.entries.values() if len(self.entries) <= COUNTED else ():
-            if entry.owed:
-                origins.setdefault(entry.origin, []).append(entry.id)
+        owed = self.book.owed
+        for ident, origin in owed.items() if len(owed) <= COUNTED else ():
+            origins.setdefault(origin, []).append(ident)
         census = PACK(origins)
-        counted = len(self.entries) <= COUNTED and len(census) <= self.room.segment // CENSUS
+        counted = len(owed) <= COUNTED and len(census) <= self.room.segment // CENSUS
         if counted:
             data += frame(new.salt, self.sequence, Kind.CENSUS, b"", census)
         try:
-            if self.files.sizes().get(new.name) is not None:
-                self.files.unlink(new.name)  # what an attempt to begin it has left
+            self.files.unlink(new.name)  # what an attempt to begin it has left
+        except FileNotFoundError:
+            pass
         except OSError as error:
             raise JournalError(f"journal: {error}") from error
         self._put(new, data)
@@ -314,8 +320,9 @@
             self.credit = 0
             return
         self.credit = min(self.credit + quota, self.room.segment)
+        left = SLICE
         try:
-            while self.credit > 0 and len(self.segments) > 1:
+            while min(self.credit, left) > 0 and len(self.segments) > 1:
                 oldest = self.segments[0]
                 ident = next(iter(oldest.homes), None)
                 if ident is None:
@@ -325,7 +332,10 @@
                 size = self.book.sizes[ident]
                 if size > self.credit and self.credit < self.room.segment // 2:
                     return  # its turn comes when there is credit for it
+                if size > left < SLICE:
+                    return
                 self.credit -= size
+                left -= size
                 self._copy(entry)
         except JournalError as error:
             log.error(Note("journal: a segment cannot be given up", why=error))
--- a/linnetstile/store/records.py
+++ b/linnetstile/store/records.py
@@ -173,12 +173,18 @@
 
     entries: dict[str, Entry] = field(default_factory=dict)
     sizes: dict[str, int] = field(default_factory=dict)  # of each snapshot with what may still come: at most
+    owed: dict[str, str] = field(default_factory=dict)  # id -> front, of those that are owed something
     total: int = 0
 
     def put(self, entry: Entry, size: int) -> None:
         self.total += size - self.sizes.get(entry.id, 0)
         self.entries[entry.id], self.sizes[entry.id] = entry, size
+        if entry.owed:
+            self.owed[entry.id] = entry.origin
+        else:
+            self.owed.pop(entry.id, None)
 
     def forget(self, ident: str) -> None:
         del self.entries[ident]
+        self.owed.pop(ident, None)
         self.total -= self.sizes.pop(ident)
--- a/linnetstile/store/room.py
+++ b/linnetstile/store/room.py
@@ -14,10 +14,11 @@
 PARTS = 24  # a segment is such a part of the room
 CENSUS = 8  # a census takes such a part of a segment at most
 # for the records of a message still open: 8 attempts, their ends, its own; of a notice
-COUNTED = 8000  # messages at the most, or there is no census: counting more takes too long for one turn
+COUNTED = 8000  # ids at the most, or there is no census: counting more takes too long for one turn
 OPEN, OWED = 2048, 128
 ROOMY = 384 * 1024  # nothing is given up below this, nor below FULL times what is known: most dies by itself
 FULL = 4
+SLICE = 12 * 1024  # bytes copied in one go, or one record: some 1 ms of the loop
 FILES = 32  # more segments than this are too many: each start makes one
 RATES = ((5 / 6, 4), (2 / 3, 2))  # above such a part of the room so many bytes are copied for one written
 
