A virtual fleet, experiments as files, paired intervals, and a report

An operator who wants to know what a setting does to their traffic had nothing. python -m emulator run|compare|report|check and trace stats|fit|cut|scale now exist: the real decision module for each relay (of another checkout in a process beside it, where a variant names one), clients, partners, register and restarts in virtual time; common random numbers by message and attempt; results that are the same bytes on any number of processes; a verdict first.

--- /dev/null
+++ b/emulator/__main__.py
@@ -0,0 +1,13 @@
+"""`python -m emulator`: experiments, traces, load. Needs the extra `lab`."""
+
+from __future__ import annotations
+
+import sys
+
+if __name__ == "__main__":
+    try:
+        from .commands import main
+    except ModuleNotFoundError as error:
+        print(f"emulator: {error.name} is missing: pip install 'linnetstile[lab]'", file=sys.stderr)
+        sys.exit(2)
+    main()
--- /dev/null
+++ b/emulator/engines.py
@@ -0,0 +1,187 @@
+"""The real decision module behind one small interface: this version in the process, another one beside it.
+
+Another version is a checkout or an installed copy: `emulator.peer` runs in a process whose `linnetstile` is
+that one, and both sides pass the public events and actions of `linnetstile.interface` by name and field, as
+msgpack. An event or a field that the other version does not know is told as an error, not passed over."""
+
+from __future__ import annotations
+
+import dataclasses
+import importlib
+import os
+import struct
+import subprocess
+import sys
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import Any, Protocol
+
+import msgspec
+
+from linnetstile import interface as api
+from linnetstile.control import Relay
+from linnetstile.settings import settings_from
+
+SIZE = struct.Struct("<I")
+KEEP = {"fleet"}  # of Settings, what is not in the platform's text
+
+
+class Engine(Protocol):
+    """Instances of one version of the decision module, by number."""
+
+    def start(self, number: int, settings: bytes, seed: int, fleet: api.Fleet | None) -> None:
+        """A new process of this instance: it knows nothing. `settings`: the platform's text."""
+
+    def handle(self, number: int, now: float, events: list[api.Event]) -> list[api.Action]: ...
+
+    def may_write(self, number: int, now: float, ident: int) -> bool:
+        """Asked right before a call's first byte."""
+
+    def learned(self, number: int, now: float) -> list[api.Learned]:
+        """What the next process should know."""
+
+    def close(self) -> None: ...
+
+
+class Here:
+    """This version, in this process."""
+
+    def __init__(self) -> None:
+        self.relays: dict[int, Relay] = {}
+
+    def start(self, number: int, settings: bytes, seed: int, fleet: api.Fleet | None) -> None:
+        told = dataclasses.replace(settings_from(settings), fleet=fleet)
+        self.relays[number] = Relay(told, seed)
+
+    def handle(self, number: int, now: float, events: list[api.Event]) -> list[api.Action]:
+        return self.relays[number].handle(now, events)
+
+    def may_write(self, number: int, now: float, ident: int) -> bool:
+        return self.relays[number].may_write(now, ident)
+
+    def learned(self, number: int, now: float) -> list[api.Learned]:
+        return self.relays[number].learned(now)
+
+    def close(self) -> None:
+        self.relays.clear()
+
+
+class PeerError(RuntimeError):
+    """The other version ended, or does not know what it was told; the text has its words."""
+
+
+class Beside:
+    """Another version, in a process of its own."""
+
+    def __init__(self, folder: Path, constants: Mapping[str, float]) -> None:
+        here = Path(__file__).parents[1]
+        # Not on the path: this repository's linnetstile must not stand before the other one's.
+        self.process = subprocess.Popen(
+            [sys.executable, "-P", str(here / "emulator" / "peer.py")],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            env={**os.environ, "PYTHONPATH": str(folder)},
+        )
+        self.folder = folder
+        self._ask("constants", dict(constants))
+
+    def _ask(self, what: str, *args: Any) -> Any:
+        assert self.process.stdin is not None and self.process.stdout is not None
+        data = msgspec.msgpack.encode([what, *args])
+        try:
+            self.process.stdin.write(SIZE.pack(len(data)) + data)
+            self.process.stdin.flush()
+            head = self.process.stdout.read(SIZE.size)
+            if len(head) == SIZE.size:
+                answer = msgspec.msgpack.decode(self.process.stdout.read(SIZE.unpack(head)[0]))
+                if "error" in answer:
+                    raise PeerError(f"{self.folder}: {answer['error']}")
+                return answer["value"]
+        except BrokenPipeError:
+            pass
+        raise PeerError(f"{self.folder}: its process ended with {self.process.wait()}")
+
+    def start(self, number: int, settings: bytes, seed: int, fleet: api.Fleet | None) -> None:
+        self._ask("start", number, settings, seed, packed(fleet))
+
+    def handle(self, number: int, now: float, events: list[api.Event]) -> list[api.Action]:
+        return [unpacked(each, api) for each in self._ask("handle", number, now, [packed(e) for e in events])]
+
+    def may_write(self, number: int, now: float, ident: int) -> bool:
+        return bool(self._ask("may_write", number, now, ident))
+
+    def learned(self, number: int, now: float) -> list[api.Learned]:
+        return [unpacked(each, api) for each in self._ask("learned", number, now)]
+
+    def close(self) -> None:
+        assert self.process.stdin is not None
+        self.process.stdin.close()
+        try:
+            self.process.wait(10.0)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+
+
+def packed(value: Any) -> Any:
+    """A dataclass of the interface as [name, fields], fields that stand at their defaults left out: so that a
+    version that lacks one need not know it."""
+    if not dataclasses.is_dataclass(value):
+        return value
+    fields = {}
+    for field in dataclasses.fields(value):
+        part = getattr(value, field.name)
+        if field.default is dataclasses.MISSING or part != field.default:
+            fields[field.name] = _plain(part)
+    return [type(value).__name__, fields]
+
+
+def _plain(part: Any) -> Any:
+    if isinstance(part, tuple):
+        return [_plain(each) for each in part]
+    if dataclasses.is_dataclass(part):
+        return packed(part)
+    return getattr(part, "value", part)
+
+
+def unpacked(told: Any, module: Any) -> Any:
+    """The other way, with the classes of `module`. ValueError names what it does not know."""
+    name, fields = told
+    shape = getattr(module, name, None)
+    if shape is None:
+        raise ValueError(f"{name} is not known to this version")
+    known = {field.name: field.type for field in dataclasses.fields(shape)}
+    for field in fields:
+        if field not in known:
+            raise ValueError(f"{name}.{field} is not known to this version")
+    return shape(**{field: _typed(part, str(known[field]), module) for field, part in fields.items()})
+
+
+def _typed(part: Any, told: str, module: Any) -> Any:
+    shape = getattr(module, told.partition(" |")[0], None)
+    if isinstance(part, list):
+        whole = [_typed(each, told, module) for each in part]
+        if len(part) == 2 and isinstance(part[0], str) and isinstance(part[1], dict):
+            return unpacked(part, module)
+        return tuple(whole)
+    if isinstance(shape, type) and not dataclasses.is_dataclass(shape) and isinstance(part, str):
+        return shape(part)  # an enum
+    return part
+
+
+def set_constants(constants: Iterable[tuple[str, float]]) -> dict[str, Any]:
+    """Sets constants of the decision module, also where another of its modules has taken one over by name;
+    what they were before. ValueError if there is none of that name."""
+    before: dict[str, Any] = {}
+    for path, value in constants:
+        home, _, name = path.partition(".")
+        module = importlib.import_module(f"linnetstile.{home}")
+        old = getattr(module, name, None)
+        if not isinstance(old, int | float):
+            raise ValueError(f"{path}: is no number of the decision module")
+        before[path] = old
+        for other in ("control", "state", "share", "index"):
+            at = importlib.import_module(f"linnetstile.{other}")
+            if name in vars(at):
+                setattr(at, name, type(old)(value))
+    return before
--- a/emulator/partner.py
+++ b/emulator/partner.py
@@ -23,7 +23,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 from enum import Enum
-from random import Random
+from typing import Protocol
 
 from .spec import Enforced, Fault, Spec, Trouble
 
@@ -51,8 +51,16 @@
     wait_ms: float = 0.0  # told with a refusal
 
 
+class Chance(Protocol):
+    """Numbers of chance: random.Random, or emulator.draws."""
+
+    def random(self) -> float: ...
+
+    def gauss(self, mean: float, sigma: float, /) -> float: ...
+
+
 class Partner:
-    def __init__(self, spec: Spec, rng: Random) -> None:
+    def __init__(self, spec: Spec, rng: Chance) -> None:
         self.spec, self.rng = spec, rng
         self.troubles = sorted(spec.troubles, key=lambda each: each.begin_ms)
         self.busy: list[float] = []  # heap: when each slot is free again
--- /dev/null
+++ b/emulator/trace.py
@@ -0,0 +1,307 @@
+"""Recorded traffic: reading what `linnetstile.fleet.recording` writes, plain or gzipped, a line at a time.
+
+What was cut off at the end is passed over, as is any line that cannot be read; both are counted. Clocks jump
+and lines of several threads come out of order: lines are put in order within WINDOW of them, and one that is
+older than what was handed out already gets that one's time. So memory stays bounded, whatever the length."""
+
+from __future__ import annotations
+
+import gzip
+import heapq
+import math
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import IO, cast
+
+import msgspec
+import numpy as np
+
+VERSION = 1
+WINDOW = 2000  # lines
+SECONDS = 200_000  # that statistics keep counts of, one by one: more than two days
+NAMES = 100_000  # destinations and tenants that are counted one by one
+
+
+class TraceError(ValueError):
+    """The file is no trace, or of a later version."""
+
+
+class Line(msgspec.Struct, array_like=True, frozen=True):
+    at: float  # ms since the recording began
+    class_: str
+    destination: int
+    tenant: str
+    bytes: int
+    left_ms: float
+    id: str
+
+
+class Head(msgspec.Struct, frozen=True):
+    v: int
+    begun: float = 0.0
+    salt: str = ""
+
+
+HEAD: msgspec.json.Decoder[Head] = msgspec.json.Decoder(Head)
+LINE: msgspec.json.Decoder[Line] = msgspec.json.Decoder(Line)
+
+
+@dataclass
+class Notes:
+    """What was odd in a trace."""
+
+    unreadable: int = 0
+    out_of_order: int = 0
+    late: int = 0  # so far out of order that their time was changed
+    head: Head = field(default_factory=lambda: Head(VERSION))
+
+
+def opened(path: Path, mode: str = "rb") -> IO[bytes]:
+    if path.suffix == ".gz":
+        return cast(IO[bytes], gzip.GzipFile(path, mode, mtime=0))  # the same lines are the same bytes
+    return open(path, mode)
+
+
+def raw(path: Path, notes: Notes) -> Iterator[Line]:
+    """As they stand."""
+    with opened(path) as file:
+        try:
+            notes.head = HEAD.decode(file.readline(1 << 16))
+        except (ValueError, EOFError, OSError) as error:
+            raise TraceError(f"{path}: is no trace: {error}") from error
+        if notes.head.v > VERSION:
+            raise TraceError(
+                f"{path}: is of version {notes.head.v}, and this program knows {VERSION} at most"
+            )
+        lines = iter(lambda: file.readline(1 << 16), b"")
+        try:
+            for text in lines:
+                try:
+                    line = LINE.decode(text)
+                except ValueError:
+                    notes.unreadable += not text.startswith(b'{"dropped"')
+                    continue
+                if math.isfinite(line.at):
+                    yield line
+                else:
+                    notes.unreadable += 1
+        except (EOFError, OSError):  # gzip that was cut off
+            notes.unreadable += 1
+
+
+def read(path: Path, notes: Notes | None = None) -> Iterator[Line]:
+    """In the order of their times. Raises TraceError."""
+    notes = Notes() if notes is None else notes
+    heap: list[tuple[float, int, Line]] = []
+    latest, given = -math.inf, -math.inf
+    for number, line in enumerate(raw(path, notes)):
+        notes.out_of_order += line.at < latest
+        latest = max(latest, line.at)
+        heapq.heappush(heap, (line.at, number, line))
+        if len(heap) > WINDOW:
+            given = max(given, heap[0][0])
+            yield _at(heapq.heappop(heap)[2], given, notes)
+    while heap:
+        given = max(given, heap[0][0])
+        yield _at(heapq.heappop(heap)[2], given, notes)
+
+
+def _at(line: Line, least: float, notes: Notes) -> Line:
+    if line.at >= max(0.0, least):
+        return line
+    notes.late += 1
+    return msgspec.structs.replace(line, at=max(0.0, least))
+
+
+def write(path: Path, lines: Iterable[Line], head: Head) -> int:
+    """How many there were."""
+    count, encode = 0, msgspec.json.Encoder().encode
+    with opened(path, "wb") as file:
+        file.write(encode(head) + b"\n")
+        for line in lines:
+            file.write(encode(line) + b"\n")
+            count += 1
+    return count
+
+
+@dataclass
+class Stats:
+    messages: int = 0
+    last_ms: float = 0.0
+    classes: Counter[str] = field(default_factory=Counter)
+    destinations: Counter[int] = field(default_factory=Counter)
+    tenants: Counter[str] = field(default_factory=Counter)
+    bytes: int = 0
+    left_ms: dict[str, float] = field(default_factory=dict)  # the longest of each class
+    seconds: Counter[int] = field(default_factory=Counter)
+    again: int = 0  # lines of an id that had just been there
+    notes: Notes = field(default_factory=Notes)
+
+    @property
+    def rate(self) -> float:
+        return self.messages / max(1e-3, self.last_ms / 1000)
+
+    @property
+    def busiest(self) -> float:
+        """Messages of the busiest second, against the mean."""
+        return max(self.seconds.values(), default=0) / max(1e-9, self.rate)
+
+    def counts(self) -> np.ndarray:
+        """Messages of each second."""
+        out = np.zeros(min(SECONDS, int(self.last_ms / 1000) + 1))
+        for second, count in self.seconds.items():
+            if second < len(out):
+                out[second] = count
+        return out
+
+
+def stats(path: Path) -> Stats:
+    """One pass. Raises TraceError."""
+    out = Stats()
+    recent: dict[str, None] = {}
+    for line in read(path, out.notes):
+        out.messages += 1
+        out.last_ms = line.at
+        out.classes[line.class_] += 1
+        out.bytes += line.bytes
+        out.left_ms[line.class_] = max(out.left_ms.get(line.class_, 0.0), line.left_ms)
+        if line.destination in out.destinations or len(out.destinations) < NAMES:
+            out.destinations[line.destination] += 1
+        if line.tenant in out.tenants or len(out.tenants) < NAMES:
+            out.tenants[line.tenant] += 1
+        if line.at < SECONDS * 1000:
+            out.seconds[int(line.at / 1000)] += 1
+        out.again += line.id in recent
+        recent[line.id] = None
+        if len(recent) > WINDOW:
+            del recent[next(iter(recent))]
+    return out
+
+
+def cut(lines: Iterable[Line], begin_ms: float, end_ms: float) -> Iterator[Line]:
+    """Those of that time, which then begins at 0."""
+    for line in lines:
+        if line.at >= end_ms:
+            return
+        if line.at >= begin_ms:
+            yield msgspec.structs.replace(line, at=line.at - begin_ms)
+
+
+def scale(lines: Iterable[Line], times: float, rng: np.random.Generator) -> Iterator[Line]:
+    """So many times the messages, at the same shape: each comes so often on average; repeats a little later,
+    so that they do not stand on one moment."""
+    heap: list[tuple[float, int, Line]] = []
+    number = 0
+    for line in lines:
+        whole = int(times) + (rng.random() < times % 1)
+        for n in range(whole):
+            later = line.at if n == 0 else line.at + float(rng.exponential(200.0))
+            ident = line.id if n == 0 else f"{line.id}.{n}"
+            number += 1
+            heapq.heappush(heap, (later, number, msgspec.structs.replace(line, at=later, id=ident)))
+        while heap and heap[0][0] <= line.at:
+            yield heapq.heappop(heap)[2]
+    while heap:
+        yield heapq.heappop(heap)[2]
+
+
+@dataclass
+class Fit:
+    """A model of a trace: what `fit` prints as an experiment's [traffic]."""
+
+    rate: float
+    seconds: float
+    zipf: float
+    clump: float
+    swing: float
+    period_s: float
+    peak_s: float
+    bursts: list[tuple[float, float, float]]  # begin, length, times
+    classes: dict[str, tuple[float, float]]  # share, longest time to live
+
+    def toml(self) -> str:
+        out = [
+            "[traffic]",
+            f"rate = {self.rate:.4g}",
+            f"seconds = {self.seconds:.0f}.0",
+            f"warm_s = {self.seconds * 0.05:.1f}",
+            f"zipf = {self.zipf:.3f}",
+            f"clump = {self.clump:.2f}",
+        ]
+        if self.swing > 0.02:
+            out += [
+                "",
+                "[traffic.wave]",
+                f"period_s = {self.period_s:.0f}.0",
+                f"swing = {self.swing:.3f}",
+                f"peak_s = {self.peak_s:.0f}.0",
+            ]
+        for begin, length, times in self.bursts:
+            out += [
+                "",
+                "[[traffic.bursts]]",
+                f"at_s = {begin:.0f}.0",
+                f"seconds = {length:.0f}.0",
+                f"times = {times:.2f}",
+            ]
+        for name, (share, left) in self.classes.items():
+            out += [
+                "",
+                "[[classes]]",
+                f'name = "{name}"',
+                'effect = "by_key"  # say what it is',
+                f"aim_ms = {left / 4:.0f}.0",
+                f"deadline_ms = {left:.0f}.0",
+                f"share = {share:.4f}",
+            ]
+        return "\n".join(out) + "\n"
+
+
+RUSH = 3.0  # times the usual rate: a second above it belongs to a burst
+
+
+def fit(found: Stats) -> Fit:
+    """Rate and the slowest swing of it (least squares on one cosine over the whole time), bursts (seconds
+    above RUSH times what is usual then), Zipf's exponent (least squares on the logarithms of rank and count),
+    and the clump size (variance over mean of the seconds, less bursts: a compound Poisson process of
+    geometric clumps of mean m has 2m - 1)."""
+    counts = found.counts()
+    seconds = len(counts)
+    usual = float(np.median(counts)) if seconds > 20 else found.rate
+    rush = counts > np.maximum(RUSH * usual, usual + 5 * np.sqrt(max(usual, 1.0)))
+    calm = ~rush
+    time = np.arange(seconds)
+    base = np.column_stack(
+        [np.ones(seconds), np.cos(2 * math.pi * time / seconds), np.sin(2 * math.pi * time / seconds)]
+    )
+    (mean, cosine, sine), *_ = np.linalg.lstsq(base[calm], counts[calm], rcond=None)
+    swing = math.hypot(cosine, sine) / max(1e-9, mean)
+    noise = 3 * math.sqrt(2 / max(1.0, mean * seconds))  # what chance alone would show
+    bursts = []
+    for begin, end in _runs(rush):
+        bursts.append((float(begin), float(end - begin), float(counts[begin:end].mean() / max(1e-9, mean))))
+    rest = counts[calm] - base[calm] @ np.array([mean, cosine, sine])
+    spread = float(rest.var() / max(1e-9, mean))
+    ranked = np.array([count for _, count in found.destinations.most_common(200) if count >= 5], dtype=float)
+    zipf = 0.0
+    if len(ranked) > 2:
+        slope = np.polyfit(np.log(np.arange(1, len(ranked) + 1)), np.log(ranked), 1, w=np.sqrt(ranked))[0]
+        zipf = max(0.0, -float(slope))
+    return Fit(
+        float(mean),
+        float(seconds),
+        zipf,
+        max(1.0, (spread + 1) / 2),
+        swing if swing > noise else 0.0,
+        float(seconds),
+        float(math.atan2(sine, cosine) % (2 * math.pi) / (2 * math.pi) * seconds),
+        bursts,
+        {name: (count / found.messages, found.left_ms[name]) for name, count in found.classes.items()},
+    )
+
+
+def _runs(flags: np.ndarray) -> Iterator[tuple[int, int]]:
+    edges = np.flatnonzero(np.diff(np.concatenate([[0], flags.astype(int), [0]])))
+    yield from zip(edges[::2].tolist(), edges[1::2].tolist(), strict=True)
--- /dev/null
+++ b/emulator/world.py
@@ -0,0 +1,458 @@
+"""A fleet in virtual time: the real decision module for each relay, clients, partners, register, restarts.
+
+A loop of its own over a heap of events. Around each decision module stands what a real relay does (core/):
+turns a tick apart, one timer, a hold, a journal that outlasts it, the question right before a first byte, an
+orderly stop. What is not modelled: processor time, the disk, TCP beyond refused, silent and broken
+connections. docs/design/model.md says how near that comes to real processes."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+
+import msgspec
+
+from linnetstile import interface as api
+
+from .draws import Common, Draws, Luck, stream
+from .engines import Beside, Engine, Here
+from .experiment import Experiment, Restart, Variant, settings_of
+from .measures import Life, Record
+from .partner import Call, Partner, Reply
+from .spec import Fault
+from .traffic import Job, arrivals
+
+RETRY_S = 1.0  # told to a client that finds the hold full, as core/messages.py tells it
+SERVE_ON_MS, CALLS_END_MS, GONE_MS = 500.0, 3000.0, 3400.0  # of an orderly stop, as core/host.py has it
+AWAY_MS = 600.0  # from the end of a process to the start of the next
+STARTING_MS = 340.0  # until it takes messages (measured: docs/design/fleet.md)
+AFTER_MS = 2000.0  # the world goes on so long after the last message's time
+Act = Callable[[float], None]
+OUTCOMES = {
+    Reply.OK: api.Outcome.OK,
+    Reply.ERROR: api.Outcome.ERROR,
+    Reply.FULL: api.Outcome.FULL,
+    Reply.RESET: api.Outcome.RESET,
+}
+
+
+@dataclass(slots=True)
+class Kept:
+    """What a relay's journal has of a message it took."""
+
+    life: Life
+    since: float
+    due: float
+    tries: int = 0
+    risk: tuple[float, int] | None = None  # when, and which endpoint
+    out: tuple[float, int] | None = None
+
+
+@dataclass(slots=True)
+class Node:
+    """One relay process, and what outlasts it."""
+
+    number: int
+    engine: Engine
+    kept: dict[int, Kept] = field(default_factory=dict)  # the journal
+    held: dict[int, int] = field(default_factory=dict)  # the module's number of a message -> message
+    latest: int = 0  # of the module's numbers; none is used again
+    attempts: dict[int, int] = field(default_factory=dict)  # the module's number -> attempts of this process
+    learned: list[api.Learned] = field(default_factory=list)
+    events: list[api.Event] = field(default_factory=list)
+    life: int = 0  # grows with each process: what belongs to an earlier one is passed over
+    last: float = -math.inf
+    turn: bool = False
+    timer: int = 0
+    up: bool = False  # takes connections
+    alive: bool = False
+    known: dict[int, api.Listing] = field(default_factory=dict)  # endpoints as it was told
+
+
+class World:
+    def __init__(self, it: Experiment, variant: Variant, seed: int) -> None:
+        self.it, self.seed, self.variant = it.of(variant), seed, variant
+        self.common = Common(it.common)
+        self.salt = (variant.name,) if self.common is Common.NONE else ()
+        self.queue: list[tuple[float, int, Act]] = []
+        self.numbers = count()
+        self.now = 0.0
+        self.record = Record(self.it)
+        self.settings = msgspec.json.encode(settings_of(self.it))
+        self.partners = [self._partner(n) for n in range(len(self.it.partners))]
+        self.luck = [partner.rng for partner in self.partners]
+        self.listing: dict[int, api.Endpoint] = {}
+        self.engines: list[Engine] = []
+        self.nodes: list[Node] = []
+        self.clients = Draws(seed, "clients", *self.salt)
+        self.front = [1 / (n + 1) ** self.it.fleet.skew for n in range(self.it.fleet.relays)]
+        self._staff(it.variants[0])
+
+    def _partner(self, n: int) -> Partner:
+        draws: Draws | Luck = (
+            Luck(self.seed, f"partner {n}")
+            if self.common is Common.CALLS
+            else Draws(self.seed, "partner", n, *self.salt)
+        )
+        return Partner(self.it.partners[n].model(), draws)
+
+    def _staff(self, first: Variant) -> None:
+        """A share of the relays is of this variant's version, the others of the first one's."""
+        mine, fleet = self._engine(self.variant), self.it.fleet
+        others = mine
+        if self.variant.mixed < 1 and first is not self.variant:
+            others = self._engine(first)
+        several = round(self.variant.mixed * fleet.relays)
+        for n in range(fleet.relays):
+            self.nodes.append(Node(n, mine if n < several else others))
+
+    def _engine(self, variant: Variant) -> Engine:
+        from pathlib import Path
+
+        engine: Engine = Beside(Path(variant.version), variant.constants) if variant.version else Here()
+        self.engines.append(engine)
+        return engine
+
+    # -- the loop ----------------------------------------------------------------------------------------
+
+    def at(self, when: float, act: Act) -> None:
+        heapq.heappush(self.queue, (when, next(self.numbers), act))
+
+    def run(self) -> Record:
+        try:
+            self._set_up()
+            longest = max(each.deadline_ms for each in self.it.classes)
+            end = self.it.traffic.seconds * 1000 + longest + AFTER_MS
+            while self.queue and self.queue[0][0] <= end:
+                self.now, _, act = heapq.heappop(self.queue)
+                act(self.now)
+            self.record.finish(self.partners, self.nodes)
+            return self.record
+        finally:
+            for engine in self.engines:
+                engine.close()
+
+    def _set_up(self) -> None:
+        ident = 0
+        for n, partner in enumerate(self.it.partners):
+            rate = partner.listed_rate
+            if rate is None:
+                rate = 0.0 if partner.rate is None else partner.rate.per_s
+            for k in range(partner.endpoints):
+                ident += 1
+                self.listing[ident] = api.Endpoint(ident, n + 1, api.Listing.READY, rate=rate)
+                for change in partner.changes:
+                    if change.endpoint == k + 1:
+                        self.at(change.at_s * 1000, self._change(ident, api.Listing(change.listing)))
+        for node in self.nodes:
+            self._start(node, 0.0)
+        for restart in self.it.fleet.restarts:
+            self.at(restart.at_s * 1000, self._restart(restart))
+        self.jobs = arrivals(self.it, self.seed)
+        self._next_job()
+
+    def _next_job(self) -> None:
+        """One ahead at a time: a trace of a million messages is never held whole."""
+        job = next(self.jobs, None)
+        if job is not None:
+            self.at(job.at, lambda now: self._arrives(job, now))
+
+    def _arrives(self, job: Job, now: float) -> None:
+        self._next_job()
+        life = self.record.asked(job)
+        self._hand_in(life, now, job.relay)
+
+    # -- clients -----------------------------------------------------------------------------------------
+
+    def _hand_in(self, life: Life, now: float, place: float) -> None:
+        life.tries += 1
+        up = [node for node in self.nodes if node.up]
+        if not up:
+            self._again(life, now, 0.0)
+            return
+        weights = [self.front[node.number] for node in up]
+        place *= sum(weights)
+        node = up[-1]
+        for one, weight in zip(up, weights, strict=True):
+            place -= weight
+            if place < 0:
+                node = one
+                break
+        net, of = self.it.fleet.net_ms, node.life
+        self.at(now + net, lambda now: self._offered(node, of, life, now))
+
+    def _offered(self, node: Node, of: int, life: Life, now: float) -> None:
+        if not (node.up and node.life == of):  # it died on the way
+            self._again(life, now, 0.0)
+            return
+        if len(node.held) >= self.it.fleet.hold:
+            self.record.refused += 1
+            self._again(life, now, RETRY_S * 1000)
+            return
+        left = life.due - now
+        if left <= 0:
+            return
+        node.kept[life.number] = Kept(life, now, life.due)
+        life.taken += 1
+        if life.taken > 1 and life.holder is not None:
+            self.record.broke(f"message {life.number} is held twice")
+        life.holder, life.ends = node.number, 0
+        self._hold(node, life.number, left, again=life.tries > 1)
+        self._soon(node, now)
+
+    def _hold(self, node: Node, message: int, left: float, again: bool = False, **resumed: object) -> None:
+        node.latest += 1
+        number, life = node.latest, node.kept[message].life
+        node.held[number] = message
+        node.events.append(api.Message(number, life.destination, life.class_, left, again=again, **resumed))  # type: ignore[arg-type]
+
+    def _again(self, life: Life, now: float, told_ms: float) -> None:
+        """Refused, or given back: the client comes again if it has tries and time."""
+        clients = self.it.clients
+        pause = clients.pause_ms * 2 ** (life.tries - 1) * (0.5 + self.clients.random())
+        if self.clients.random() < clients.heed:
+            pause = max(pause, told_ms)
+        place = self.clients.random()
+        if life.tries < clients.tries and now + pause < life.due:
+            self.at(now + pause, lambda now: self._hand_in(life, now, place))
+
+    # -- a relay -----------------------------------------------------------------------------------------
+
+    def _start(self, node: Node, now: float) -> None:
+        fleet = self.it.fleet
+        node.life += 1
+        node.alive, node.turn, node.last, node.timer = True, False, -math.inf, node.timer + 1
+        node.held, node.attempts, node.events = {}, {}, []
+        share = api.Fleet(node.number, fleet.relays, 0.0) if fleet.share_rates else None
+        seed = int(stream(self.seed, "relay", node.number, node.life, *self.salt).integers(1 << 30))
+        node.engine.start(node.number, self.settings, seed, share)
+        node.known = {each.id: each.listing for each in self.listing.values()}
+        entries = tuple(each for each in self.listing.values() if each.listing is not api.Listing.GONE)
+        node.events.append(api.EndpointList(api.ListKind.WHOLE, entries))
+        node.events += node.learned
+        for message, kept in node.kept.items():
+            risk_at = kept.risk
+            risk = None
+            if risk_at is not None:
+                risk = api.Endpoint(risk_at[1], kept.life.destination, api.Listing.READY)
+            self._hold(
+                node,
+                message,
+                kept.due - now,
+                age_ms=now - kept.since,
+                tries=kept.tries,
+                risk_age_ms=None if risk_at is None else now - risk_at[0],
+                risk=risk,
+            )
+        self._turn(node, now)
+        node.up = True
+
+    def _soon(self, node: Node, now: float) -> None:
+        if not node.turn:
+            node.turn, of = True, node.life
+            self.at(
+                max(now, node.last + self.it.fleet.tick_ms),
+                lambda now: self._turn(node, now) if node.life == of else None,
+            )
+
+    def _turn(self, node: Node, now: float) -> None:
+        node.turn, node.last = False, now
+        events, node.events = node.events, []
+        self.record.turns += 1
+        for act in node.engine.handle(node.number, now, events):
+            match act:
+                case api.Send(ident, endpoint, until):
+                    self._send(node, ident, endpoint, until, now)
+                case api.Refuse(ident, stay):
+                    self._over(node, ident, "returned", stay, now)
+                case api.Fail(ident):
+                    self._over(node, ident, "failed", 0.0, now)
+                case api.SetTimer(delay):
+                    self._set(node, now + delay)
+                case _:
+                    pass  # probes and cancels are off here, lists are told anyway
+
+    def _set(self, node: Node, when: float) -> None:
+        node.timer += 1
+        of, mine = node.life, node.timer
+
+        def fires(now: float) -> None:
+            if node.life == of and node.timer == mine and node.alive:
+                node.events.append(api.TimerFired(0))
+                self._soon(node, now)
+
+        self.at(when, fires)
+
+    def _over(self, node: Node, ident: int, state: str, after_ms: float, now: float) -> None:
+        message = node.held.pop(ident, None)
+        if message is None:
+            return
+        kept = node.kept.pop(message)
+        life = kept.life
+        life.ends += 1
+        life.holder = None
+        if state == "failed":
+            life.failed = True
+            return
+        if kept.risk is not None and self.it.classes[life.class_].effect == "once":
+            self.record.broke(f"message {message} was returned, and may have run")
+        self.record.returned += 1
+        self._again(life, now, after_ms)
+
+    # -- a call ------------------------------------------------------------------------------------------
+
+    def _send(self, node: Node, ident: int, endpoint: int, until: float, now: float) -> None:
+        of = node.life
+        attempt = node.attempts.get(ident, 0)
+        node.attempts[ident] = attempt + 1
+        message = node.held.get(ident)
+        if message is None or not node.engine.may_write(node.number, now, ident):
+            self.at(
+                now,
+                lambda now: self._ended(node, of, ident, attempt, endpoint, api.Outcome.NOT_SENT, 0.0, now),
+            )
+            return
+        kept = node.kept[message]
+        if kept.out is not None:
+            self.record.broke(f"message {message} has two attempts out")
+        partner = self.partners[self.listing[endpoint].destination - 1]
+        net = self.it.fleet.net_ms
+        if partner.trouble(now + net, Fault.SILENT) is not None or partner.trouble(now + net, Fault.DOWN):
+            self._unconnected(node, of, ident, attempt, endpoint, until, now, partner)
+            return
+        kept.out = (now, endpoint)
+        kept.tries += 1
+        life = kept.life
+        life.calls += 1
+        luck = partner.rng
+        if isinstance(luck, Luck):
+            luck.of(message, life.calls)
+        self.record.called(self.listing[endpoint].destination, now)
+        self._drained(node, endpoint, now)
+        answer = partner.call(now + net, Call(str(message), str(message), str(node.number)))
+        begun = now
+        if answer.reply in (Reply.NOTHING, Reply.NO_CONNECTION) or answer.at + net > until:
+            comes, outcome, wait = until, api.Outcome.TIMEOUT, 0.0
+            if answer.reply is Reply.OK:  # its effect is there, and nobody hears of it
+                self.record.unheard += 1
+        else:
+            comes, outcome, wait = answer.at + net, OUTCOMES[answer.reply], answer.wait_ms
+            self.record.answered(self.listing[endpoint].destination, answer.reply, now)
+        self.at(comes, lambda now: self._ended(node, of, ident, attempt, endpoint, outcome, wait, now, begun))
+
+    def _unconnected(
+        self,
+        node: Node,
+        of: int,
+        ident: int,
+        attempt: int,
+        endpoint: int,
+        until: float,
+        now: float,
+        partner: Partner,
+    ) -> None:
+        fleet = self.it.fleet
+        self.record.tries_while_out += 1
+        silent = partner.trouble(now + fleet.net_ms, Fault.SILENT) is not None
+        comes = min(until, now + fleet.connect_timeout_ms) if silent else now + 2 * fleet.net_ms
+        self.at(
+            comes,
+            lambda now: self._ended(node, of, ident, attempt, endpoint, api.Outcome.CONNECT_FAILED, 0.0, now),
+        )
+
+    def _ended(
+        self,
+        node: Node,
+        of: int,
+        ident: int,
+        attempt: int,
+        endpoint: int,
+        outcome: api.Outcome,
+        wait: float,
+        now: float,
+        begun: float | None = None,
+    ) -> None:
+        if node.life != of or not node.alive:
+            return  # its outcome died with the process
+        message = node.held.get(ident)
+        finished = outcome is api.Outcome.OK
+        if message is not None:
+            kept = node.kept[message]
+            if begun is not None and kept.out is not None:
+                if not outcome.proves_no_effect and kept.risk is None:
+                    kept.risk = kept.out
+                kept.out = None
+            if finished:
+                del node.kept[message], node.held[ident]
+                kept.life.holder = None
+                kept.life.ends += 1
+                self.record.delivered(kept.life, now)
+        node.events.append(
+            api.AttemptEnded(
+                ident, attempt, endpoint, outcome, now - (now if begun is None else begun), finished, wait
+            )
+        )
+        self._soon(node, now)
+
+    # -- the register, and restarts ----------------------------------------------------------------------
+
+    def _change(self, ident: int, listing: api.Listing) -> Act:
+        def act(now: float) -> None:
+            entry = api.Endpoint(
+                ident, self.listing[ident].destination, listing, rate=self.listing[ident].rate
+            )
+            self.listing[ident] = entry
+            for node in self.nodes:
+                lag = float(stream(self.seed, "lag", node.number, ident).uniform(0.0, self.it.fleet.lag_ms))
+                self.at(now + lag, lambda now, node=node: self._told(node, entry, now))  # type: ignore[misc]
+
+        return act
+
+    def _told(self, node: Node, entry: api.Endpoint, now: float) -> None:
+        node.known[entry.id] = entry.listing
+        self.record.learnt[node.number, entry.id] = (
+            now if entry.listing is not api.Listing.READY else math.inf
+        )
+        if node.alive:
+            node.events.append(api.EndpointList(api.ListKind.CHANGES, (entry,)))
+            self._soon(node, now)
+
+    def _drained(self, node: Node, endpoint: int, now: float) -> None:
+        since = self.record.learnt.get((node.number, endpoint), math.inf)
+        if now > since + self.it.fleet.drain_grace_ms:
+            self.record.broke(
+                f"relay {node.number}: new work {now - since:.0f} ms after it learned of a drain"
+            )
+
+    def _restart(self, restart: Restart) -> Act:
+        node = self.nodes[restart.relay]
+
+        def act(now: float) -> None:
+            if not node.alive:
+                return
+            of = node.life
+            if restart.how == "kill":
+                self._dies(node, now)
+                return
+            node.events.append(api.Closing(now + CALLS_END_MS))
+            self._soon(node, now)
+            self.at(now + SERVE_ON_MS, lambda now: setattr(node, "up", False))
+            self.at(now + CALLS_END_MS, lambda now: self._stops(node, of, now))
+
+        return act
+
+    def _stops(self, node: Node, of: int, now: float) -> None:
+        if node.life == of and node.alive:
+            node.learned = node.engine.learned(node.number, now)
+            self.at(now + GONE_MS - CALLS_END_MS, lambda now: self._dies(node, now))
+
+    def _dies(self, node: Node, now: float) -> None:
+        if not node.alive:
+            return
+        node.alive = node.up = False
+        for kept in node.kept.values():  # a call that was out may have run
+            kept.risk, kept.out = kept.risk or kept.out, None
+        self.at(now + AWAY_MS + STARTING_MS, lambda now: self._start(node, now))
--- a/linnetstile/fleet/operator.py
+++ b/linnetstile/fleet/operator.py
@@ -12,7 +12,8 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import replace
 from pathlib import Path
-from typing import Annotated, Any, Literal, get_args, get_origin
+from types import UnionType
+from typing import Annotated, Any, Literal, Union, get_args, get_origin
 
 import msgspec
 from msgspec import Meta
@@ -154,15 +155,40 @@
         yield f"{where}: is not known; " + (
             f"{near[0]!r} is the nearest name" if near else f"known are {', '.join(known)}"
         )
-    elif isinstance(known[name], type) and issubclass(known[name], msgspec.Struct):
-        yield from faults(value, known[name], where)
+        return
+    shape = _shape(known[name], value)
+    if isinstance(shape, type) and issubclass(shape, msgspec.Struct):
+        yield from faults(value, shape, where)
+    elif get_origin(shape) is list and isinstance(value, list) and _is_table(get_args(shape)[0]):
+        count = len(value)
+        for n, item in enumerate(value):
+            yield from faults(item, get_args(shape)[0], f"{where}[{n}]")
+        if not count:
+            yield from _wrong(value, known[name], where)
     else:
-        try:
-            msgspec.convert(value, known[name])
-        except msgspec.ValidationError as error:
-            choices = get_args(known[name]) if get_origin(known[name]) is Literal else ()
-            right = f"one of {', '.join(choices)} is needed" if choices else _said(error)
-            yield f"{where}: {value!r}: {right}"
+        yield from _wrong(value, known[name], where)
+
+
+def _is_table(shape: object) -> bool:
+    return isinstance(shape, type) and issubclass(shape, msgspec.Struct)
+
+
+def _shape(told: Any, value: object) -> Any:
+    """Without its bounds, and of `TABLE | None` the table where one is given."""
+    if get_origin(told) is Annotated:
+        told = get_args(told)[0]
+    if get_origin(told) in (Union, UnionType) and isinstance(value, Mapping):
+        told = next((part for part in get_args(told) if _is_table(part)), told)
+    return told
+
+
+def _wrong(value: object, told: Any, where: str) -> Iterator[str]:
+    try:
+        msgspec.convert(value, told)
+    except msgspec.ValidationError as error:
+        choices = get_args(told) if get_origin(told) is Literal else ()
+        right = f"one of {', '.join(choices)} is needed" if choices else _said(error)
+        yield f"{where}: {value!r}: {right}"
 
 
 def _said(error: Exception) -> str:
--- /dev/null
+++ b/linnetstile/fleet/recording.py
@@ -0,0 +1,96 @@
+"""A recording of the traffic: one line for each message that was handed in, for `emulator` to play.
+
+    {"v":1,"begun":UNIX_MS,"salt":...}                   first; `salt` names the hashes, not their key
+    [MS, "class", DESTINATION, "tenant", BYTES, LEFT_MS, "ID HASH"]
+
+Bodies and idempotency keys are never kept. Ids and tenants are hashed (BLAKE2b, keyed with a secret that the
+process makes and forgets), so that lines of one tenant can be told together and nobody can be named.
+Bounded: past `mb` nothing more is written, and the last line counts what was left out. Lines are kept in
+memory up to BUFFER and written by a thread, so that no disk holds the loop up; those that come meanwhile and
+do not fit are counted too."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import os
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+
+import msgspec
+
+from ..core.seams import Offer
+from ..logs import Note
+
+log = logging.getLogger(__name__)
+
+VERSION = 1
+BUFFER = 64 * 1024  # bytes that wait at the most; and so many are written at a time
+FLUSH_BYTES = 16 * 1024
+
+
+class Recorder:
+    def __init__(self, path: Path, mb: float) -> None:
+        """Raises OSError if the file can't be made; an earlier one of that name is replaced."""
+        self.left = int(mb * 1e6)
+        self.file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        self.secret, self.begun = os.urandom(32), time.time() * 1000
+        self.encode = msgspec.json.Encoder().encode
+        self.lines, self.size, self.dropped, self.closed = list[bytes](), 0, 0, False
+        self.thread = ThreadPoolExecutor(1, "recording")
+        self.writing: Future[None] | None = None
+        self._add({"v": VERSION, "begun": round(self.begun), "salt": os.urandom(4).hex()})
+
+    def offered(self, offer: Offer) -> None:
+        """A message was handed in, whatever becomes of it."""
+        if self.closed:
+            self.dropped += 1
+            return
+        self._add(
+            [
+                round(time.time() * 1000 - self.begun, 1),
+                offer.class_,
+                offer.dest,
+                self._hidden(offer.tenant, 4),
+                len(offer.body),
+                offer.left_ms,
+                self._hidden(offer.id, 8),
+            ]
+        )
+
+    def _hidden(self, text: str, size: int) -> str:
+        return hashlib.blake2b(text.encode(), digest_size=size, key=self.secret).hexdigest()
+
+    def _add(self, line: object) -> None:
+        data = self.encode(line) + b"\n"
+        if self.size + len(data) > BUFFER or self.left < len(data):
+            self.dropped += 1
+            return
+        self.left -= len(data)
+        self.size += len(data)
+        self.lines.append(data)
+        if self.size >= FLUSH_BYTES and (self.writing is None or self.writing.done()):
+            self._write()
+
+    def _write(self) -> None:
+        data, self.lines, self.size = b"".join(self.lines), [], 0
+        self.writing = self.thread.submit(self._out, data)
+
+    def _out(self, data: bytes) -> None:
+        try:
+            while data:
+                data = data[os.write(self.file, data) :]
+        except OSError as error:
+            if not self.closed:
+                log.error(Note("recording: cannot be written: it ends here", why=error))
+            self.closed = True
+
+    def close(self) -> None:
+        """Writes what waits, and how many lines are missing. Waits for the disk: at the end only."""
+        if self.dropped:
+            self.lines.append(self.encode({"dropped": self.dropped}) + b"\n")
+        self._write()
+        self.thread.shutdown(wait=True)
+        self.closed = True
+        os.close(self.file)
