Live runs of an experiment, open-loop load, recorded traffic; unlisted rates are found

The same experiment file plays with real relays over loopback (emulator live); emulator load hands in open loop from several processes, counts waits from the intended moment, and says when it was itself the limit; [record] in the operator's file has a relay write a bounded trace without bodies, keys or names.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -1,12 +1,13 @@
 """What the whole relay costs at saturation, beside a floor of the same run.
 
-    python -m benchmarks.relay [--json] [--seconds N] [--rounds N] [--held 64,300,1000,4000]
+    python -m benchmarks.relay [--json] [--seconds N] [--rounds N] [--held 64,300,1000,4000] [--rate 300]
 
 One process of the relay, one partner that answers in 2 ms (standins.partner), clients on kept connections
 that hand in a message as soon as the last one was answered, and pause when it was refused. So the hold is
 full all the time: `delivered/s` is what the process can do, `CPU ms` its processor time for each delivered
 one, and `p99` is over all 202s, in ms from the request's last byte. The floor (benchmarks.floor) holds no
-more than 64. PROFILE=FILE in the environment has cProfile write there what the program does.
+more than 64. Then the same process gets `--rate` messages a second, open loop (emulator.load): waits count
+from the intended moment. PROFILE=FILE in the environment has cProfile write there what the program does.
 """
 
 from __future__ import annotations
@@ -28,6 +29,10 @@
 from pathlib import Path
 from typing import Any
 
+from emulator.clients import Clients, request
+from emulator.load import Plan
+from emulator.load import run as load
+
 from .report import report
 
 CLIENTS = 24
@@ -48,6 +53,10 @@
     refused: int
     failed: int  # answers that were neither 202 nor 503, or none
     rss_mb: float
+    open_p50_ms: float  # open loop, at `--rate`: from the intended moment to the 202
+    open_p99_ms: float
+    open_p999_ms: float
+    limit: str  # why the generator was the limit there, if it was
 
 
 def free_port() -> int:
@@ -97,50 +106,29 @@
 
 
 class Client:
-    """One kept connection; reads answers by hand, as a generator must cost less than what it measures."""
+    """Hands in a message as soon as the last one was answered."""
 
     def __init__(self, number: int, port: int, ends: float) -> None:
-        self.number, self.port, self.ends = number, port, ends
+        self.number, self.at, self.ends = number, ("127.0.0.1", port), ends
         self.waits: list[float] = []
         self.refused = self.failed = 0
 
-    def request(self, n: int) -> bytes:
-        class_ = "status" if n % 4 == 0 else "order"
-        ident = f"{self.number:x}-{n:x}-{os.getpid():x}"
-        return (f"POST /{class_} HTTP/1.1\r\nHost: r\r\nX-Trace-Id: {ident}\r\nX-Qos: {class_}\r\n"
-                f"X-Customer: t\r\nX-Expires-In-Ms: {8000 if n % 4 == 0 else 16000}\r\n"
-                f"Idempotency-Key: k{ident}\r\nX-Addressing: dest=1\r\nContent-Length: {len(BODY)}\r\n\r\n"
-                ).encode() + BODY
-
     async def run(self) -> None:
-        reader: asyncio.StreamReader | None = None
-        n = 0
+        clients, n = Clients(wait_ms=5000.0), 0
         while time.perf_counter() < self.ends:
-            try:
-                if reader is None:
-                    reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-                n += 1
-                writer.write(self.request(n))
-                begun = time.perf_counter()
-                head = await reader.readuntil(b"\r\n\r\n")
-                took = time.perf_counter() - begun
-                lower = head.lower()
-                at = lower.find(b"content-length:")
-                if at >= 0:
-                    await reader.readexactly(int(lower[at + 15:].split(b"\r", 1)[0]))
-                if b" 202 " in head[:13]:
-                    self.waits.append(took)
-                elif b" 503 " in head[:13]:
-                    self.refused += 1
-                    await asyncio.sleep(PAUSE_S)
-                else:
-                    self.failed += 1
-                if b"connection: close" in lower:
-                    reader = None
-            except (OSError, asyncio.IncompleteReadError):
-                self.failed += reader is not None
-                reader = None
+            n += 1
+            class_, left = ("status", 8000.0) if n % 4 == 0 else ("order", 16000.0)
+            ident = f"{self.number:x}-{n:x}-{os.getpid():x}"
+            data = request(ident, class_, 1, left, BODY, f"k{ident}")
+            begun = time.perf_counter()
+            said = await clients.hand_in(self.at, data)
+            if said.taken:
+                self.waits.append(time.perf_counter() - begun)
+            else:
+                self.refused += said.refused
+                self.failed += not said.refused
                 await asyncio.sleep(PAUSE_S)
+        clients.close()
 
 
 @contextlib.asynccontextmanager
@@ -169,7 +157,7 @@
         process.wait()
 
 
-async def measure(module: str, held: int, seconds: float) -> Row:
+async def measure(module: str, held: int, seconds: float, rate: float) -> Row:
     with (tempfile.TemporaryDirectory() as name,
           standin("standins.partner", "--ledger", f"{name}/ledger") as partner):
         folder = Path(name)
@@ -191,13 +179,17 @@
                 done = sum(1 for _ in (folder / "ledger").open()) - lines
                 rss = rss_mb(pid)
                 await asyncio.gather(*tasks)
+                plan = Plan((("127.0.0.1", port),), rate, seconds, classes=(
+                    ("order", 0.75, 16000.0), ("status", 0.25, 8000.0)), warm_s=seconds / 3)
+                opened = await asyncio.to_thread(load, plan)
     waits = sorted(1e3 * wait for client, n in zip(clients, seen, strict=True)
                    for wait in client.waits[n:])
     name = module.rpartition(".")[2]
     return Row(name, held, done / took, 1e3 * spent / max(1, done),
                waits[int(0.99 * len(waits))] if waits else float("inf"), statistics.median(waits or [0.0]),
                max(waits, default=0.0),
-               sum(client.refused for client in clients), sum(client.failed for client in clients), rss)
+               sum(client.refused for client in clients), sum(client.failed for client in clients), rss,
+               opened.ms(50), opened.ms(99), opened.ms(99.9), opened.limit)
 
 
 def main() -> int:
@@ -208,19 +200,22 @@
     parser.add_argument("--held", type=lambda text: [int(part) for part in text.split(",")],
                         default=[64, 300, 1000, 4000])
     parser.add_argument("--program", default="linnetstile", help="modules to measure, with commas")
+    parser.add_argument("--rate", type=float, default=300.0, help="messages a second, open loop")
     args = parser.parse_args()
     out: list[dict[str, Any]] = []
     for _ in range(args.rounds):
-        floor = asyncio.run(measure("benchmarks.floor", 64, args.seconds))
+        floor = asyncio.run(measure("benchmarks.floor", 64, args.seconds, args.rate))
         out.append({**asdict(floor), "ratio": 1.0})
         for held in args.held:
             for module in args.program.split(","):
-                row = asyncio.run(measure(module, held, args.seconds))
+                row = asyncio.run(measure(module, held, args.seconds, args.rate))
                 out.append({**asdict(row), "ratio": row.cpu_ms / floor.cpu_ms})
     report(out, args.json, (
-        "program       held  delivered/s  CPU ms  ratio  p50 ms  p99 ms  worst ms  refused  failed  RSS MB",),
+        "program       held  delivered/s  CPU ms  ratio  p50 ms  p99 ms  worst ms  refused  failed  RSS MB"
+        "  open p50   p99  p99.9  limit",),
         "{program:11}{held:7}{delivered_a_s:13.0f}{cpu_ms:8.2f}{ratio:7.2f}{p50_ms:8.1f}{p99_ms:8.1f}"
-        "{worst_ms:10.1f}{refused:9}{failed:8}{rss_mb:8.1f}")
+        "{worst_ms:10.1f}{refused:9}{failed:8}{rss_mb:8.1f}"
+        "{open_p50_ms:10.2f}{open_p99_ms:6.1f}{open_p999_ms:7.1f}  {limit}")
     return 0
 
 
--- a/emulator/commands.py
+++ b/emulator/commands.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import click
+import msgspec
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 from rich.table import Table
@@ -113,6 +114,86 @@
     show(folder, as_json)
 
 
+@main.command()
+@click.argument("file", type=FILE)
+@OUT
+@RESUME
+@JSON
+@click.option("--seeds", type=click.IntRange(1, 100), default=3, show_default=True)
+def live(file: Path, out: Path | None, resume: bool, as_json: bool, seeds: int) -> None:
+    """Run the experiment in FILE with real relays over loopback, in real time, so many seeds of it."""
+    from .live import LiveError, one
+
+    with told():
+        it = msgspec.structs.replace(read(file), seeds=seeds, half_width=None)
+        folder = out or file.with_suffix(".live")
+        runs = Runs(it, folder, resume)
+        every, done = seeds * len(runs.variants), 0
+        try:
+            with bar() as progress:
+                for seed in runs.seeds():
+                    for variant in runs.variants:
+                        if not runs.path(variant, seed).exists():
+                            runs.keep(one(it, variant, seed))
+                        done += 1
+                        progress(done, every)
+        except LiveError as error:
+            fail(error)
+        except KeyboardInterrupt:
+            click.echo(f"stopped; what is done stays in {folder}: go on with --resume", err=True)
+            sys.exit(INTERRUPTED)
+        runs.collect(runs.seeds())
+    show(folder, as_json)
+
+
+@main.command()
+@click.argument("relays", nargs=-1, required=True)
+@click.option("--rate", type=click.FloatRange(0.1, 100_000), default=100.0, show_default=True)
+@click.option("--seconds", type=click.FloatRange(1, 3600), default=10.0, show_default=True)
+@click.option("--processes", type=click.IntRange(1, 64), default=2, show_default=True)
+@click.option("--destinations", type=click.IntRange(1, 100_000), default=1, show_default=True)
+@click.option("--bytes", "size", type=click.IntRange(0, 65536), default=300, show_default=True)
+@click.option("--seed", type=int, default=1)
+@JSON
+def load(
+    relays: tuple[str, ...],
+    rate: float,
+    seconds: float,
+    processes: int,
+    destinations: int,
+    size: int,
+    seed: int,
+    as_json: bool,
+) -> None:
+    """Hand in messages at RELAYS (HOST:PORT), open loop; waits count from the intended moment."""
+    from linnetstile.config import address
+
+    from .load import Plan
+    from .load import run as carry
+
+    try:
+        places = tuple(address(text) for text in relays)
+    except ValueError as error:
+        fail(f"relays: {error}")
+    found = carry(
+        Plan(places, rate, seconds, processes=processes, destinations=destinations, bytes=size, seed=seed)
+    )
+    out = {
+        "taken": found.taken,
+        "answers": dict(found.answers),
+        "taken a second": found.taken / seconds,
+        "ms": {f"p{each:g}": round(found.ms(each), 3) for each in (50, 90, 99, 99.9)},
+        "generator p99 ms": found.late.get_value_at_percentile(99) / 1000,
+        "limit": found.limit,
+    }
+    if as_json:
+        json.dump(out, sys.stdout, indent=1)
+        click.echo()
+        return
+    for name, value in out.items():
+        click.echo(f"{name}: {value}")
+
+
 @main.command()
 @click.argument("file", type=FILE)
 def check(file: Path) -> None:
--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -97,7 +97,7 @@
                 if "error" in answer:
                     raise PeerError(f"{self.folder}: {answer['error']}")
                 return answer["value"]
-        except BrokenPipeError:
+        except (BrokenPipeError, ValueError):  # its end of the pipe is gone, or ours is closed
             pass
         raise PeerError(f"{self.folder}: its process ended with {self.process.wait()}")
 
--- a/emulator/measures.py
+++ b/emulator/measures.py
@@ -51,6 +51,7 @@
     due: float
     counted: bool
     tries: int = 0  # times handed in
+    until: float = math.inf  # its client does not come again later: see `took`
     taken: int = 0
     calls: int = 0
     ends: int = 0
@@ -89,6 +90,14 @@
         self.lives.append(life)
         return life
 
+    def took(self, life: Life, now: float) -> None:
+        """A relay has it. A keyed message may have an effect from now on, and its client knows that partners
+        forget the key: it hands it in again only inside the window, for no longer than that."""
+        life.taken += 1
+        class_ = self.it.classes[life.class_]
+        if class_.effect == "by_key":
+            life.until = min(life.until, now + class_.window_ms)
+
     def called(self, destination: int, now: float) -> None:
         self.calls.setdefault(destination, []).append(now)
 
--- a/emulator/runs.py
+++ b/emulator/runs.py
@@ -158,7 +158,7 @@
                 done = upto
                 if self._narrow(seeds[:upto]):
                     break
-        self._collect(seeds[:done])
+        self.collect(seeds[:done])
         return done
 
     def _finish(
@@ -204,10 +204,17 @@
             difference(first, rows[variant.name]).half <= self.it.half_width for variant in self.variants[1:]
         )
 
+    def keep(self, result: Result) -> None:
+        """A run that was made elsewhere."""
+        path = self.folder / "runs" / result.variant / str(result.seed)
+        part = path.with_name(f"{path.name}.{os.getpid()}")
+        part.write_bytes(ENCODE(result) + b"\n")
+        os.replace(part, path)
+
     def load(self, variant: Variant, seed: int) -> Result:
         return RESULT.decode(self.path(variant, seed).read_bytes())
 
-    def _collect(self, seeds: range) -> None:
+    def collect(self, seeds: range) -> None:
         part = self.folder / "results.part"
         with open(part, "wb") as out:
             for variant in self.variants:
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -192,11 +192,12 @@
             self.record.refused += 1
             self._again(life, now, RETRY_S * 1000)
             return
-        left = life.due - now
+        due = min(life.due, life.until)
+        left = due - now
         if left <= 0:
             return
-        node.kept[life.number] = Kept(life, now, life.due)
-        life.taken += 1
+        node.kept[life.number] = Kept(life, now, due)
+        self.record.took(life, now)
         if life.taken > 1 and life.holder is not None:
             self.record.broke(f"message {life.number} is held twice")
         life.holder, life.ends = node.number, 0
@@ -216,7 +217,7 @@
         if self.clients.random() < clients.heed:
             pause = max(pause, told_ms)
         place = self.clients.random()
-        if life.tries < clients.tries and now + pause < life.due:
+        if life.tries < clients.tries and now + pause < min(life.due, life.until):
             self.at(now + pause, lambda now: self._hand_in(life, now, place))
 
     # -- a relay -----------------------------------------------------------------------------------------
--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -214,12 +214,13 @@
         listed = entry.rate if self.s.rates is not Rates.NONE and entry.rate > 0 else 0.0
         if key not in lanes:
             total = listed or START * self.s.relays
-            lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now)
+            lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now, listed=bool(listed))
             if self.s.fleet is not None and listed:
                 lanes[key].share = Share(self.s.fleet, listed, self.s.safety)
         lane, door = lanes[key], self.doors.get(entry.id)
         if listed and listed != lane.total:
             lane.pace, lane.total = lane.pace * listed / lane.total, listed  # keeps what was learned
+            lane.listed = True
             if lane.share is not None:
                 lane.share.rated(listed)
         if door is None:
@@ -476,7 +477,10 @@
         if held.msg.destination in self.board.queues:
             self._room_at(now, lane, lane.sick)  # what was saved up meanwhile counts: it is not bound by it
         if lane.credit < 1:
-            lane.pace = min(lane.total, lane.pace * (1 + (RISE if now > lane.free_at else GROWTH)))
+            pace = lane.pace * (1 + (RISE if now > lane.free_at else GROWTH))
+            if not lane.listed:  # its limit is found by answers and refusals alone
+                lane.total = max(lane.total, pace * self.s.relays)
+            lane.pace = min(lane.total, pace)
 
     def _cold(self, now: float, lane: Lane) -> None:
         """It is back: from here on the cold budget holds, shared by the relays that may know of it."""
--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -50,6 +50,7 @@
         self.numbers: dict[str, int] = {}
         self.last_number = 0
         self.unsaid: list[Entry] = []  # ended, but the journal does not take it yet: no more than are held
+        self.offered: Callable[[Offer], None] | None = None  # hears of each message that comes
         self.ready = False
         self.retiring = False  # takes nothing new, for good
 
@@ -58,6 +59,8 @@
     def take(self, offer: Offer) -> Receipt:
         """All of it happens before the next event of the loop."""
         self._check(offer)
+        if self.offered is not None:
+            self.offered(offer)
         if offer.id in self.journal.entries:
             return Receipt(True)  # also while it is under way: it is one message, however often it comes
         if self.retiring:
--- a/linnetstile/fleet/instance.py
+++ b/linnetstile/fleet/instance.py
@@ -7,6 +7,7 @@
 import os
 import time
 from dataclasses import replace
+from pathlib import Path
 
 from ..config import Config, ConfigError, load
 from ..core.messages import unix_ms
@@ -14,6 +15,7 @@
 from ..process import Life, Signals
 from . import lifeline, operator, report
 from .notify import Notifier
+from .recording import Recorder
 from .size import Place
 from .status import LoopLag, StatusError, StatusSocket, folder_of
 
@@ -69,6 +71,7 @@
         self.place = Place(number, max(told.fleet.instances, number + 1), clock)
         settings = operator.applied(config.settings, told, number, clock)
         super().__init__(replace(config, settings=settings, sync_ms=told.state.every_ms), signals, notifier)
+        self.recorder: Recorder | None = None
         self.state, self.lag = "starting", LoopLag()
         folder = folder_of(told.status.folder)
         self.status = None if folder is None else StatusSocket(folder / f"{number}.sock", self.report)
@@ -80,6 +83,7 @@
 
     async def serving(self) -> None:
         self.state = "serving"
+        self.record()
         if self.status is not None:
             self.lag.start()
             try:
@@ -90,7 +94,22 @@
         if self.number >= self.told.fleet.instances:
             self.retire()
 
+    def record(self) -> None:
+        part = self.told.record
+        if not part.file:
+            return
+        path = Path(part.file.replace("{n}", str(self.number)))
+        try:
+            self.recorder = Recorder(path, part.mb)
+        except OSError as error:  # one without a recording still serves
+            log.error(Note("no recording is made", file=path, why=error))
+            return
+        self.host.messages.offered = self.recorder.offered
+
     def ended(self) -> None:
+        if self.recorder is not None:
+            self.host.messages.offered = None
+            self.recorder.close()
         self.lag.stop()
         if self.status is not None:
             self.status.close()
--- a/linnetstile/fleet/operator.py
+++ b/linnetstile/fleet/operator.py
@@ -65,6 +65,13 @@
         return {"none": None, "interval": self.sync_ms, "group": 0.0}[self.durability]
 
 
+class RecordPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A recording of the traffic, for `python -m emulator`; no bodies, keys or names."""
+
+    file: str = ""  # empty: none; `{n}` becomes the instance's number
+    mb: Annotated[float, Meta(gt=0, le=10_000)] = 50.0  # it grows no further
+
+
 class SupervisorPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """For `fleet`: what instance N is given, and how instances are started and ended."""
 
@@ -96,9 +103,12 @@
     log: LogPart = LogPart()
     status: StatusPart = StatusPart()
     state: StatePart = StatePart()
+    record: RecordPart = RecordPart()
     supervisor: SupervisorPart = SupervisorPart()
 
     def __post_init__(self) -> None:
+        if self.record.file and self.fleet.instances > 1 and "{n}" not in self.record.file:
+            raise ValueError(f"record.file: {self.record.file!r} needs {{n}}: each instance has its own")
         last = self.supervisor.port + self.fleet.instances - 1
         if last > 65535:
             raise ValueError(
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -106,6 +106,7 @@
     cold_since: float = NEVER
     knowers: float = 1.0  # relays that may know of the latest outage
     next_trickle: float = 0.0
+    listed: bool = True  # `total` is what the list says; else the highest pace that nobody refused
     share: Share | None = None  # of an agreed rate, where instances keep it together
 
 
--- a/standins/partner.py
+++ b/standins/partner.py
@@ -3,10 +3,12 @@
     python -m standins.partner --listen 127.0.0.1:0 [--answer-ms 2] [--refuse 0.1] [--error 0.1] [--hang 0.1]
                                [--reset 0.1] [--slots 8 --queue 4] [--seed 1] [--ledger FILE] [--calls FILE]
                                [--rate 60] [--down 10:4,30:2] [--cold 0.18] [--warm-s 11] [--armed]
+                               [--spec FILE]
 
 `--rate` is an agreed one: above it, or above what the partner can do so soon after it was down, calls get
 503. `--down` gives outages, FROM:LENGTH in seconds after it is ready: its connections end, and new ones are
-refused. `--calls` gets a line for each whole call: `UNIX_MS TRACE_ID REPLY`. `--ledger` gets a line for each
+refused. `--calls` gets a line for each whole call: `UNIX_MS TRACE_ID REPLY MS`,
+with how long the answer takes (`inf`: it never comes). `--ledger` gets a line for each
 call that took effect, written before its answer: `UNIX_MS TRACE_ID KEY`; a key that came within the hour
 takes no effect again. Requests are HTTP/1.1 with Content-Length, as the relay sends them; one that is too
 long ends the connection. """
@@ -19,8 +21,11 @@
 import signal
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import TextIO
 
+import msgspec
+
 from emulator.partner import Call, Partner, Reply
 from emulator.spec import Cold, Fault, Rate, Service, Spec, Trouble
 
@@ -58,7 +63,8 @@
         before = self.model.effects[name]
         answer = self.model.call(now, Call(name, key.decode("latin-1") or None))
         if self.log is not None:
-            self.log.write(f"{time.time() * 1000:.1f} {name} {answer.reply.value.replace(' ', '-')}\n")
+            reply = answer.reply.value.replace(" ", "-")
+            self.log.write(f"{time.time() * 1000:.1f} {name} {reply} {answer.at - now:.1f}\n")
             self.log.flush()
         if self.ledger is not None and self.model.effects[name] > before:
             self.ledger.write(f"{time.time() * 1000:.0f} {name} {key.decode('latin-1')}\n")
@@ -156,6 +162,14 @@
     return Rate(per_s, burst=2 + 0.05 * per_s)
 
 
+def spec_of(path: Path) -> Spec:
+    """One of an experiment's [[partners]], as JSON. Raises ValueError."""
+    from emulator.experiment import Partner as Told
+
+    told: Told = msgspec.json.decode(path.read_bytes(), type=Told)
+    return told.model()
+
+
 def main() -> None:
     parser = arguments("partner")
     parser.add_argument("--answer-ms", type=float, default=2.0)
@@ -171,9 +185,10 @@
     parser.add_argument("--armed", action="store_true", help="outages count from SIGUSR1, not from the start")
     parser.add_argument("--cold", type=float, default=0.18, help="share of the rate right after an outage")
     parser.add_argument("--warm-s", type=float, default=11.0, help="from then until it can do all of it")
+    parser.add_argument("--spec", type=Path, help="JSON in place of all these: a partner of an experiment")
     args = parser.parse_args()
     try:
-        spec = Spec(
+        spec = spec_of(args.spec) if args.spec is not None else Spec(
             rate=None if args.rate is None else rated(args.rate), slots=args.slots, queue=args.queue,
             service=Service(args.answer_ms, cv=0.0), cold=Cold(args.cold, args.warm_s * 1000),
             key_window_ms=KEYS_MS, refuse=args.refuse, error=args.error, reset=args.reset, hang=args.hang,
