--- a/benchmarks/kills.py
+++ b/benchmarks/kills.py
@@ -23,8 +23,9 @@
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
+from emulator.live import free_ports
+
 from .processes import lines, settings
-from .relay import free_port
 from .report import report
 
 CLIENTS = 6
@@ -117,7 +118,7 @@
     (folder / "list.json").write_text(json.dumps(known))
     agent, discovery = await started("standins.agent", "--list", str(folder / "list.json"), "--ledger",
                                      str(folder / "notices"))
-    port = free_port()
+    (port,) = free_ports(1)
     raw = settings(0.25)
     raw["extra"]["call-slots"] = 24
     (folder / "config.json").write_text(json.dumps({
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -9,7 +9,7 @@
 
 `over 1 s`: the worst window of 1 s against the agreed rate; `over cold`: the worst of 1.5 s after the return
 against what the partner can do in it. `delivered` is over all that was handed in, refusals counted. Calls
-that find no connection while the partner is down can't be counted here: benchmarks.fleet does that.
+that find no connection while the partner is down can't be counted here: experiments/forty.toml does that.
 """
 
 from __future__ import annotations
@@ -33,6 +33,8 @@
 
 from linnetstile.fleet.report import FleetReport, Report
 from linnetstile.fleet.status import StatusError, ask
+from emulator import clients as connections
+from emulator.clients import request
 from emulator.partner import Partner
 from emulator.spec import Cold, Fault, Spec, Trouble
 from standins.partner import rated
@@ -75,7 +77,7 @@
     taken: dict[str, str] = field(default_factory=dict)  # and their classes
     answers: Counter[str] = field(default_factory=Counter)
     work: set[asyncio.Task[None]] = field(default_factory=set)
-    idle: dict[int, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = field(default_factory=dict)
+    kept: connections.Clients = field(default_factory=lambda: connections.Clients(2000.0))
 
     async def run(self, rate: float, seconds: float) -> list[str]:
         """The ids handed in."""
@@ -94,52 +96,14 @@
         ident = f"m{len(self.asked)}-{os.getpid():x}"
         self.asked.append(ident)
         class_, _, deadline, _ = self.rng.choices(CLASSES, [weight for *_, weight in CLASSES])[0]
-        text = (f"POST /{class_} HTTP/1.1\r\nHost: r\r\nX-Trace-Id: {ident}\r\nX-Qos: {class_}\r\n"
-                f"X-Customer: t\r\nX-Expires-In-Ms: {deadline * self.deadline_share:.0f}\r\n"
-                f"Idempotency-Key: k{ident}\r\nX-Addressing: dest=1\r\nContent-Length: {len(BODY)}\r\n\r\n")
-        try:
-            async with asyncio.timeout(2.0):
-                status = await self._ask(n, text.encode() + BODY)
-        except TimeoutError:
-            status = "none"
-        except (OSError, asyncio.IncompleteReadError) as error:
-            status = type(error).__name__
+        data = request(ident, class_, 1, deadline * self.deadline_share, BODY, f"k{ident}")
+        status = (await self.kept.hand_in(("127.0.0.1", self.port + n), data)).status
         self.answers[status] += 1
         if status in ("202", "200"):
             self.taken[ident] = class_
 
-    async def _ask(self, n: int, request: bytes) -> str:
-        """A kept connection that has ended between two requests is replaced once, as the protocol has it."""
-        for kept in (True, False):
-            pool = self.idle.setdefault(n, [])
-            fresh = not (kept and pool)
-            at = "127.0.0.1", self.port + n
-            reader, writer = (await asyncio.open_connection(*at)) if fresh else pool.pop()
-            try:
-                writer.write(request)
-                head = await reader.readuntil(b"\r\n\r\n")
-                lower = head.lower()
-                length = lower.partition(b"content-length:")[2].split(b"\r", 1)[0]
-                await reader.readexactly(int(length or 0))
-            except (OSError, asyncio.IncompleteReadError):
-                writer.close()
-                if fresh:
-                    raise
-                continue
-            except asyncio.CancelledError:
-                writer.close()
-                raise
-            if b"connection: close" in lower:
-                writer.close()
-            else:
-                pool.append((reader, writer))
-            return head.split(b" ", 2)[1].decode()
-        raise ConnectionError("no connection")
-
     def close(self) -> None:
-        for pool in self.idle.values():
-            for _, writer in pool:
-                writer.close()
+        self.kept.close()
 
 
 @dataclass
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -18,7 +18,6 @@
 import json
 import os
 import signal
-import socket
 import statistics
 import subprocess
 import sys
@@ -30,6 +29,7 @@
 from typing import Any
 
 from emulator.clients import Clients, request
+from emulator.live import free_ports
 from emulator.load import Plan
 from emulator.load import run as load
 
@@ -59,12 +59,6 @@
     limit: str  # why the generator was the limit there, if it was
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @contextlib.contextmanager
 def standin(*args: str) -> Iterator[str]:
     """A stand-in as a process of its own; yields its address."""
@@ -133,7 +127,7 @@
 
 @contextlib.asynccontextmanager
 async def program(module: str, held: int, folder: Path, partner: str, agent: str) -> AsyncIterator[Any]:
-    port = free_port()
+    (port,) = free_ports(1)
     (folder / "state").mkdir()
     config = {"name": "b", "listen": f"127.0.0.1:{port}", "discovery": agent, "seed": "1",
               "state": str(folder / "state"), "settings": settings(held),
--- a/tests/emulator/test_experiment.py
+++ b/tests/emulator/test_experiment.py
@@ -20,19 +20,26 @@
         ({"traffic": {"rate": -1}}, "traffic.rate: -1: "),
         ({"traffic": {"rate": 5, "warm_s": 90}}, "traffic.warm_s: must be less than seconds"),
         ({"traffic": {"bursts": [{"at_s": 1, "seconds": 1, "times": 0.5}]}}, "traffic.bursts[0].times: 0.5"),
-        ({"traffic": {"bursts": [{"at_s": 1, "seconds": 1, "times": 2, "destination": 9}]}},
-         "traffic.bursts.destination: must be 1 to 1"),
+        (
+            {"traffic": {"bursts": [{"at_s": 1, "seconds": 1, "times": 2, "destination": 9}]}},
+            "traffic.bursts.destination: must be 1 to 1",
+        ),
         ({"traffic": {"wave": {"period_s": 10, "swing": 2}}}, "traffic.wave.swing: 2: "),
         ({"partners": []}, "partners: []: "),
         ({"partners": [{"slot": 3}]}, "partners[0].slot: is not known; 'slots' is the nearest name"),
         ({"partners": [{"rate": {"per_s": 0}}]}, "partners[0].rate.per_s: 0: "),
         ({"partners": [{"rate": {"per_s": 5, "enforced": "no"}}]}, "one of window, bucket is needed"),
-        ({"partners": [{"refuse": 0.6, "error": 0.6}]}, "partners[0].refuse, error, reset, hang: must make 1"),
+        (
+            {"partners": [{"refuse": 0.6, "error": 0.6}]},
+            "partners[0].refuse, error, reset, hang: must make 1",
+        ),
         ({"partners": [{"troubles": [{"fault": "down", "begin_s": 5, "end_s": 4}]}]}, "trouble.end_ms"),
         ({"partners": [{"changes": [{"at_s": 1, "endpoint": 2, "listing": "gone"}]}]}, "must be 1 to 1"),
         ({"fleet": {"relays": 2, "restarts": [{"relay": 2, "at_s": 1}]}}, "restarts.relay: must be 0 to 1"),
-        ({"classes": [{"name": "a", "effect": "never", "aim_ms": 1, "deadline_ms": 2}]},
-         "classes[0].effect: 'never': one of repeatable, by_key, once is needed"),
+        (
+            {"classes": [{"name": "a", "effect": "never", "aim_ms": 1, "deadline_ms": 2}]},
+            "classes[0].effect: 'never': one of repeatable, by_key, once is needed",
+        ),
         ({"classes": []}, "classes: at least one is needed"),
         ({"variants": [{"name": "a"}, {"name": "a"}]}, "variants.name: ['a', 'a'] must differ"),
         ({"variants": [{"name": "a/b"}]}, "letters, digits"),
@@ -57,17 +64,26 @@
 
 
 def test_a_grid_makes_a_variant_of_each_combination_and_a_variant_has_its_own_fleet() -> None:
-    it = decoded({**RIGHT, "grid": {"control.CUT": [0.5, 0.9], "control.RISE": [0.1, 0.2, 0.3]},
-                  "variants": [{"name": "usual"}, {"name": "small", "fleet": {"hold": 5}}]}, "f")
+    it = decoded(
+        {
+            **RIGHT,
+            "grid": {"control.CUT": [0.5, 0.9], "control.RISE": [0.1, 0.2, 0.3]},
+            "variants": [{"name": "usual"}, {"name": "small", "fleet": {"hold": 5}}],
+        },
+        "f",
+    )
     names = [each.name for each in it.all_variants()]
     assert names[:3] == ["usual", "small", "CUT=0.5_RISE=0.1"] and len(names) == 8
     assert it.of(it.variants[1]).fleet.hold == 5 and it.of(it.variants[0]).fleet.hold == 60
 
 
 def test_files_that_it_names_must_be_there(tmp_path: Path) -> None:
-    for text, told in (("[traffic]\ntrace = 'no.gz'", "traffic.trace: 'no.gz' is no file"),
-                       ("[[variants]]\nname = 'old'\nversion = 'gone'", "version: 'gone' holds no"),
-                       ("name = ", "f.toml: "), ("seeds = 3", "name")):
+    for text, told in (
+        ("[traffic]\ntrace = 'no.gz'", "traffic.trace: 'no.gz' is no file"),
+        ("[[variants]]\nname = 'old'\nversion = 'gone'", "version: 'gone' holds no"),
+        ("name = ", "f.toml: "),
+        ("seeds = 3", "name"),
+    ):
         path = tmp_path / "f.toml"
         path.write_text(text if text.startswith(("name", "seeds")) else f"name = 'x'\n{text}")
         with pytest.raises(ExperimentError, match=told):
@@ -76,7 +92,8 @@
         read(tmp_path / "none.toml")
 
 
-@pytest.mark.parametrize("path", sorted((Path(__file__).parents[2] / "experiments").glob("*.toml")),
-                         ids=lambda path: path.stem)
+@pytest.mark.parametrize(
+    "path", sorted((Path(__file__).parents[2] / "experiments").glob("*.toml")), ids=lambda path: path.stem
+)
 def test_the_experiments_of_the_repository_are_right(path: Path) -> None:
     assert read(path).all_variants()
--- a/tests/emulator/test_live.py
+++ b/tests/emulator/test_live.py
@@ -16,13 +16,25 @@
 from emulator.trace import stats
 
 SHORT = {
-    "name": "x", "traffic": {"rate": 25.0, "seconds": 7.0, "warm_s": 0.5},
-    "partners": [{"rate": {"per_s": 60.0}, "endpoints": 2, "error": 0.05, "cold": {"share": 0.3, "warm_ms": 2000},
-                  "troubles": [{"fault": "down", "begin_s": 2, "end_s": 3}],
-                  "changes": [{"at_s": 4, "endpoint": 1, "listing": "draining"}]}, {"slots": 8}],
+    "name": "x",
+    "traffic": {"rate": 25.0, "seconds": 7.0, "warm_s": 0.5},
+    "partners": [
+        {
+            "rate": {"per_s": 60.0},
+            "endpoints": 2,
+            "error": 0.05,
+            "cold": {"share": 0.3, "warm_ms": 2000},
+            "troubles": [{"fault": "down", "begin_s": 2, "end_s": 3}],
+            "changes": [{"at_s": 4, "endpoint": 1, "listing": "draining"}],
+        },
+        {"slots": 8},
+    ],
     "fleet": {"relays": 2, "restarts": [{"relay": 0, "at_s": 3.5, "how": "kill"}, {"relay": 1, "at_s": 5}]},
-    "classes": [{"name": "order", "effect": "by_key", "aim_ms": 800, "deadline_ms": 4000},
-                {"name": "pay", "effect": "once", "aim_ms": 800, "deadline_ms": 4000}]}
+    "classes": [
+        {"name": "order", "effect": "by_key", "aim_ms": 800, "deadline_ms": 4000},
+        {"name": "pay", "effect": "once", "aim_ms": 800, "deadline_ms": 4000},
+    ],
+}
 
 
 def short() -> Experiment:
@@ -38,15 +50,22 @@
 
 
 def test_what_cannot_be_played_live_is_told() -> None:
-    it = decoded({**SHORT, "variants": [{"name": "a", "constants": {"control.CUT": 0.5}},
-                                        {"name": "b", "mixed": 0.5}]}, "x")
+    it = decoded(
+        {
+            **SHORT,
+            "variants": [{"name": "a", "constants": {"control.CUT": 0.5}}, {"name": "b", "mixed": 0.5}],
+        },
+        "x",
+    )
     for variant, text in zip(it.variants, ("constants", "mixed"), strict=True):
         with pytest.raises(LiveError, match=text):
             one(it, variant, 1)
 
 
 def test_open_loop_load_counts_from_the_intended_moment_and_knows_its_own_lateness(tmp_path: Path) -> None:
-    it = decoded({"name": "x", "partners": [{"service": {"mean_ms": 5}}], "fleet": {"relays": 1, "hold": 400}}, "x")
+    it = decoded(
+        {"name": "x", "partners": [{"service": {"mean_ms": 5}}], "fleet": {"relays": 1, "hold": 400}}, "x"
+    )
 
     async def play() -> load.Load:
         async with fleet(it, it.variants[0], 1) as live:
--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -24,11 +24,17 @@
 from emulator.runs import Runs, RunsError, by_variant, manifest, row
 
 SMALL: dict[str, Any] = {
-    "name": "small", "seeds": 4, "traffic": {"rate": 20.0, "seconds": 6.0, "warm_s": 1.0},
-    "partners": [{"rate": {"per_s": 25.0}, "error": 0.05, "slots": 4}], "fleet": {"relays": 2},
-    "classes": [{"name": "order", "effect": "by_key", "aim_ms": 500, "deadline_ms": 3000},
-                {"name": "pay", "effect": "once", "aim_ms": 500, "deadline_ms": 3000}],
-    "variants": [{"name": "A"}, {"name": "slow", "constants": {"control.RETRY_MS": 900.0}}]}
+    "name": "small",
+    "seeds": 4,
+    "traffic": {"rate": 20.0, "seconds": 6.0, "warm_s": 1.0},
+    "partners": [{"rate": {"per_s": 25.0}, "error": 0.05, "slots": 4}],
+    "fleet": {"relays": 2},
+    "classes": [
+        {"name": "order", "effect": "by_key", "aim_ms": 500, "deadline_ms": 3000},
+        {"name": "pay", "effect": "once", "aim_ms": 500, "deadline_ms": 3000},
+    ],
+    "variants": [{"name": "A"}, {"name": "slow", "constants": {"control.RETRY_MS": 900.0}}],
+}
 
 
 def small(**more: Any) -> Experiment:
@@ -75,8 +81,10 @@
 
 def test_a_ctrl_c_leaves_what_is_done_and_resume_goes_on(tmp_path: Path) -> None:
     file, out = tmp_path / "x.toml", tmp_path / "out"
-    file.write_text('name = "x"\nseeds = 400\n[traffic]\nrate = 20.0\nseconds = 5.0\nwarm_s = 1.0\n'
-                    "[[partners]]\nslots = 4\n[fleet]\nrelays = 2\n")
+    file.write_text(
+        'name = "x"\nseeds = 400\n[traffic]\nrate = 20.0\nseconds = 5.0\nwarm_s = 1.0\n'
+        "[[partners]]\nslots = 4\n[fleet]\nrelays = 2\n"
+    )
     command = [sys.executable, "-m", "emulator", "run", str(file), "--out", str(out), "--processes", "2"]
     process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
     ends = time.monotonic() + 60
@@ -96,9 +104,15 @@
 
 
 def test_a_planted_change_is_found_and_none_is_seen_where_there_is_none(tmp_path: Path) -> None:
-    it = small(seeds=12, variants=[
-        {"name": "A"}, {"name": "same"}, {"name": "slow", "constants": {"control.RETRY_MS": 2500.0}},
-        {"name": "less", "fleet": {"slots": 1}}])
+    it = small(
+        seeds=12,
+        variants=[
+            {"name": "A"},
+            {"name": "same"},
+            {"name": "slow", "constants": {"control.RETRY_MS": 2500.0}},
+            {"name": "less", "fleet": {"slots": 1}},
+        ],
+    )
     Runs(it, tmp_path).run(8, quiet)
     found = by_variant(tmp_path)
     for name, told in (("same", "no difference seen"), ("slow", "worse"), ("less", "worse")):
@@ -109,8 +123,12 @@
 
 def test_a_comparison_of_a_thing_with_itself_covers_zero_as_often_as_it_says(tmp_path: Path) -> None:
     """200 experiments drawn from two independent pools of runs of the same relay; exact for what is drawn."""
-    it = small(seeds=60, common="none", variants=[{"name": "A"}, {"name": "B"}],
-               traffic={"rate": 15.0, "seconds": 4.0, "warm_s": 0.5})
+    it = small(
+        seeds=60,
+        common="none",
+        variants=[{"name": "A"}, {"name": "B"}],
+        traffic={"rate": 15.0, "seconds": 4.0, "warm_s": 0.5},
+    )
     Runs(it, tmp_path).run(8, quiet)
     found = by_variant(tmp_path)
     a, b = np.array(row(found["A"], "service")), np.array(row(found["B"], "service"))
@@ -153,10 +171,12 @@
 
 def test_the_report_and_the_commands(tmp_path: Path) -> None:
     call, file, out = CliRunner().invoke, tmp_path / "x.toml", tmp_path / "out"
-    file.write_text('name = "<b>X</b>"\nseeds = 3\n[traffic]\nrate = 20.0\nseconds = 6.0\nwarm_s = 1.0\n'
-                    '[[partners]]\nrate = { per_s = 30.0 }\n[[partners.troubles]]\nfault = "down"\nbegin_s = 2\n'
-                    'end_s = 3\n[[partners]]\n[[variants]]\nname = "A"\n[[variants]]\nname = "B"\n'
-                    "fleet = { slots = 1 }\n")
+    file.write_text(
+        'name = "<b>X</b>"\nseeds = 3\n[traffic]\nrate = 20.0\nseconds = 6.0\nwarm_s = 1.0\n'
+        '[[partners]]\nrate = { per_s = 30.0 }\n[[partners.troubles]]\nfault = "down"\nbegin_s = 2\n'
+        'end_s = 3\n[[partners]]\n[[variants]]\nname = "A"\n[[variants]]\nname = "B"\n'
+        "fleet = { slots = 1 }\n"
+    )
     assert call(main, ["check", str(file)]).output.endswith("good: 2 variants, 3 seeds\n")
     done = call(main, ["run", str(file), "--out", str(out), "--processes", "2", "--json"])
     rows = json.loads(done.stdout)["rows"]
@@ -168,7 +188,8 @@
     page = path.read_text()
     assert "&lt;b&gt;X" in page and "<b>X</b>" not in page and page.count("<svg") == 3
     assert "http://" not in page.replace("http://www.w3.org", "").replace("http://purl.org", "").replace(
-        "http://creativecommons.org", "")
+        "http://creativecommons.org", ""
+    )
     assert "No rule was broken" in page and (out / "load.png").stat().st_size > 5000
     wrong = call(main, ["run", str(tmp_path / "none.toml")])
     assert wrong.exit_code == 2 and "No such file" in wrong.output
@@ -177,9 +198,11 @@
 
 
 def test_the_relay_imports_nothing_of_the_laboratory() -> None:
-    code = ("import sys, linnetstile, linnetstile.process, linnetstile.fleet.instance\n"
-            "print([name for name in ('numpy', 'scipy', 'matplotlib', 'hdrh', 'click', 'rich', 'emulator',"
-            " 'structlog') if name in sys.modules])")
+    code = (
+        "import sys, linnetstile, linnetstile.process, linnetstile.fleet.instance\n"
+        "print([name for name in ('numpy', 'scipy', 'matplotlib', 'hdrh', 'click', 'rich', 'emulator',"
+        " 'structlog') if name in sys.modules])"
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
 
--- a/tests/emulator/test_trace.py
+++ b/tests/emulator/test_trace.py
@@ -45,7 +45,8 @@
     lines = list(trace.read(path, notes))
     assert len(lines) == 500 and notes.unreadable == notes.out_of_order == 0
     assert {(each.class_, each.destination, each.bytes, each.left_ms) for each in lines} == {
-        ("order", 7, 8, 16000.0)}
+        ("order", 7, 8, 16000.0)
+    }
     assert len({each.id for each in lines}) == 500 and len({each.tenant for each in lines}) == 1
     assert path.stat().st_mode & 0o077 == 0
 
@@ -74,7 +75,7 @@
     times = [*range(0, 5000), 3000.5, -40.0, math.inf, *range(5000, 9000)]
     trace.write(path, [line(float(at), ident=str(n)) for n, at in enumerate(times) if at != math.inf], HEAD)
     whole = gzip.decompress(path.read_bytes())
-    whole = whole.replace(b'[17.0,', b'[17,,', 1) + b'[1e999,"order",1,"t",1,1,"x"]\n[9000.0,"ord'
+    whole = whole.replace(b"[17.0,", b"[17,,", 1) + b'[1e999,"order",1,"t",1,1,"x"]\n[9000.0,"ord'
     path.write_bytes(gzip.compress(whole)[:-200])
     notes = trace.Notes()
     found = [each.at for each in trace.read(path, notes)]
@@ -84,8 +85,12 @@
 
 
 def test_what_is_no_trace_or_of_a_later_version_is_refused(tmp_path: Path) -> None:
-    for name, data, text in (("a", b"hello\n", "is no trace"), ("b", b'{"v":2}\n', "is of version 2"),
-                             ("c.gz", b"hello\n", "is no trace"), ("d", b"", "is no trace")):
+    for name, data, text in (
+        ("a", b"hello\n", "is no trace"),
+        ("b", b'{"v":2}\n', "is of version 2"),
+        ("c.gz", b"hello\n", "is no trace"),
+        ("d", b"", "is no trace"),
+    ):
         (tmp_path / name).write_bytes(data)
         with pytest.raises(trace.TraceError, match=text):
             list(trace.read(tmp_path / name))
@@ -122,13 +127,38 @@
 
 def test_a_model_drawn_from_a_trace_is_like_what_it_was_drawn_from(tmp_path: Path) -> None:
     """Round trip: traffic that is known, its trace, the model fitted to it."""
-    it = decoded({"name": "x", "partners": [{}] * 40, "traffic": {
-        "rate": 60.0, "seconds": 1200.0, "zipf": 0.9, "clump": 3.0,
-        "wave": {"period_s": 1200.0, "swing": 0.4, "peak_s": 600.0},
-        "bursts": [{"at_s": 300.0, "seconds": 30.0, "times": 10.0}]}}, "x")
+    it = decoded(
+        {
+            "name": "x",
+            "partners": [{}] * 40,
+            "traffic": {
+                "rate": 60.0,
+                "seconds": 1200.0,
+                "zipf": 0.9,
+                "clump": 3.0,
+                "wave": {"period_s": 1200.0, "swing": 0.4, "peak_s": 600.0},
+                "bursts": [{"at_s": 300.0, "seconds": 30.0, "times": 10.0}],
+            },
+        },
+        "x",
+    )
     path = tmp_path / "t.jsonl"
-    trace.write(path, (trace.Line(job.at, it.classes[job.class_].name, job.destination, "t", job.bytes,
-                                  job.left_ms, str(job.number)) for job in drawn(it, 3)), HEAD)
+    trace.write(
+        path,
+        (
+            trace.Line(
+                job.at,
+                it.classes[job.class_].name,
+                job.destination,
+                "t",
+                job.bytes,
+                job.left_ms,
+                str(job.number),
+            )
+            for job in drawn(it, 3)
+        ),
+        HEAD,
+    )
     fit = trace.fit(trace.stats(path))
     assert fit.rate == pytest.approx(60, rel=0.1) and fit.zipf == pytest.approx(0.9, abs=0.15)
     assert fit.swing == pytest.approx(0.4, abs=0.1) and fit.peak_s == pytest.approx(600, abs=60)
@@ -146,8 +176,15 @@
     it = decoded({"name": "x", "partners": [{}, {}], "traffic": {"trace": str(path)}}, "x")
     jobs = list(from_trace(it, 1))
     assert [(job.at, job.destination) for job in jobs] == [(10.0, 2), (30.0, 1), (40.0, 1)]
-    bad = decoded({"name": "x", "classes": [{"name": "z", "effect": "once", "aim_ms": 1, "deadline_ms": 2}],
-                   "partners": [{}], "traffic": {"trace": str(path)}}, "x")
+    bad = decoded(
+        {
+            "name": "x",
+            "classes": [{"name": "z", "effect": "once", "aim_ms": 1, "deadline_ms": 2}],
+            "partners": [{}],
+            "traffic": {"trace": str(path)},
+        },
+        "x",
+    )
     with pytest.raises(ValueError, match="class 'order' is none of z"):
         list(from_trace(bad, 1))
 
@@ -158,8 +195,12 @@
     call = CliRunner().invoke
     told = json.loads(call(main, ["trace", "stats", str(path), "--json"]).stdout)
     assert told["messages"] == 3000 and told["rate"] == pytest.approx(50, abs=1)
-    assert call(main, ["trace", "cut", str(path), str(out), "--end-s", "30"]).output.startswith("1500 messages")
-    assert call(main, ["trace", "scale", str(out), str(path), "--times", "2"]).output.startswith("3000 messages")
+    assert call(main, ["trace", "cut", str(path), str(out), "--end-s", "30"]).output.startswith(
+        "1500 messages"
+    )
+    assert call(main, ["trace", "scale", str(out), str(path), "--times", "2"]).output.startswith(
+        "3000 messages"
+    )
     assert "rate = " in call(main, ["trace", "fit", str(path)]).stdout
     (tmp_path / "bad").write_text("x")
     wrong = call(main, ["trace", "stats", str(tmp_path / "bad")])
--- a/tests/emulator/test_world.py
+++ b/tests/emulator/test_world.py
@@ -30,16 +30,37 @@
 
 ROUGH: dict[str, Any] = {
     "traffic": {"rate": 40.0, "seconds": 30.0, "warm_s": 2.0},
-    "partners": [{"rate": {"per_s": 60.0, "wait_ms": [50.0, 200.0]}, "error": 0.05, "reset": 0.05, "hang": 0.02,
-                  "refuse": 0.05, "endpoints": 2, "cold": {"share": 0.2, "warm_ms": 5000.0},
-                  "troubles": [{"fault": "down", "begin_s": 8, "end_s": 11},
-                               {"fault": "silent", "begin_s": 16, "end_s": 18},
-                               {"fault": "hung", "begin_s": 22, "end_s": 24}],
-                  "changes": [{"at_s": 13, "endpoint": 1, "listing": "draining"},
-                              {"at_s": 14, "endpoint": 1, "listing": "gone"},
-                              {"at_s": 20, "endpoint": 1, "listing": "ready"}]}],
-    "fleet": {"relays": 5, "restarts": [{"relay": 0, "at_s": 9}, {"relay": 1, "at_s": 9.5, "how": "kill"},
-                                        {"relay": 2, "at_s": 17, "how": "kill"}, {"relay": 0, "at_s": 23}]}}
+    "partners": [
+        {
+            "rate": {"per_s": 60.0, "wait_ms": [50.0, 200.0]},
+            "error": 0.05,
+            "reset": 0.05,
+            "hang": 0.02,
+            "refuse": 0.05,
+            "endpoints": 2,
+            "cold": {"share": 0.2, "warm_ms": 5000.0},
+            "troubles": [
+                {"fault": "down", "begin_s": 8, "end_s": 11},
+                {"fault": "silent", "begin_s": 16, "end_s": 18},
+                {"fault": "hung", "begin_s": 22, "end_s": 24},
+            ],
+            "changes": [
+                {"at_s": 13, "endpoint": 1, "listing": "draining"},
+                {"at_s": 14, "endpoint": 1, "listing": "gone"},
+                {"at_s": 20, "endpoint": 1, "listing": "ready"},
+            ],
+        }
+    ],
+    "fleet": {
+        "relays": 5,
+        "restarts": [
+            {"relay": 0, "at_s": 9},
+            {"relay": 1, "at_s": 9.5, "how": "kill"},
+            {"relay": 2, "at_s": 17, "how": "kill"},
+            {"relay": 0, "at_s": 23},
+        ],
+    },
+}
 
 
 @pytest.mark.parametrize("seed", range(1, 5))
@@ -75,11 +96,20 @@
 def fragile(multiple: float) -> tuple[Record, dict[str, float]]:
     """A partner that collapses when it is pushed past so many times what it can do; relays are told the first
     one's multiple, which is 4."""
-    return play(experiment(
-        traffic={"rate": 96.0, "seconds": 30.0, "warm_s": 2.0},
-        partners=[{"rate": {"per_s": 60.0}, "cold": {"share": 0.18, "fall_multiple": 4.0}},
-                  {"rate": {"per_s": 60.0}, "cold": {"share": 0.18, "fall_multiple": multiple},
-                   "troubles": [{"fault": "down", "begin_s": 8, "end_s": 14}]}], fleet={"relays": 10}))
+    return play(
+        experiment(
+            traffic={"rate": 96.0, "seconds": 30.0, "warm_s": 2.0},
+            partners=[
+                {"rate": {"per_s": 60.0}, "cold": {"share": 0.18, "fall_multiple": 4.0}},
+                {
+                    "rate": {"per_s": 60.0},
+                    "cold": {"share": 0.18, "fall_multiple": multiple},
+                    "troubles": [{"fault": "down", "begin_s": 8, "end_s": 14}],
+                },
+            ],
+            fleet={"relays": 10},
+        )
+    )
 
 
 def test_a_partner_pushed_past_its_cold_multiple_falls_and_one_spared_does_not() -> None:
@@ -97,25 +127,39 @@
 def test_a_destination_without_a_listed_rate_gets_as_much_as_it_answers(relays: int) -> None:
     free = play(experiment(traffic={"rate": 20.0, "seconds": 30.0, "warm_s": 10.0}, fleet={"relays": relays}))
     assert free[1]["delivered"] > 0.98
-    limited = play(experiment(
-        traffic={"rate": 30.0, "seconds": 40.0, "warm_s": 10.0}, fleet={"relays": relays},
-        partners=[{"rate": {"per_s": 20.0}, "listed_rate": 0.0}]))
-    assert limited[0].breaks == 0 and 0.5 < limited[1]["delivered"] < 0.85  # 20 of 30, and what is left of the time
+    limited = play(
+        experiment(
+            traffic={"rate": 30.0, "seconds": 40.0, "warm_s": 10.0},
+            fleet={"relays": relays},
+            partners=[{"rate": {"per_s": 20.0}, "listed_rate": 0.0}],
+        )
+    )
+    assert (
+        limited[0].breaks == 0 and 0.5 < limited[1]["delivered"] < 0.85
+    )  # 20 of 30, and the rest
     assert limited[1]["calls"] < 2.0  # no more are refused than are taken
 
 
 def test_a_full_hold_refuses_and_clients_come_again() -> None:
-    record, figures = play(experiment(
-        traffic={"rate": 60.0, "seconds": 15.0, "warm_s": 1.0}, partners=[{"slots": 2}],
-        fleet={"relays": 1, "hold": 5}))
+    record, figures = play(
+        experiment(
+            traffic={"rate": 60.0, "seconds": 15.0, "warm_s": 1.0},
+            partners=[{"slots": 2}],
+            fleet={"relays": 1, "hold": 5},
+        )
+    )
     assert record.refused > 100 and any(life.tries > 1 and life.done for life in record.lives)
     assert record.breaks == 0 and figures["delivered"] < 0.6
 
 
 def test_restarts_lose_no_message_though_nothing_is_up() -> None:
-    record, figures = play(experiment(
-        traffic={"rate": 20.0, "seconds": 10.0, "warm_s": 1.0},
-        fleet={"relays": 1, "restarts": [{"relay": 0, "at_s": 4, "how": "kill"}]}, clients={"tries": 8}))
+    record, figures = play(
+        experiment(
+            traffic={"rate": 20.0, "seconds": 10.0, "warm_s": 1.0},
+            fleet={"relays": 1, "restarts": [{"relay": 0, "at_s": 4, "how": "kill"}]},
+            clients={"tries": 8},
+        )
+    )
     assert record.breaks == 0 and figures["delivered"] > 0.9
 
 
@@ -130,14 +174,19 @@
 
 
 def test_another_version_beside_this_one_decides_the_same_where_it_is_the_same() -> None:
-    it = experiment(traffic={"rate": 30.0, "seconds": 8.0, "warm_s": 1.0}, partners=ROUGH["partners"],
-                    fleet={"relays": 2}, variants=[{"name": "here"}, {"name": "beside", "version": str(HERE)}])
+    it = experiment(
+        traffic={"rate": 30.0, "seconds": 8.0, "warm_s": 1.0},
+        partners=ROUGH["partners"],
+        fleet={"relays": 2},
+        variants=[{"name": "here"}, {"name": "beside", "version": str(HERE)}],
+    )
     assert play(it, 0)[1] == play(it, 1)[1]
 
 
 def test_two_versions_run_mixed_during_a_rolling_change() -> None:
-    it = experiment(**{**ROUGH, "variants": [
-        {"name": "old"}, {"name": "half", "version": str(HERE), "mixed": 0.4}]})
+    it = experiment(
+        **{**ROUGH, "variants": [{"name": "old"}, {"name": "half", "version": str(HERE), "mixed": 0.4}]}
+    )
     record, figures = play(it, 1)
     assert record.breaks == 0, record.broken
     world = World(it, it.variants[1], 1)
@@ -166,7 +215,13 @@
 def test_events_and_actions_come_back_as_they_went() -> None:
     for value in (
         api.Message(1, 2, 0, 50.0, age_ms=3.0, risk=api.Endpoint(4, 2, api.Listing.READY, rate=2.5)),
-        api.EndpointList(api.ListKind.WHOLE, (api.Endpoint(1, 1, api.Listing.GONE), api.Endpoint(
-            2, 1, api.Listing.READY))), api.AttemptEnded(1, 0, 2, api.Outcome.FULL, 1.0, False, 20.0),
-        api.Learned(3, 1.0, True), api.Fleet(1, 3, 5.0), api.Send(1, 2, 3.0), api.SetTimer(1.0, 0)):
+        api.EndpointList(
+            api.ListKind.WHOLE, (api.Endpoint(1, 1, api.Listing.GONE), api.Endpoint(2, 1, api.Listing.READY))
+        ),
+        api.AttemptEnded(1, 0, 2, api.Outcome.FULL, 1.0, False, 20.0),
+        api.Learned(3, 1.0, True),
+        api.Fleet(1, 3, 5.0),
+        api.Send(1, 2, 3.0),
+        api.SetTimer(1.0, 0),
+    ):
         assert unpacked(msgspec.msgpack.decode(msgspec.msgpack.encode(packed(value))), api) == value
--- a/tests/test_share.py
+++ b/tests/test_share.py
@@ -10,7 +10,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from benchmarks.fleet import World
+from emulator.experiment import decoded
+from emulator.world import World
 from linnetstile import interface as api
 from linnetstile.control import Relay
 from linnetstile.share import GUARD, LATE_MS, SILENCE_MS, WARMING, Share, spread
@@ -151,11 +152,18 @@
 
 
 def test_a_fleet_spares_a_returning_partner_and_keeps_the_agreed_rate() -> None:
-    """The forty are in benchmarks.fleet; three of these ten are restarted in the outage."""
-    alone, fleet = World("alone", 10, 20.0, False, 1).run(), World("evidence", 10, 20.0, False, 1).run()
-    assert fleet["over 1 s"] <= 1.0 and fleet["over cold"] <= 1.3 and fleet["refused"] == 0
-    assert fleet["tries"] < 0.7 * alone["tries"] and fleet["delivered"] > 0.6
-    assert alone["over 1 s"] > 1.0  # or the world would ask for nothing
+    """The forty are in experiments/forty.toml; three of these ten are restarted in the outage."""
+    it = decoded({
+        "name": "ten", "traffic": {"rate": 16.0, "seconds": 59.0, "warm_s": 25.0},
+        "partners": [{"rate": {"per_s": 20.0, "burst": 3.0}, "service": {"mean_ms": 150.0, "cv": 0.0},
+                      "cold": {"share": 0.18}, "troubles": [{"fault": "down", "begin_s": 30, "end_s": 42}]}],
+        "fleet": {"relays": 10, "restarts": [{"relay": n, "at_s": 33 + n, "how": "kill"} for n in (2, 5, 8)]},
+        "variants": [{"name": "alone"}, {"name": "fleet", "fleet": {"share_rates": True}}]}, "ten")
+    worlds = [World(it, variant, 1).run() for variant in it.variants]
+    alone, fleet = (record.figures() for record in worlds)
+    assert fleet["over_1s"] <= 1.0 and fleet["over_cold"] <= 1.3 and not worlds[1].full
+    assert fleet["tries_while_out"] < 0.7 * alone["tries_while_out"] and fleet["delivered"] > 0.6
+    assert alone["over_cold"] > fleet["over_cold"]  # or the world would ask for nothing
 
 
 @settings(max_examples=40)
