--- a/linnetstile/amqp/machine.py
+++ b/linnetstile/amqp/machine.py
@@ -337,6 +337,11 @@
         """Nobody waits for its confirm any more; one that comes is told as late."""
         publish.given_up = True
 
+    def given_up(self, number: int) -> int:
+        """Publishes of a channel that were given up, and whose confirm may still come."""
+        channel = self.channels.get(number)
+        return 0 if channel is None else sum(each.given_up for each in channel.out.values())
+
     def consume(self, number: int, queue: str, consumer: str) -> None:
         channel = self._ready(number)
         self._need(channel.prefetch > 0, f"channel {number} is for publishing")
--- /dev/null
+++ b/linnetstile/amqp/source.py
@@ -0,0 +1,40 @@
+"""The endpoints that the operator's file names, as a source of members (core.seams.Membership)."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..config import Config
+from ..core.seams import Member, Told, Update
+from ..interface import Listing
+from .settings import PREFIX, AmqpPart
+
+NAME = "amqp"
+
+
+class Named:
+    def __init__(self, part: AmqpPart) -> None:
+        self.update = Update(
+            True,
+            tuple(
+                Member(
+                    f"{PREFIX}{each.name}",
+                    each.destination,
+                    Listing.READY,
+                    (f"{PREFIX}{each.name}", 0),
+                    rate=each.rate,
+                )
+                for each in part.endpoints
+            ),
+            source=NAME,
+        )
+
+    async def run(self, told: Told) -> None:
+        told(self.update)
+        await asyncio.Event().wait()
+
+    def reload(self, config: Config) -> None:
+        """The operator's endpoints change with a restart."""
+
+    def close(self) -> None:
+        """Holds nothing."""
--- /dev/null
+++ b/linnetstile/amqp/transport.py
@@ -0,0 +1,199 @@
+"""Attempts as publishes: what each one's end proves, in the relay's words.
+
+| what comes | outcome | has it run? |
+| --- | --- | --- |
+| basic.ack | delivered | yes |
+| basic.nack | error, or turned away where the operator says that it never ran | it may have, or never |
+| basic.return before it | turned away | never |
+| channel or connection lost after its last byte was handed over | reset | it may have |
+| before that, or no connection at all | could not connect | never |
+| connection.blocked, flow, too many without a confirm | turned away, with a wait | never |
+| nothing | timed out; a confirm that comes later is logged | it may have |
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Mapping
+from random import Random
+
+from pamqp import commands
+
+from ..config import Address
+from ..core.seams import Attempt, Key, Result
+from ..interface import Outcome
+from ..logs import Note
+from .life import Reconnect
+from .link import Link, NoLink
+from .machine import Fate, Login, Publish
+from .settings import PREFIX, AmqpPart, BrokerPart, TargetPart, credentials
+
+log = logging.getLogger(__name__)
+
+CONNECT_S = 5.0  # until a broker has answered all that opening takes
+BLOCKED_MS = 1000.0  # a blocked broker is not asked again sooner: such a block lasts seconds at the least
+BUSY_MS = 100.0  # flow, a full socket, or too many that wait for their confirms
+PERSISTENT = 2  # delivery mode
+
+
+class Broker:
+    """The connection to one broker: made when it is needed, kept, and made anew after a wait."""
+
+    def __init__(self, part: BrokerPart, rng: Random) -> None:
+        """Raises ValueError where its credentials cannot be read."""
+        user, password = credentials(part)
+        self.part = part
+        self.login = Login(user, password, part.vhost, heartbeat_s=part.heartbeat_s)
+        self.addresses: list[Address] = []
+        for host in part.hosts:
+            name, _, port = host.rpartition(":")
+            self.addresses.append((name.strip("[]"), int(port)))
+        self.life = Reconnect(len(self.addresses), rng)
+        self.link: Link | None = None
+        self.opening: asyncio.Task[Link] | None = None
+        self.closed = False
+        self.late = 0  # confirms that came after their publish was given up
+
+    async def linked(self) -> Link:
+        """A connection with its channel open. Raises NoLink at once while it is not to be tried again."""
+        if self.link is not None and not self.link.over:
+            await asyncio.shield(self.link.ready)
+            return self.link
+        if self.opening is None:
+            now = asyncio.get_running_loop().time()
+            if self.closed or not self.life.may_try(now):
+                raise NoLink(f"{self.part.name} is tried again in {self.life.not_before - now:.1f} s")
+            self.opening = asyncio.ensure_future(self._open())
+            self.opening.add_done_callback(self._opened)
+        return await asyncio.shield(self.opening)
+
+    async def _open(self) -> Link:
+        loop = asyncio.get_running_loop()
+        host, port = self.addresses[self.life.at]
+        link: Link | None = None
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, link = await loop.create_connection(
+                    lambda: Link(self.login, self._ended, self._late), host, port
+                )
+                await asyncio.shield(link.ready)
+        except (OSError, TimeoutError, NoLink) as error:
+            why = str(error) or "it does not answer"
+            if link is not None and not link.over:
+                link.on_end = lambda why: None  # told here
+                link.close()
+            if link is None or not isinstance(error, NoLink):
+                self._ended(why)
+            raise NoLink(f"{self.part.name} at {host}:{port}: {why}") from None
+        self.life.opened(loop.time())
+        log.info(Note("broker: connected", broker=self.part.name, host=f"{host}:{port}"))
+        self.link = link
+        return link
+
+    def _opened(self, task: asyncio.Task[Link]) -> None:
+        self.opening = None
+        if not task.cancelled():
+            task.exception()  # those that wait have it; there may be none
+
+    def _ended(self, why: str) -> None:
+        self.link = None
+        if not self.closed:
+            wait = self.life.ended(asyncio.get_running_loop().time())
+            log.warning(Note("broker: no connection", broker=self.part.name, why=why, wait_s=round(wait, 2)))
+
+    def _late(self, publish: Publish) -> None:
+        self.late += 1
+        log.warning(
+            Note(
+                "broker: a confirm came after its time",
+                broker=self.part.name,
+                id=publish.ident,
+                fate=publish.fate.value,
+            )
+        )
+
+    def close(self) -> None:
+        self.closed = True
+        if self.opening is not None:
+            self.opening.cancel()
+        if self.link is not None:
+            self.link.close()
+
+
+class Publishing:
+    """The transport of all endpoints that are brokers' (core.seams.Transport)."""
+
+    def __init__(self, part: AmqpPart, rng: Random) -> None:
+        """Raises ValueError."""
+        self.brokers = {each.name: Broker(each, rng) for each in part.brokers}
+        self.targets: Mapping[str, TargetPart] = {PREFIX + each.name: each for each in part.endpoints}
+
+    async def attempt(self, attempt: Attempt) -> Result:
+        target = self.targets.get(attempt.address[0])
+        if target is None:
+            return Result(Outcome.CONNECT_FAILED)
+        broker, link, publish = self.brokers[target.broker], None, None
+        try:
+            async with asyncio.timeout_at(attempt.give_up_at):
+                link = await broker.linked()
+                if not link.may_publish():
+                    return Result(Outcome.FULL, wait_ms=BLOCKED_MS if link.blocked else BUSY_MS)
+                if not attempt.may_write():
+                    return Result(Outcome.NOT_SENT)
+                publish, confirmed = link.publish(
+                    attempt.trace_id,
+                    target.exchange,
+                    target.routing_key,
+                    attempt.body,
+                    self._properties(attempt),
+                )
+                fate = await confirmed
+                broker.life.worked = broker.life.worked or fate is Fate.ACKED
+                return answered(fate, target)
+        except NoLink:
+            return Result(Outcome.CONNECT_FAILED)
+        except TimeoutError:
+            return Result(Outcome.CONNECT_FAILED if publish is None else Outcome.TIMEOUT)
+        finally:
+            if link is not None and publish is not None and publish.fate is Fate.OUT:
+                link.give_up(publish)
+
+    @staticmethod
+    def _properties(attempt: Attempt) -> commands.Basic.Properties:
+        left = attempt.give_up_at - asyncio.get_running_loop().time()
+        headers = {} if attempt.key is None else {"idempotency-key": attempt.key}
+        return commands.Basic.Properties(
+            delivery_mode=PERSISTENT,
+            message_id=attempt.trace_id,
+            headers=dict(headers),
+            expiration=str(max(1, round(left * 1000))),
+        )
+
+    def keep_only(self, listed: set[Key]) -> None:
+        """A broker's connection stands for all of its endpoints: nothing to drop."""
+
+    def changed(self, key: Key, listed: bool) -> None:
+        """As above."""
+
+    def sweep(self) -> None:
+        """Heartbeats keep what is idle."""
+
+    def close(self) -> None:
+        for broker in self.brokers.values():
+            broker.close()
+
+
+def answered(fate: Fate, target: TargetPart) -> Result:
+    """The table above, for what came back."""
+    match fate:
+        case Fate.ACKED:
+            return Result(Outcome.OK, over=True)
+        case Fate.NACKED:
+            return Result(Outcome.FULL if target.nack == "never_ran" else Outcome.ERROR)
+        case Fate.RETURNED:
+            return Result(Outcome.FULL)
+        case Fate.UNWRITTEN:
+            return Result(Outcome.CONNECT_FAILED)
+        case _:
+            return Result(Outcome.RESET)
--- a/linnetstile/assembly.py
+++ b/linnetstile/assembly.py
@@ -6,10 +6,13 @@
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
+from random import Random
 
-from .config import Config
+from .amqp.settings import AmqpPart
+from .config import Config, ConfigError
 from .core.host import Host
-from .core.seams import Update
+from .core.seams import Membership, Transport, Update
+from .core.transports import Transports
 from .fleet.handover import CLIENTS
 from .http import front
 from .http.calls import Calls
@@ -33,8 +36,10 @@
         await self.host.start(self.known)
 
 
-def assemble(config: Config, sockets: Mapping[str, socket.socket] | None = None) -> Assembly:
-    """With the listening sockets that a service manager has handed over, if any."""
+def assemble(config: Config, sockets: Mapping[str, socket.socket] | None = None,
+             amqp: AmqpPart | None = None) -> Assembly:
+    """With the listening sockets that a service manager has handed over, and the operator's brokers, if any.
+    Raises ConfigError where these cannot be used."""
     settings, host = config.settings, Host(config)
     idle, ending = max(1, config.sockets // 8), max(1, config.sockets // 16)
     # Clients get what calls cannot need: so a flood of connections leaves every call its descriptor.
@@ -43,7 +48,12 @@
                        (sockets or {}).get(CLIENTS))
     calls = Calls(settings.idle_ms, settings.connect_timeout_ms, idle, ending)
     register = Register(config.discovery)
-    host.plug_in({front.NAME: http}, calls, [register])
+    transport: Transport = calls
+    sources: list[Membership] = [register]
+    if amqp is not None and amqp.endpoints:
+        publishing, named = brokers(amqp, config.seed)
+        transport, sources = Transports(calls, {"amqp": publishing}), [register, named]
+    host.plug_in({front.NAME: http}, transport, sources)
     known: Update | None = None
     if config.known:
         try:
@@ -51,3 +61,16 @@
         except ValueError as error:
             log.warning(Note("the known list of endpoints is passed over", why=error))
     return Assembly(host, http, calls, register, known)
+
+
+def brokers(part: AmqpPart, seed: int) -> tuple[Transport, Membership]:
+    """Imported here: the platform's memory stays as it is."""
+    try:
+        from .amqp.source import Named
+        from .amqp.transport import Publishing
+
+        return Publishing(part, Random(seed)), Named(part)
+    except ImportError as error:
+        raise ConfigError(f"amqp: needs the extra 'amqp' ({error})") from error
+    except ValueError as error:
+        raise ConfigError(str(error)) from error
--- a/linnetstile/core/seams.py
+++ b/linnetstile/core/seams.py
@@ -178,6 +178,7 @@
     whole: bool
     members: tuple[Member, ...] = ()
     lives: tuple[tuple[str, Listing], ...] = ()
+    source: str = ""  # whose members: another source's are not meant by `whole`
 
 
 Told = Callable[[Update], None]
--- a/linnetstile/fleet/instance.py
+++ b/linnetstile/fleet/instance.py
@@ -70,7 +70,8 @@
         clock = clock_ms()
         self.place = Place(number, max(told.fleet.instances, number + 1), clock)
         settings = operator.applied(config.settings, told, number, clock)
-        super().__init__(replace(config, settings=settings, sync_ms=told.state.every_ms), signals, notifier)
+        config = replace(config, settings=settings, sync_ms=told.state.every_ms)
+        super().__init__(config, signals, notifier, told.amqp)
         self.recorder: Recorder | None = None
         self.state, self.lag = "starting", LoopLag()
         folder = folder_of(told.status.folder)
--- a/linnetstile/fleet/operator.py
+++ b/linnetstile/fleet/operator.py
@@ -18,6 +18,7 @@
 import msgspec
 from msgspec import Meta
 
+from ..amqp.settings import AmqpPart
 from ..interface import Fleet, Settings
 
 VARIABLE, NUMBER = "RELAY_OPERATOR", "RELAY_INSTANCE"
@@ -104,6 +105,7 @@
     status: StatusPart = StatusPart()
     state: StatePart = StatePart()
     record: RecordPart = RecordPart()
+    amqp: AmqpPart = AmqpPart()
     supervisor: SupervisorPart = SupervisorPart()
 
     def __post_init__(self) -> None:
--- a/linnetstile/process.py
+++ b/linnetstile/process.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 
+from .amqp.settings import AmqpPart
 from .assembly import assemble
 from .config import Config, ConfigError, load
 from .fleet.handover import HandoverError, handed_over
@@ -37,9 +38,10 @@
 class Life:
     """From its start to its stop, as on the platform; fleet/instance.py adds what an operator's file sets."""
 
-    def __init__(self, config: Config, signals: Signals, notifier: Notifier) -> None:
+    def __init__(self, config: Config, signals: Signals, notifier: Notifier,
+                 amqp: AmqpPart | None = None) -> None:
         self.signals, self.notifier = signals, notifier
-        self.built = assemble(config, handed_over())
+        self.built = assemble(config, handed_over(), amqp)
         self.host = self.built.host
 
     async def run(self) -> None:
--- a/standins/amqp.py
+++ b/standins/amqp.py
@@ -364,8 +364,8 @@
                     raise Close(530, f"frame_max {found.frame_max}")
                 self.frame_max, self.beat_s = found.frame_max or FRAME_MAX, found.heartbeat or 0
                 self.state = "opening"
-                if self.beat_s:
-                    self.beat()
+                if self.beat_s:  # the first one not before the connection is open: aiormq would not have it
+                    self.beating = asyncio.get_running_loop().call_later(self.beat_s / 2, self.beat)
             case commands.Connection.Open() if self.state == "opening":
                 self.state = "open"
                 self.send(commands.Connection.OpenOk())
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -15,6 +15,7 @@
 
 from linnetstile import config
 from linnetstile import interface as api
+from linnetstile.amqp.settings import AmqpPart
 from linnetstile.assembly import assemble
 from linnetstile.http.register import read
 
@@ -169,8 +170,8 @@
 class Running:
     """A relay put together as the program does it, and its parts as tests look at them."""
 
-    def __init__(self, settings: config.Config) -> None:
-        self.parts = assemble(settings)
+    def __init__(self, settings: config.Config, amqp: AmqpPart | None = None) -> None:
+        self.parts = assemble(settings, None, amqp)
         self.host, self.front, self.register = self.parts.host, self.parts.front, self.parts.register
         self.ingress, self.notices, self.egress = self.front.clients, self.front.notices, self.parts.calls
         self.messages, self.turns, self.directory = self.host.messages, self.host.turns, self.host.directory
@@ -197,10 +198,11 @@
         self.host.listed(update)
 
 
-def host_of(state: Path, agent: Server, *servers: Server, **more: Any) -> Running:
+def host_of(state: Path, agent: Server, *servers: Server, amqp: AmqpPart | None = None,
+            **more: Any) -> Running:
     path = state.parent / "config.json"
     path.write_text(json.dumps(raw_config(state, agent, *servers, **more)))
-    return Running(config.load({"RELAY_CONFIG": str(path)}))
+    return Running(config.load({"RELAY_CONFIG": str(path)}), amqp)
 
 
 def message(ident: str, class_: str = "safe", body: bytes = b"hello", left: int = 8000, **more: str) -> bytes:
