AMQP intake: work from queues, acknowledged once journalled, answered with confirms

Tests: 400 messages in by one broker and out by another, one of them twice; eight kinds of unreadable ones in the dead-letter queue; a full hold; answers over a restart; consumers cancelled and cut; an orderly stop.

--- /dev/null
+++ b/linnetstile/amqp/intake.py
@@ -0,0 +1,296 @@
+"""Messages from queues (core.seams.Intake): acknowledged once they are in the journal, never before.
+
+A delivery is a message with these properties, and one that lacks something is rejected for good, so that a
+dead-letter exchange gets it, if the queue has one; the log says why:
+
+| property | is |
+| --- | --- |
+| message_id | its id |
+| type | its class |
+| headers: destination, tenant, idempotency-key | as the HTTP headers of the same meaning |
+| expiration | ms that it may still be delivered; none: the longest of its class |
+| timestamp | when it was sent, if told: what has passed since then is taken off |
+| reply_to, correlation_id | where a final answer goes: `{"id", "state", "after_ms"}` |
+
+A hold that is full stops the queue: what was delivered waits here, no more than `prefetch`, and nothing is
+refused. A final answer is published with a confirm and stays in the journal until that has come; one that
+nobody's queue takes (a return) is told as it is: nobody listens."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Mapping
+from functools import partial
+from random import Random
+from urllib.parse import quote, unquote
+
+import msgspec
+from pamqp import commands
+
+from ..config import Config
+from ..core.seams import Desk, End, Malformed, Offer
+from ..core.tasks import Tasks
+from ..logs import Note
+from .life import Reconnect
+from .link import Link, NoLink
+from .machine import Delivered, Fate
+from .settings import QueuePart
+from .transport import Broker
+
+log = logging.getLogger(__name__)
+
+NAME = "amqp"  # of the front, in the journal
+LOOK_S = 0.05  # a full hold is looked at again so much later
+CONFIRM_S = 5.0  # for a final answer
+ANSWERS = 64  # final answers that are out at once
+NAMES = 400  # characters of reply_to and correlation_id that are kept; a longer one gets no answer
+LEFT_MS = 999_999_999
+
+
+def origin_of(broker: str, properties: commands.Basic.Properties) -> str:
+    """What the journal keeps, so that the answer finds its way after a restart."""
+    reply, correlation = properties.reply_to or "", properties.correlation_id or properties.message_id or ""
+    if not reply or len(reply) + len(str(correlation)) > NAMES:
+        return NAME
+    return " ".join((NAME, quote(broker), quote(reply), quote(str(correlation))))
+
+
+class Queue:
+    """One queue: its consumer, and what waits for room."""
+
+    def __init__(
+        self, part: QueuePart, broker: Broker, desk: Desk, longest: Mapping[str, float], rng: Random
+    ) -> None:
+        self.part, self.broker, self.desk, self.longest = part, broker, desk, longest
+        self.life = Reconnect(1, rng)
+        self.link: Link | None = None
+        self.channel = 0
+        self.waiting: deque[Delivered] = deque()  # no more than prefetch
+        self.journalling = 0
+        self.look: asyncio.TimerHandle | None = None  # while the hold is full
+        self.ended = asyncio.Event()
+        self.stopped = False
+        self.rejected = 0
+
+    # -- a consumer's life (link.Consumer) ---------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Never ends by itself."""
+        loop = asyncio.get_running_loop()
+        while not self.stopped:
+            self.ended.clear()
+            try:
+                self.link = await self.broker.linked()
+                self.channel = self.link.consume(self.part.prefetch, self)
+                self.life.opened(loop.time())
+                await self.ended.wait()
+            except NoLink:
+                pass
+            self.link = None
+            self.waiting.clear()  # not acknowledged: it comes again
+            await asyncio.sleep(self.life.ended(loop.time()))
+
+    def ready(self, channel: int) -> None:
+        if self.link is not None:
+            self.link.subscribe(channel, self.part.queue)
+
+    def over(self, why: str) -> None:
+        if not self.stopped:
+            log.warning(Note("queue: not consumed any more", queue=self.part.queue, why=why))
+        self.ended.set()
+
+    def delivered(self, delivery: Delivered) -> None:
+        self.waiting.append(delivery)
+        self.work()
+
+    # -- deliveries --------------------------------------------------------------------------------------
+
+    def work(self) -> None:
+        """Takes what there is room for, in its order."""
+        while self.waiting and not self.stopped:
+            delivery = self.waiting[0]
+            if not self.desk.roomy:
+                self._later()
+                return
+            try:
+                receipt = self.desk.take(self.offer(delivery))
+            except Malformed as error:
+                self.waiting.popleft()
+                self.rejected += 1
+                log.warning(
+                    Note(
+                        "queue: a message is rejected",
+                        queue=self.part.queue,
+                        id=str(delivery.properties.message_id)[:200],
+                        why=error,
+                    )
+                )
+                self.settle(delivery, False)
+                continue
+            if not receipt.taken:
+                self._later()
+                return
+            self.waiting.popleft()
+            self.life.worked = True
+            if receipt.when is None:
+                self.settle(delivery, True)
+            else:
+                self.journalling += 1
+                receipt.when.add_done_callback(partial(self._safe, delivery))
+
+    def _later(self) -> None:
+        if self.look is None:
+            self.look = asyncio.get_running_loop().call_later(LOOK_S, self._look)
+
+    def _look(self) -> None:
+        self.look = None
+        self.work()
+
+    def _safe(self, delivery: Delivered, done: asyncio.Future[None]) -> None:
+        self.journalling -= 1
+        if not done.cancelled():
+            self.settle(delivery, True)
+
+    def settle(self, delivery: Delivered, taken: bool) -> None:
+        """On the channel it came by only: tags of another mean other deliveries."""
+        if self.link is not None and delivery.channel == self.channel and not self.ended.is_set():
+            self.link.settle(delivery.channel, delivery.tag, taken)
+
+    def offer(self, delivery: Delivered) -> Offer:
+        """Raises Malformed."""
+        told = delivery.properties
+        headers = told.headers or {}
+        if delivery.too_long:
+            raise Malformed("body", f"{delivery.too_long} bytes are too many")
+        class_ = told.message_type or ""
+        try:
+            dest = int(str(headers.get("destination", "")))
+        except ValueError:
+            raise Malformed("dest", "header destination must be a number") from None
+        key = headers.get("idempotency-key")
+        return Offer(
+            str(told.message_id or ""),
+            class_,
+            str(headers.get("tenant", "")),
+            dest,
+            None if key is None else str(key),
+            self._left(told, class_),
+            "",
+            delivery.body,
+            origin_of(self.part.broker, told),
+        )
+
+    def _left(self, told: commands.Basic.Properties, class_: str) -> int:
+        text = told.expiration
+        if text is None or text == "":
+            return int(self.longest.get(class_, 0.0))
+        if not text.isdecimal() or len(text) > 9:
+            raise Malformed("left", f"expiration {text[:20]!r} is no number of ms")
+        left = int(text)
+        if told.timestamp is not None:
+            age = time.time() - told.timestamp.timestamp()
+            left -= max(0, int(1000 * age) - 1000)  # it tells whole seconds
+        return min(LEFT_MS, max(0, left))
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.link is not None:
+            self.link.leave(self.channel)
+        self.waiting.clear()
+        self.ended.set()
+
+
+class Intake:
+    """All queues of the operator's file, and the answers to what came by them."""
+
+    def __init__(
+        self,
+        parts: list[QueuePart],
+        brokers: Mapping[str, Broker],
+        desk: Desk,
+        longest: Mapping[str, float],
+        rng: Random,
+    ) -> None:
+        self.brokers, self.desk, self.rng, self.tasks = brokers, desk, rng, Tasks()
+        self.queues = [Queue(part, brokers[part.broker], desk, longest, rng) for part in parts]
+        self.ends: dict[str, End] = {}  # that are still to be passed on
+        self.out = asyncio.Semaphore(ANSWERS)
+
+    async def open(self) -> None:
+        for queue in self.queues:
+            self.tasks.start(queue.run())
+
+    def end(self, end: End) -> None:
+        if end.id in self.ends:
+            return
+        if " " not in end.origin:
+            self.desk.told([end.id])  # nobody asked for an answer
+            return
+        self.ends[end.id] = end
+        self.tasks.start(self._answer(end))
+
+    async def _answer(self, end: End) -> None:
+        """Until it is confirmed, or nobody's queue takes it."""
+        _, broker_name, reply, correlation = (unquote(part) for part in end.origin.split(" "))
+        broker, life = self.brokers.get(broker_name), Reconnect(1, self.rng)
+        if broker is None:  # it stays in the journal until that broker is named again
+            log.error(Note("an end waits for a broker that is not named", id=end.id, broker=broker_name))
+            return
+        while True:
+            async with self.out:
+                fate = await self._publish(broker, end, reply, correlation)
+            if fate in (Fate.ACKED, Fate.RETURNED):
+                if fate is Fate.RETURNED:
+                    log.warning(Note("an answer finds no queue", id=end.id, queue=reply))
+                self.ends.pop(end.id, None)
+                self.desk.told([end.id])
+                return
+            await asyncio.sleep(life.ended(asyncio.get_running_loop().time()))
+
+    async def _publish(self, broker: Broker, end: End, reply: str, correlation: str) -> Fate:
+        told: dict[str, object] = {"id": end.id, "state": end.state}
+        if end.after_ms > 0:
+            told["after_ms"] = round(end.after_ms)
+        properties = commands.Basic.Properties(
+            content_type="application/json",
+            correlation_id=correlation,
+            delivery_mode=2,
+            message_id=f"end-{end.id}",
+        )
+        link, publish = None, None
+        try:
+            async with asyncio.timeout(CONFIRM_S):
+                link = await broker.linked()
+                if not link.may_publish():
+                    return Fate.UNWRITTEN
+                publish, confirmed = link.publish(
+                    f"end-{end.id}", "", reply, msgspec.json.encode(told), properties
+                )
+                return await confirmed
+        except (NoLink, TimeoutError):
+            return Fate.LOST
+        finally:
+            if link is not None and publish is not None and publish.fate is Fate.OUT:
+                link.give_up(publish)
+
+    def reload(self, config: Config) -> None:
+        """Queues change with a restart."""
+
+    def stop(self) -> None:
+        for queue in self.queues:
+            queue.stop()
+
+    @property
+    def reading(self) -> int:
+        return sum(queue.journalling for queue in self.queues)
+
+    @property
+    def unsettled(self) -> int:
+        return len(self.ends)
+
+    async def close(self) -> None:
+        self.stop()
+        await self.tasks.cancel()
--- a/linnetstile/amqp/link.py
+++ b/linnetstile/amqp/link.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from pamqp import commands
 
@@ -16,6 +17,17 @@
 STALE = 256  # publishes given up, past which the channel is made anew, once nothing else is out on it
 
 
+class Consumer(Protocol):
+    """Whoever takes the deliveries of one channel."""
+
+    def ready(self, channel: int) -> None: ...
+
+    def delivered(self, delivery: m.Delivered) -> None: ...
+
+    def over(self, why: str) -> None:
+        """Of the consumer, its channel or the connection; told once."""
+
+
 class NoLink(Exception):
     """There is no connection, so that nothing was written."""
 
@@ -28,9 +40,11 @@
         self.transport: asyncio.Transport | None = None
         self.ready: asyncio.Future[int] = self.loop.create_future()  # the channel to publish on
         self.waiting: dict[Publish, asyncio.Future[Fate]] = {}
+        self.consumers: dict[int, Consumer] = {}  # by channel
         self.drained = asyncio.Event()
         self.drained.set()
         self.timer: asyncio.TimerHandle | None = None
+        self.closing = set[int]()  # channels of consumers that we closed
         self.over = False
 
     # -- the socket --------------------------------------------------------------------------------------
@@ -78,6 +92,18 @@
             match event:
                 case m.Opened():
                     self.machine.open_channel()
+                case m.ChannelReady(channel) if channel in self.consumers:
+                    self.consumers[channel].ready(channel)
+                case m.Delivered(channel) if channel in self.consumers:
+                    self.consumers[channel].delivered(event)
+                case m.Cancelled(channel) if channel in self.consumers:
+                    ended = self.consumers[channel]
+                    self.leave(channel)
+                    ended.over("the broker ended the consumer")
+                case m.ChannelClosed(channel, _, text) if channel in self.consumers:
+                    self.consumers.pop(channel).over(f"the broker closed the channel: {text}")
+                case m.ChannelClosed(channel) if channel in self.closing:
+                    self.closing.discard(channel)
                 case m.ChannelReady(channel):
                     if self.ready.done():
                         self.ready = self.loop.create_future()
@@ -109,6 +135,9 @@
             if not future.done():
                 future.set_result(Fate.LOST)
         self.waiting.clear()
+        consumers, self.consumers = list(self.consumers.values()), {}
+        for consumer in consumers:
+            consumer.over(why)
         self.drained.set()
         if self.timer is not None:
             self.timer.cancel()
@@ -143,6 +172,34 @@
         self._flush()
         return publish, future
 
+    def consume(self, prefetch: int, consumer: Consumer) -> int:
+        """Opens a channel for it; `Consumer.ready` comes when deliveries may be asked for."""
+        channel = self.machine.open_channel(prefetch)
+        self.consumers[channel] = consumer
+        self._flush()
+        return channel
+
+    def subscribe(self, channel: int, queue: str) -> None:
+        self.machine.consume(channel, queue, f"linnetstile-{channel}")
+        self._flush()
+
+    def settle(self, channel: int, tag: int, taken: bool) -> None:
+        """Acknowledges a delivery, or rejects it for good. Its channel has gone: it comes again."""
+        if self.over or channel not in self.consumers:
+            return
+        if taken:
+            self.machine.ack(channel, tag)
+        else:
+            self.machine.reject(channel, tag, requeue=False)
+        self._flush()
+
+    def leave(self, channel: int) -> None:
+        """Takes no more deliveries there; what was not acknowledged goes back to its queue."""
+        if self.consumers.pop(channel, None) is not None and not self.over:
+            self.closing.add(channel)
+            self.machine.close_channel(channel)
+            self._flush()
+
     def give_up(self, publish: Publish) -> None:
         self.waiting.pop(publish, None)
         self.machine.give_up(publish)
--- a/linnetstile/amqp/settings.py
+++ b/linnetstile/amqp/settings.py
@@ -39,9 +39,18 @@
     nack: Literal["may_have_run", "never_ran"] = "may_have_run"  # what a basic.nack of it proves
 
 
+class QueuePart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A queue that messages are taken from."""
+
+    broker: str
+    queue: str
+    prefetch: Annotated[int, Meta(ge=1, le=1000)] = 20  # deliveries that are not acknowledged yet, at most
+
+
 class AmqpPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     brokers: list[BrokerPart] = []
     endpoints: list[TargetPart] = []
+    queues: list[QueuePart] = []
 
     def __post_init__(self) -> None:
         names = [broker.name for broker in self.brokers]
@@ -50,10 +59,14 @@
         targets = [target.name for target in self.endpoints]
         if len(set(targets)) < len(targets):
             raise ValueError(f"endpoints.name: {targets} must differ from each other")
-        for target in self.endpoints:
-            if target.broker not in names:
-                known = ", ".join(names) or "none"
-                raise ValueError(f"endpoints.broker: {target.broker!r}: brokers are {known}")
+        known = ", ".join(names) or "none"
+        for where, told in (
+            ("endpoints", [each.broker for each in self.endpoints]),
+            ("queues", [each.broker for each in self.queues]),
+        ):
+            for broker in told:
+                if broker not in names:
+                    raise ValueError(f"{where}.broker: {broker!r}: brokers are {known}")
 
 
 def credentials(part: BrokerPart) -> tuple[str, str]:
--- a/linnetstile/amqp/transport.py
+++ b/linnetstile/amqp/transport.py
@@ -126,7 +126,7 @@
 
     def __init__(self, part: AmqpPart, rng: Random) -> None:
         """Raises ValueError."""
-        self.brokers = {each.name: Broker(each, rng) for each in part.brokers}
+        self.brokers = {each.name: Broker(each, rng) for each in part.brokers}  # fronts use them too
         self.targets: Mapping[str, TargetPart] = {PREFIX + each.name: each for each in part.endpoints}
 
     async def attempt(self, attempt: Attempt) -> Result:
--- a/linnetstile/assembly.py
+++ b/linnetstile/assembly.py
@@ -11,7 +11,7 @@
 from .amqp.settings import AmqpPart
 from .config import Config, ConfigError
 from .core.host import Host
-from .core.seams import Membership, Transport, Update
+from .core.seams import Intake, Membership, Transport, Update
 from .core.transports import Transports
 from .fleet.handover import CLIENTS
 from .http import front
@@ -48,12 +48,14 @@
                        (sockets or {}).get(CLIENTS))
     calls = Calls(settings.idle_ms, settings.connect_timeout_ms, idle, ending)
     register = Register(config.discovery)
+    intakes: dict[str, Intake] = {front.NAME: http}
     transport: Transport = calls
     sources: list[Membership] = [register]
-    if amqp is not None and amqp.endpoints:
-        publishing, named = brokers(amqp, config.seed)
+    if amqp is not None and amqp.brokers:
+        queues, publishing, named = brokers(amqp, config, host)
+        intakes |= queues
         transport, sources = Transports(calls, {"amqp": publishing}), [register, named]
-    host.plug_in({front.NAME: http}, transport, sources)
+    host.plug_in(intakes, transport, sources)
     known: Update | None = None
     if config.known:
         try:
@@ -63,13 +65,19 @@
     return Assembly(host, http, calls, register, known)
 
 
-def brokers(part: AmqpPart, seed: int) -> tuple[Transport, Membership]:
+def brokers(part: AmqpPart, config: Config, host: Host) -> tuple[dict[str, Intake], Transport, Membership]:
     """Imported here: the platform's memory stays as it is."""
     try:
+        from .amqp import intake
         from .amqp.source import Named
         from .amqp.transport import Publishing
 
-        return Publishing(part, Random(seed)), Named(part)
+        rng = Random(config.seed)
+        publishing = Publishing(part, rng)
+        longest = {each.name: each.deadline_ms for each in config.settings.classes}
+        taking = intake.Intake(part.queues, publishing.brokers, host.messages, longest, rng)
+        # Also where no queue is named any more: answers to what came by one may still be owed.
+        return {intake.NAME: taking}, publishing, Named(part)
     except ImportError as error:
         raise ConfigError(f"amqp: needs the extra 'amqp' ({error})") from error
     except ValueError as error:
--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -172,7 +172,7 @@
                 log.error(Note("the decisions want what this relay cannot do", action=repr(action)))
 
     def _pass_on(self, origin: str, end: End) -> None:
-        intake = self.intakes.get(origin)
+        intake = self.intakes.get(origin.partition(" ")[0])
         if intake is not None:
             intake.end(end)
         else:  # it stays in the journal, and is passed on once that front is back
--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from .. import interface as api
+from ..control import CROWDED
 from ..logs import Note
 from ..store.journal import Entry, Journal, JournalError
 from .seams import End, Malformed, Offer, Receipt
@@ -56,6 +57,10 @@
 
     # -- the desk ----------------------------------------------------------------------------------------
 
+    @property
+    def roomy(self) -> bool:
+        return len(self.held) + 1 < CROWDED * self.settings.hold and not self.retiring
+
     def take(self, offer: Offer) -> Receipt:
         """All of it happens before the next event of the loop."""
         self._check(offer)
@@ -117,7 +122,7 @@
         now = unix_ms()
         for entry in list(self.journal.entries.values()):
             if entry.owes_notice:
-                self.pass_on(entry.origin, End(entry.id, entry.end, entry.after_ms))
+                self.pass_on(entry.origin, End(entry.id, entry.end, entry.after_ms, entry.origin))
             elif not entry.end and entry.class_ not in self.classes:
                 self.end(entry, "failed")  # the settings no longer know its class
             elif not entry.end:
@@ -179,7 +184,8 @@
 
     def _tell(self, entry: Entry) -> None:
         """Its end is written: passes it on, once that outlasts what it has to."""
-        end, safe = End(entry.id, entry.end, entry.after_ms), self.journal.barrier()
+        end = End(entry.id, entry.end, entry.after_ms, entry.origin)
+        safe = self.journal.barrier()
         if safe is None:
             self.pass_on(entry.origin, end)
         else:
--- a/linnetstile/core/seams.py
+++ b/linnetstile/core/seams.py
@@ -30,7 +30,7 @@
     left_ms: int  # how long it may still be delivered
     again: str  # "1": handed in again after a refusal; "again": a relay that had it died
     body: bytes
-    origin: str  # the front that has to pass on its end
+    origin: str  # the front that has to pass on its end, and behind a space what that front needs for it
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +59,7 @@
     id: str
     state: str  # "failed" promises nothing; "returned": handing it in again is harmless
     after_ms: float = 0.0  # and when
+    origin: str = ""  # as its offer had it
 
 
 class Desk(Protocol):
@@ -68,6 +69,10 @@
     def ready(self) -> bool:
         """False until what an earlier process left is taken up."""
 
+    @property
+    def roomy(self) -> bool:
+        """False once another message would cost one that is held its place: a front that can wait does."""
+
     def take(self, offer: Offer) -> Receipt:
         """Journals it and owes its end, or refuses it. Raises Malformed."""
 
