The virtual fleet holds back the last byte of what must not run twice, as real relays do

Beside live processes the model's median was 11 ms too quick: a call that must not run twice holds its last byte back for 25 ms (http/calls.py), and is asked again before it.

--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -127,7 +127,7 @@
         (100, 1000.0),
         (200, 1000.0),
     ):
-        it = sized(relays, rate, max(6.0, 6000.0 / rate))
+        it = sized(relays, rate, max(20.0, 6000.0 / rate))
         took, _ = timed(it, 1)
         begun = time.perf_counter()
         with ProcessPoolExecutor(CORES, get_context("forkserver")) as pool:
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -27,6 +27,7 @@
 
 RETRY_S = 1.0  # told to a client that finds the hold full, as core/messages.py tells it
 SERVE_ON_MS, CALLS_END_MS, GONE_MS = 500.0, 3000.0, 3400.0  # of an orderly stop, as core/host.py has it
+CAREFUL_MS = 25.0  # a call that must not run twice holds its last byte back (http/calls.py)
 AWAY_MS = 600.0  # from the end of a process to the start of the next
 STARTING_MS = 340.0  # until it takes messages (measured: docs/design/fleet.md)
 AFTER_MS = 2000.0  # the world goes on so long after the last message's time
@@ -51,6 +52,19 @@
     out: tuple[float, int] | None = None
 
 
+@dataclass(slots=True)
+class Try:
+    """One attempt."""
+
+    node: Node
+    of: int  # which process of it
+    ident: int
+    attempt: int
+    endpoint: int
+    until: float
+    begun: float | None = None  # its first byte; None: it never had one
+
+
 @dataclass(slots=True)
 class Node:
     """One relay process, and what outlasts it."""
@@ -306,79 +320,66 @@
     # -- a call ------------------------------------------------------------------------------------------
 
     def _send(self, node: Node, ident: int, endpoint: int, until: float, now: float) -> None:
-        of = node.life
         attempt = node.attempts.get(ident, 0)
         node.attempts[ident] = attempt + 1
+        this = Try(node, node.life, ident, attempt, endpoint, until)
         message = node.held.get(ident)
         if message is None or not node.engine.may_write(node.number, now, ident):
-            self.at(
-                now,
-                lambda now: self._ended(node, of, ident, attempt, endpoint, api.Outcome.NOT_SENT, 0.0, now),
-            )
+            self.at(now, lambda now: self._ended(this, api.Outcome.NOT_SENT, 0.0, now))
             return
-        kept = node.kept[message]
+        kept, net = node.kept[message], self.it.fleet.net_ms
         if kept.out is not None:
             self.record.broke(f"message {message} has two attempts out")
         partner = self.partners[self.listing[endpoint].destination - 1]
-        net = self.it.fleet.net_ms
-        if partner.trouble(now + net, Fault.SILENT) is not None or partner.trouble(now + net, Fault.DOWN):
-            self._unconnected(node, of, ident, attempt, endpoint, until, now, partner)
+        silent = partner.trouble(now + net, Fault.SILENT) is not None
+        if silent or partner.trouble(now + net, Fault.DOWN):
+            self.record.tries_while_out += 1
+            comes = min(until, now + self.it.fleet.connect_timeout_ms) if silent else now + 2 * net
+            self.at(comes, lambda now: self._ended(this, api.Outcome.CONNECT_FAILED, 0.0, now))
             return
-        kept.out = (now, endpoint)
+        kept.out, this.begun = (now, endpoint), now
         kept.tries += 1
-        life = kept.life
-        life.calls += 1
-        luck = partner.rng
-        if isinstance(luck, Luck):
-            luck.of(message, life.calls)
-        self.record.called(self.listing[endpoint].destination, now)
         self._drained(node, endpoint, now)
-        answer = partner.call(now + net, Call(str(message), str(message), str(node.number)))
-        begun = now
-        if answer.reply in (Reply.NOTHING, Reply.NO_CONNECTION) or answer.at + net > until:
-            comes, outcome, wait = until, api.Outcome.TIMEOUT, 0.0
+        if self.it.classes[kept.life.class_].effect == "once":
+            self.at(now + CAREFUL_MS, lambda now: self._last_byte(this, kept, now))
+        else:
+            self._arrives_there(this, kept, now)
+
+    def _last_byte(self, this: Try, kept: Kept, now: float) -> None:
+        """Of a call that was held back, since a connection that breaks meanwhile proves that nothing ran."""
+        node = this.node
+        if node.life != this.of or not node.alive:
+            return
+        partner = self.partners[self.listing[this.endpoint].destination - 1]
+        if partner.trouble(now, Fault.DOWN):
+            self._ended(this, api.Outcome.CONNECT_FAILED, 0.0, now)
+        elif not node.engine.may_write(node.number, now, this.ident):
+            self._ended(this, api.Outcome.NOT_SENT, 0.0, now)
+        else:
+            self._arrives_there(this, kept, now)
+
+    def _arrives_there(self, this: Try, kept: Kept, now: float) -> None:
+        destination, life, net = self.listing[this.endpoint].destination, kept.life, self.it.fleet.net_ms
+        partner, name = self.partners[destination - 1], str(kept.life.number)
+        life.calls += 1
+        if isinstance(partner.rng, Luck):
+            partner.rng.of(life.number, life.calls)
+        self.record.called(destination, now)
+        answer = partner.call(now + net, Call(name, name, str(this.node.number)))
+        if answer.reply in (Reply.NOTHING, Reply.NO_CONNECTION) or answer.at + net > this.until:
+            comes, outcome, wait = this.until, api.Outcome.TIMEOUT, 0.0
             if answer.reply is Reply.OK:  # its effect is there, and nobody hears of it
                 self.record.unheard += 1
         else:
             comes, outcome, wait = answer.at + net, OUTCOMES[answer.reply], answer.wait_ms
-            self.record.answered(self.listing[endpoint].destination, answer.reply, now)
-        self.at(comes, lambda now: self._ended(node, of, ident, attempt, endpoint, outcome, wait, now, begun))
-
-    def _unconnected(
-        self,
-        node: Node,
-        of: int,
-        ident: int,
-        attempt: int,
-        endpoint: int,
-        until: float,
-        now: float,
-        partner: Partner,
-    ) -> None:
-        fleet = self.it.fleet
-        self.record.tries_while_out += 1
-        silent = partner.trouble(now + fleet.net_ms, Fault.SILENT) is not None
-        comes = min(until, now + fleet.connect_timeout_ms) if silent else now + 2 * fleet.net_ms
-        self.at(
-            comes,
-            lambda now: self._ended(node, of, ident, attempt, endpoint, api.Outcome.CONNECT_FAILED, 0.0, now),
-        )
+            self.record.answered(destination, answer.reply, now)
+        self.at(max(now, comes), lambda now: self._ended(this, outcome, wait, now))
 
-    def _ended(
-        self,
-        node: Node,
-        of: int,
-        ident: int,
-        attempt: int,
-        endpoint: int,
-        outcome: api.Outcome,
-        wait: float,
-        now: float,
-        begun: float | None = None,
-    ) -> None:
-        if node.life != of or not node.alive:
+    def _ended(self, this: Try, outcome: api.Outcome, wait: float, now: float) -> None:
+        node, begun = this.node, this.begun
+        if node.life != this.of or not node.alive:
             return  # its outcome died with the process
-        message = node.held.get(ident)
+        message = node.held.get(this.ident)
         finished = outcome is api.Outcome.OK
         if message is not None:
             kept = node.kept[message]
@@ -387,13 +388,19 @@
                     kept.risk = kept.out
                 kept.out = None
             if finished:
-                del node.kept[message], node.held[ident]
+                del node.kept[message], node.held[this.ident]
                 kept.life.holder = None
                 kept.life.ends += 1
                 self.record.delivered(kept.life, now)
         node.events.append(
             api.AttemptEnded(
-                ident, attempt, endpoint, outcome, now - (now if begun is None else begun), finished, wait
+                this.ident,
+                this.attempt,
+                this.endpoint,
+                outcome,
+                0.0 if begun is None else now - begun,
+                finished,
+                wait,
             )
         )
         self._soon(node, now)
--- a/tests/emulator/test_world.py
+++ b/tests/emulator/test_world.py
@@ -116,7 +116,7 @@
     record, figures = fragile(1.3)
     assert figures["falls"] >= 1
     model = record.partners[1]
-    down = [each for each in model.troubles if each.end_ms - each.begin_ms == 10_000.0]
+    down = [each for each in model.troubles if abs(each.end_ms - each.begin_ms - 10_000.0) < 1e-3]
     assert len(down) == figures["falls"] and all(14_000 < each.begin_ms < 40_000 for each in down)
     calls = np.array(record.calls[2])
     assert not any(((calls > each.begin_ms + 1) & (calls < each.end_ms - 1)).any() for each in down)
