--- a/emulator/report.py
+++ b/emulator/report.py
@@ -37,7 +37,8 @@
 body{font:16px/1.5 system-ui,sans-serif;max-width:62rem;margin:2rem auto;padding:0 1rem;color:#222}
 h1{font-size:1.6rem;margin-bottom:.2rem}h2{font-size:1.15rem;margin-top:2.2rem}
 table{border-collapse:collapse;font-variant-numeric:tabular-nums}
-th,td{padding:.25rem .8rem;text-align:right;border-bottom:1px solid #ddd}
+th,td{padding:.25rem .6rem;text-align:right;border-bottom:1px solid #ddd;white-space:nowrap}
+table{font-size:.85rem}
 th:first-child,td:first-child{text-align:left}
 .verdict{font-size:1.15rem;padding:.8rem 1rem;border-left:6px solid #888;background:#f5f5f3}
 .better{border-color:#4e9a06}.worse{border-color:#a40000}.note{color:#666;font-size:.9rem}
--- a/linnetstile/amqp/settings.py
+++ b/linnetstile/amqp/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -11,6 +12,19 @@
 PREFIX = "amqp:"  # of an endpoint's address: no host has a colon in it
 
 
+class TlsPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How a broker is known, and we to it. Files in PEM."""
+
+    ca: str = ""  # who may have signed the broker's certificate; empty: whom the system trusts
+    cert: str = ""  # ours, where the broker asks for one
+    key: str = ""
+    server_name: str = ""  # that its certificate has to have; empty: the host's
+
+    def __post_init__(self) -> None:
+        if bool(self.cert) != bool(self.key):
+            raise ValueError("cert, key: both are needed, or neither")
+
+
 class BrokerPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A broker, at one or several addresses."""
 
@@ -19,8 +33,14 @@
     vhost: str = "/"
     credentials: str = ""  # a file with two lines: user, password; empty: guest
     heartbeat_s: Annotated[int, Meta(ge=0, le=600)] = 10
+    tls: TlsPart | None = None  # None: plain TCP
+    external: bool = False  # SASL EXTERNAL: the certificate says who we are; no credentials
 
     def __post_init__(self) -> None:
+        if self.external and (self.tls is None or not self.tls.cert):
+            raise ValueError("external: needs tls.cert")
+        if self.external and self.credentials:
+            raise ValueError("credentials: has no meaning with external")
         for host in self.hosts:
             name, _, port = host.rpartition(":")
             if not name or not port.isdecimal() or not 0 < int(port) < 65536:
@@ -69,6 +89,22 @@
                     raise ValueError(f"{where}.broker: {broker!r}: brokers are {known}")
 
 
+def context(part: BrokerPart) -> ssl.SSLContext | None:
+    """Raises ValueError where a file cannot be used. No less than TLS 1.2 (RFC 9325)."""
+    if part.tls is None:
+        return None
+    try:
+        made = ssl.create_default_context(cafile=part.tls.ca or None)
+        made.minimum_version = ssl.TLSVersion.TLSv1_2
+        if part.tls.cert:
+            made.load_cert_chain(part.tls.cert, part.tls.key)
+    except OSError as error:  # an SSLError is one
+        raise ValueError(
+            f"amqp.brokers.tls of {part.name}: {error.strerror or type(error).__name__}"
+        ) from None
+    return made
+
+
 def credentials(part: BrokerPart) -> tuple[str, str]:
     """User and password. Raises ValueError, which never holds what the file says."""
     if not part.credentials:
--- a/linnetstile/amqp/transport.py
+++ b/linnetstile/amqp/transport.py
@@ -27,7 +27,7 @@
 from .life import Reconnect
 from .link import Link, NoLink
 from .machine import Fate, Login, Publish
-from .settings import PREFIX, AmqpPart, BrokerPart, TargetPart, credentials
+from .settings import PREFIX, AmqpPart, BrokerPart, TargetPart, context, credentials
 
 log = logging.getLogger(__name__)
 
@@ -44,7 +44,8 @@
         """Raises ValueError where its credentials cannot be read."""
         user, password = credentials(part)
         self.part = part
-        self.login = Login(user, password, part.vhost, heartbeat_s=part.heartbeat_s)
+        self.login = Login(user, password, part.vhost, part.external, part.heartbeat_s)
+        self.tls = context(part)
         self.addresses: list[Address] = []
         for host in part.hosts:
             name, _, port = host.rpartition(":")
@@ -75,7 +76,11 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 _, link = await loop.create_connection(
-                    lambda: Link(self.login, self._ended, self._late), host, port
+                    lambda: Link(self.login, self._ended, self._late),
+                    host,
+                    port,
+                    ssl=self.tls,
+                    server_hostname=None if self.part.tls is None else self.part.tls.server_name or host,
                 )
                 await asyncio.shield(link.ready)
         except (OSError, TimeoutError, NoLink) as error:
--- a/standins/amqp.py
+++ b/standins/amqp.py
@@ -5,13 +5,15 @@
                             [--stall 0.1 --stall-ms 500] [--close-before 0.01] [--close-after 0.01]
                             [--cut-before 0.01] [--cut-after 0.01] [--half 0.01] [--wrong 0.01]
                             [--heartbeat 10] [--no-heartbeats] [--mute] [--script FILE]
+                            [--cert FILE --key FILE [--ca FILE]]
 
 It has the default exchange, `amq.direct` and `amq.fanout`, and what clients declare: queues, direct and
 fanout exchanges, bindings. A message has its effect when it is routed to a queue: then the ledger gets a line
 `UNIX_MS MESSAGE_ID KEY`, KEY from the header `idempotency-key`. The chances are of a publish: its confirm
 never comes; it is refused by a nack; or by a return although its queue is there; its confirm comes late; the
 channel is closed before or after it is routed; the connection is cut so; only half of its confirm is
-written; a confirm that makes no sense comes instead. `--mute` takes connections and never speaks. A script
+written; a confirm that makes no sense comes instead. `--mute` takes connections and never speaks. With a
+certificate it speaks TLS, and with `--ca` asks clients for theirs, which EXTERNAL needs. A script
 is TOML: `[[at]]` with `s` from the start and `do`: `block`, `unblock`, `flow-off`, `flow-on`, `cut`,
 `cancel` (all consumers), `delete` with `queue`, `publish` with `queue`, `body`, `id`.
 """
@@ -22,6 +24,7 @@
 import contextlib
 import itertools
 import random
+import ssl
 import struct
 import time
 import tomllib
@@ -353,6 +356,8 @@
     def connection(self, found: Any) -> None:
         match found:
             case commands.Connection.StartOk() if self.state == "start":
+                if found.mechanism == "EXTERNAL" and not self.transport.get_extra_info("peercert"):
+                    raise Close(403, "ACCESS_REFUSED")
                 if found.mechanism == "PLAIN":
                     given = str(found.response).split("\0")
                     if given[1:] != [self.broker.user, self.broker.password]:
@@ -631,7 +636,14 @@
     parser.add_argument("--mute", action="store_true")
     parser.add_argument("--ledger", type=lambda path: open(path, "a"))  # noqa: SIM115  it stays open
     parser.add_argument("--script", type=lambda path: tomllib.load(open(path, "rb")))  # noqa: SIM115
+    for name in ("cert", "key", "ca"):
+        parser.add_argument(f"--{name}", metavar="FILE")
     args = parser.parse_args()
+    tls: ssl.SSLContext | None = None
+    if args.cert:
+        tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=args.ca)
+        tls.load_cert_chain(args.cert, args.key)
+        tls.verify_mode = ssl.CERT_REQUIRED if args.ca else ssl.CERT_NONE
     chances = {name: getattr(args, name.replace("-", "_")) for name in CHANCES}
     if sum(chances.values()) > 1:
         parser.error("the chances make more than 1 together")
@@ -651,7 +663,9 @@
     async def start() -> asyncio.Server:
         if args.script:
             playing.add(asyncio.ensure_future(broker.play(args.script.get("at", []))))
-        return await asyncio.get_running_loop().create_server(lambda: Session(broker), *address(args.listen))
+        return await asyncio.get_running_loop().create_server(
+            lambda: Session(broker), *address(args.listen), ssl=tls
+        )
 
     serve(start)
 
