--- a/emulator/commands.py
+++ b/emulator/commands.py
@@ -19,10 +19,10 @@
 
 from . import trace as traces
 from .draws import stream
-from .experiment import Experiment, ExperimentError, read
+from .experiment import Experiment, ExperimentError, decoded, read
 from .intervals import difference, interval, verdict
 from .measures import MEASURES
-from .runs import Runs, RunsError, by_variant, manifest, row
+from .runs import Result, Runs, RunsError, by_variant, manifest, row
 
 FILE = click.Path(path_type=Path)
 WRONG, INTERRUPTED = 2, 130
@@ -203,18 +203,60 @@
     click.echo(f"{file}: good: {len(it.all_variants())} variants, {it.seeds} seeds")
 
 
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--set", "sets", multiple=True, required=True, metavar="CONSTANT=V1,V2,...")
+@OUT
+@PROCESSES
+@RESUME
+@JSON
+def sweep(
+    file: Path, sets: tuple[str, ...], out: Path | None, processes: int | None, resume: bool, as_json: bool
+) -> None:
+    """Run the first variant of FILE against each combination of the values that are set."""
+    with told():
+        it = read(file)
+        grid: dict[str, list[float]] = {}
+        for text in sets:
+            path, equals, values = text.partition("=")
+            try:
+                grid[path] = [float(value) for value in values.split(",")]
+            except ValueError:
+                fail(f"--set: {text!r} is not CONSTANT=V1,V2,...")
+        raw = {**msgspec.to_builtins(it), "grid": grid, "variants": msgspec.to_builtins(it.variants[:1])}
+        it = decoded(raw, str(file))
+    folder = out or file.with_suffix(".sweep")
+    carry_out(it, folder, processes or cores(), resume)
+    show(folder, as_json)
+
+
 @main.command()
 @click.argument("folder", type=FILE)
+@click.argument("other", type=FILE, required=False)
 @click.option("--variants", nargs=2, type=str, default=None, help="Which two; else the first and each other.")
 @JSON
-def compare(folder: Path, variants: tuple[str, str] | None, as_json: bool) -> None:
-    """Show the figures of the results in FOLDER, with paired differences."""
-    show(folder, as_json, variants)
+def compare(folder: Path, other: Path | None, variants: tuple[str, str] | None, as_json: bool) -> None:
+    """Show the figures of the results in FOLDER, with paired differences; with OTHER, the first variants of
+    both, seed by seed."""
+    show(folder, as_json, variants, other)
+
 
+def beside(folder: Path, other: Path) -> dict[str, list[Result]]:
+    """The first variant of each, over the seeds that both have. Raises RunsError."""
+    firsts = [next(iter(by_variant(each).values())) for each in (folder, other)]
+    seeds = set.intersection(*({result.seed for result in results} for results in firsts))
+    if not seeds:
+        raise RunsError(f"{folder} and {other} have no seed in common")
+    rows = [[result for result in results if result.seed in seeds] for results in firsts]
+    return {str(folder): rows[0], str(other): rows[1]}
 
-def show(folder: Path, as_json: bool, names: tuple[str, str] | None = None) -> None:
+
+def show(
+    folder: Path, as_json: bool, names: tuple[str, str] | None = None, other: Path | None = None
+) -> None:
     with told():
-        it, found = manifest(folder).experiment, by_variant(folder)
+        it = manifest(folder).experiment
+        found = by_variant(folder) if other is None else beside(folder, other)
         if names:
             for name in names:
                 if name not in found:
--- a/emulator/live.py
+++ b/emulator/live.py
@@ -29,7 +29,7 @@
 from .experiment import Experiment, Restart, Variant, settings_of
 from .measures import Life, Record
 from .partner import Partner
-from .runs import Result
+from .runs import Result, result_of
 from .traffic import Job, arrivals
 
 READY_S, STOP_S = 30.0, 10.0
@@ -403,22 +403,9 @@
 async def _one(it: Experiment, variant: Variant, seed: int) -> Result:
     async with fleet(it, variant, seed) as live:
         record = await live.play()
-        figures = {
-            name: None if value != value else round(value, 9) for name, value in record.figures().items()
-        }
-        figures["tries_while_out"] = None  # nobody hears them
-        return Result(
-            variant.name,
-            seed,
-            figures,
-            record.broken,
-            record.breaks,
-            len(record.lives),
-            0,
-            record.series(),
-            record.by_destination(),
-            record.histograms(),
-        )
+        found = result_of(record, variant, seed)
+        unheard = {**found.figures, "tries_while_out": None}  # nobody counts them there
+        return msgspec.structs.replace(found, figures=unheard)
 
 
 def one(it: Experiment, variant: Variant, seed: int) -> Result:
--- a/emulator/runs.py
+++ b/emulator/runs.py
@@ -23,7 +23,7 @@
 from .engines import set_constants
 from .experiment import Experiment, Variant
 from .intervals import difference, looks
-from .measures import MEASURES
+from .measures import MEASURES, Record
 from .world import World
 
 FORMAT = 1
@@ -76,6 +76,24 @@
     }
 
 
+def result_of(record: Record, variant: Variant, seed: int) -> Result:
+    figures = {
+        name: None if value != value else round(value, 9) for name, value in record.figures().items()
+    }
+    return Result(
+        variant.name,
+        seed,
+        figures,
+        record.broken,
+        record.breaks,
+        len(record.lives),
+        record.turns,
+        record.series(),
+        record.by_destination(),
+        record.histograms(),
+    )
+
+
 def one(it: Experiment, variant: Variant, seed: int) -> Result:
     """One run. The constants of a variant hold for its time only."""
     before = {} if variant.version else set_constants(variant.constants.items())
@@ -83,21 +101,7 @@
     gc.disable()  # a world makes few cycles, and a collection over all its messages costs a tenth of the time
     try:
         record = World(it, variant, seed).run()
-        figures = {
-            name: None if value != value else round(value, 9) for name, value in record.figures().items()
-        }
-        return Result(
-            variant.name,
-            seed,
-            figures,
-            record.broken,
-            record.breaks,
-            len(record.lives),
-            record.turns,
-            record.series(),
-            record.by_destination(),
-            record.histograms(),
-        )
+        return result_of(record, variant, seed)
     finally:
         gc.enable()
         set_constants(before.items())
--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -191,6 +191,12 @@
         "http://creativecommons.org", ""
     )
     assert "No rule was broken" in page and (out / "load.png").stat().st_size > 5000
+    swept = tmp_path / "swept"
+    done = call(main, ["sweep", str(file), "--set", "control.CUT=0.5,0.9", "--out", str(swept), "--json"])
+    assert {each["variant"] for each in json.loads(done.stdout)["rows"]} == {"A", "CUT=0.5", "CUT=0.9"}
+    assert "is not CONSTANT=" in call(main, ["sweep", str(file), "--set", "control.CUT=x"]).output
+    both = json.loads(call(main, ["compare", str(out), str(swept), "--json"]).stdout)["rows"]
+    assert both[-1]["difference"]["mean"] == 0.0 and both[0]["seeds"] == 3
     wrong = call(main, ["run", str(tmp_path / "none.toml")])
     assert wrong.exit_code == 2 and "No such file" in wrong.output
     again = call(main, ["run", str(file), "--out", str(out)])
