--- a/benchmarks/amqp.py
+++ b/benchmarks/amqp.py
@@ -32,6 +32,10 @@
 
 import pika
 
+from linnetstile.amqp.settings import AmqpPart, BrokerPart, TargetPart
+from linnetstile.amqp.transport import Publishing
+from linnetstile.core.seams import Attempt
+from linnetstile.interface import Outcome
 from emulator.live import free_ports
 from emulator.load import Load, Plan
 from emulator.load import run as load
@@ -328,6 +332,35 @@
     }
 
 
+async def connections(count: int) -> dict[str, Any]:
+    """What so many connections of one process take, each with its channel and one publish made."""
+    with standin("standins.amqp", "--queue", "q") as at:
+        parts = [BrokerPart(f"b{n}", [at]) for n in range(count)]
+        targets = [TargetPart(f"e{n}", n, f"b{n}", "q") for n in range(count)]
+        out, before = Publishing(AmqpPart(parts, targets), random.Random(1)), rss_mb(os.getpid())
+        loop = asyncio.get_running_loop()
+        made = await asyncio.gather(
+            *(
+                out.attempt(
+                    Attempt(n, (f"amqp:e{n}", 0), f"m{n}", None, b"x", loop.time() + 30, lambda: True)
+                )
+                for n in range(count)
+            )
+        )
+        assert all(each.outcome is Outcome.OK for each in made)
+        taken = rss_mb(os.getpid()) - before
+        out.close()
+        await asyncio.sleep(0.1)
+        return {
+            "what": f"{count} connections",
+            "a second": 0.0,
+            "CPU ms": 0.0,
+            "p50": 0.0,
+            "p99": 0.0,
+            "KB a connection": 1024 * taken / count,
+        }
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(prog="benchmarks.amqp")
     parser.add_argument("--json", action="store_true")
@@ -351,8 +384,9 @@
         asyncio.run(intake(args.messages)),
         *(asyncio.run(stalled(mute, 2 * args.seconds)) for mute in (False, True)),
     ]
+    memory = asyncio.run(connections(200))
     if args.json:
-        report([*rows, *others], True, (), "")
+        report([*rows, *others, memory], True, (), "")
         return 0
     report(
         rows,
@@ -366,6 +400,7 @@
         ("", "what                a second  CPU ms    p50    p99"),
         "{what:20}{a second:8.0f}{CPU ms:8.2f}{p50:7.2f}{p99:7.2f}",
     )
+    print(f"a connection takes {memory['KB a connection']:.0f} KB")
     return 0
 
 
