--- a/emulator/world.py
+++ b/emulator/world.py
@@ -9,9 +9,10 @@
 
 import heapq
 import math
+from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import count
+from itertools import accumulate, count
 
 import msgspec
 
@@ -101,6 +102,8 @@
         self.listing: dict[int, api.Endpoint] = {}
         self.engines: list[Engine] = []
         self.nodes: list[Node] = []
+        self.up: list[Node] = []
+        self.reach: list[float] = []
         self.clients = Draws(seed, "clients", *self.salt)
         self.front = [1 / (n + 1) ** self.it.fleet.skew for n in range(self.it.fleet.relays)]
         self._staff(it.variants[0])
@@ -183,21 +186,20 @@
 
     def _hand_in(self, life: Life, now: float, place: float) -> None:
         life.tries += 1
-        up = [node for node in self.nodes if node.up]
-        if not up:
+        if not self.up:
             self._again(life, now, 0.0)
             return
-        weights = [self.front[node.number] for node in up]
-        place *= sum(weights)
-        node = up[-1]
-        for one, weight in zip(up, weights, strict=True):
-            place -= weight
-            if place < 0:
-                node = one
-                break
+        at = bisect_right(self.reach, place * self.reach[-1])
+        node = self.up[min(at, len(self.up) - 1)]
         net, of = self.it.fleet.net_ms, node.life
         self.at(now + net, lambda now: self._offered(node, of, life, now))
 
+    def _opens(self, node: Node, up: bool) -> None:
+        """Whom the clients' front deals connections to, and how far the share of each reaches."""
+        node.up = up
+        self.up = [each for each in self.nodes if each.up]
+        self.reach = list(accumulate(self.front[each.number] for each in self.up))
+
     def _offered(self, node: Node, of: int, life: Life, now: float) -> None:
         if not (node.up and node.life == of):  # it died on the way
             self._again(life, now, 0.0)
@@ -263,7 +265,7 @@
                 risk=risk,
             )
         self._turn(node, now)
-        node.up = True
+        self._opens(node, True)
 
     def _soon(self, node: Node, now: float) -> None:
         if not node.turn:
@@ -447,7 +449,7 @@
                 return
             node.events.append(api.Closing(now + CALLS_END_MS))
             self._soon(node, now)
-            self.at(now + SERVE_ON_MS, lambda now: setattr(node, "up", False))
+            self.at(now + SERVE_ON_MS, lambda now: self._opens(node, False) if node.life == of else None)
             self.at(now + CALLS_END_MS, lambda now: self._stops(node, of, now))
 
         return act
@@ -460,7 +462,8 @@
     def _dies(self, node: Node, now: float) -> None:
         if not node.alive:
             return
-        node.alive = node.up = False
+        node.alive = False
+        self._opens(node, False)
         for kept in node.kept.values():  # a call that was out may have run
             kept.risk, kept.out = kept.risk or kept.out, None
         self.at(now + AWAY_MS + STARTING_MS, lambda now: self._start(node, now))
