--- a/tests/amqp/test_delivery.py
+++ b/tests/amqp/test_delivery.py
@@ -287,7 +287,7 @@
             for ident, states in ends.items()
             if taken[ident] == "unsafe" and "returned" in states and effects[ident]
         ]
-        delivered = len(taken) - len(ends)  # a slow machine delivers fewer in their time: no rule, but not few
+        delivered = len(taken) - len(ends)  # a slow machine delivers fewer: no rule, but not few
         assert delivered > 2500 and max(effects.values()) > 1  # a safe one may come twice, and here some do
 
     run(work())
