AMQP intake: an ack after its consumer's end is not taken for one of the next

Read once more: with durability group a delivery's record may become safe after its consumer was replaced, whose channel has the same number; its tag then acknowledged another delivery, which could be lost. Deliveries belong to an epoch now. A consumer that finds no channel left is tried again instead of ending its task; state that nobody read is gone from the virtual fleet. A test of the late ack; tests of intake and world pass.

--- a/emulator/world.py
+++ b/emulator/world.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import accumulate, count
+from pathlib import Path
 
 import msgspec
 
@@ -84,7 +85,6 @@
     timer: int = 0
     up: bool = False  # takes connections
     alive: bool = False
-    known: dict[int, api.Listing] = field(default_factory=dict)  # endpoints as it was told
 
 
 class World:
@@ -98,7 +98,6 @@
         self.record = Record(self.it)
         self.settings = msgspec.json.encode(settings_of(self.it))
         self.partners = [self._partner(n) for n in range(len(self.it.partners))]
-        self.luck = [partner.rng for partner in self.partners]
         self.listing: dict[int, api.Endpoint] = {}
         self.engines: list[Engine] = []
         self.nodes: list[Node] = []
@@ -127,8 +126,6 @@
             self.nodes.append(Node(n, mine if n < several else others))
 
     def _engine(self, variant: Variant) -> Engine:
-        from pathlib import Path
-
         engine: Engine = Beside(Path(variant.version), variant.constants) if variant.version else Here()
         self.engines.append(engine)
         return engine
@@ -246,7 +243,6 @@
         share = api.Fleet(node.number, fleet.relays, 0.0) if fleet.share_rates else None
         seed = int(stream(self.seed, "relay", node.number, node.life, *self.salt).integers(1 << 30))
         node.engine.start(node.number, self.settings, seed, share)
-        node.known = {each.id: each.listing for each in self.listing.values()}
         entries = tuple(each for each in self.listing.values() if each.listing is not api.Listing.GONE)
         node.events.append(api.EndpointList(api.ListKind.WHOLE, entries))
         node.events += node.learned
@@ -422,7 +418,6 @@
         return act
 
     def _told(self, node: Node, entry: api.Endpoint, now: float) -> None:
-        node.known[entry.id] = entry.listing
         self.record.learnt[node.number, entry.id] = (
             now if entry.listing is not api.Listing.READY else math.inf
         )
--- a/linnetstile/amqp/intake.py
+++ b/linnetstile/amqp/intake.py
@@ -36,7 +36,7 @@
 from ..logs import Note
 from .life import Reconnect
 from .link import Link, NoLink
-from .machine import Delivered, Fate
+from .machine import Delivered, Fate, MachineError
 from .settings import QueuePart
 from .transport import Broker
 
@@ -68,6 +68,7 @@
         self.life = Reconnect(1, rng)
         self.link: Link | None = None
         self.channel = 0
+        self.epoch = 0  # of consumers: a channel's number, and its tags, come again with the next one
         self.waiting: deque[Delivered] = deque()  # no more than prefetch
         self.journalling = 0
         self.look: asyncio.TimerHandle | None = None  # while the hold is full
@@ -82,13 +83,14 @@
         loop = asyncio.get_running_loop()
         while not self.stopped:
             self.ended.clear()
+            self.epoch += 1
             try:
                 self.link = await self.broker.linked()
                 self.channel = self.link.consume(self.part.prefetch, self)
                 self.life.opened(loop.time())
                 await self.ended.wait()
-            except NoLink:
-                pass
+            except (NoLink, MachineError) as error:  # one that ended just now, or has no channel left
+                log.warning(Note("queue: cannot be consumed", queue=self.part.queue, why=error))
             self.link = None
             self.waiting.clear()  # not acknowledged: it comes again
             await asyncio.sleep(self.life.ended(loop.time()))
@@ -139,7 +141,7 @@
                 self.settle(delivery, True)
             else:
                 self.journalling += 1
-                receipt.when.add_done_callback(partial(self._safe, delivery))
+                receipt.when.add_done_callback(partial(self._safe, delivery, self.epoch))
 
     def _later(self) -> None:
         if self.look is None:
@@ -149,9 +151,10 @@
         self.look = None
         self.work()
 
-    def _safe(self, delivery: Delivered, done: asyncio.Future[None]) -> None:
+    def _safe(self, delivery: Delivered, epoch: int, done: asyncio.Future[None]) -> None:
+        """Guards a delivery of the next consumer: an ack with an old tag would take it from its queue."""
         self.journalling -= 1
-        if not done.cancelled():
+        if not done.cancelled() and epoch == self.epoch:
             self.settle(delivery, True)
 
     def settle(self, delivery: Delivered, taken: bool) -> None:
--- a/tests/amqp/test_intake.py
+++ b/tests/amqp/test_intake.py
@@ -12,6 +12,8 @@
 
 from pamqp import commands
 
+from linnetstile.amqp import intake as front
+from linnetstile.amqp.machine import Delivered
 from linnetstile.amqp.settings import AmqpPart, BrokerPart, QueuePart, TargetPart
 from standins.amqp import Broker, Faults, Message, Queue
 
@@ -185,6 +187,30 @@
     run(work())
 
 
+def test_an_ack_that_comes_after_its_consumer_is_not_taken_for_one_of_the_next() -> None:
+    """Its record became safe late, and the next consumer's channel has the same number."""
+
+    class Acks:
+        told: list[int] = []
+
+        def settle(self, channel: int, tag: int, taken: bool) -> None:
+            self.told.append(tag)
+
+    async def work() -> None:
+        queue = front.Queue(QueuePart("a", "in"), Any, Any, {}, random.Random(1))  # type: ignore[arg-type]
+        acks = Acks()
+        queue.link, queue.channel, queue.epoch, queue.journalling = acks, 2, 1, 2  # type: ignore[assignment]
+        safe: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        safe.set_result(None)
+        delivery = Delivered(2, "c", 1, False, "in", Properties(), b"")
+        queue._safe(delivery, 1, safe)
+        queue.epoch = 2
+        queue._safe(delivery, 1, safe)
+        assert acks.told == [1]
+
+    run(work())
+
+
 def test_a_stop_leaves_what_was_not_taken_in_its_queue(tmp_path: Path) -> None:
     async def work() -> None:
         inward, outward = brokers()
