--- a/tests/amqp/test_machine.py
+++ b/tests/amqp/test_machine.py
@@ -358,3 +358,24 @@
 
 def test_credentials_are_never_shown() -> None:
     assert "geheim" not in repr(Login(password="geheim")) and opened().login.password == "guest"
+
+
+def test_a_connection_blocked_for_a_minute_lives_and_publishes_nothing_meanwhile() -> None:
+    machine = ready(heartbeat=10)
+    one = publish(machine, "m1")
+    feed(machine, raw(commands.Connection.Blocked("low on memory")), 0.0)
+    beats = 0
+    for second in range(1, 61):
+        now = float(second)
+        assert machine.tick(now) == [] and not machine.may_publish(1)
+        data = machine.take(now)
+        machine.wrote(len(data))
+        beats += data.count(b"\x08\x00\x00\x00\x00\x00\x00\xce")
+        assert len(data) in (0, 8)
+        if second % 5 == 0:
+            feed(machine, b"\x08\x00\x00\x00\x00\x00\x00\xce", now)
+    assert beats == 12 and one.fate is Fate.OUT and machine.state is State.OPEN
+    assert fates(feed(machine, raw(commands.Connection.Unblocked()) + raw(Ack(1, False), 1), 60.5)) == {
+        "m1": Fate.ACKED
+    }
+    assert publish(machine, "m2").tag == 2
