--- a/linnetstile/http/register.py
+++ b/linnetstile/http/register.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
+import random
 from typing import Any
 
 from ..config import Address, Config, address
 from ..core.seams import Member, Told, Update
 from ..interface import Listing
 from ..logs import Note
-from .agent import Agent, AgentError, Backoff
+from ..membership.asking import Asking
+from .agent import Agent, AgentError
 
 log = logging.getLogger(__name__)
 
-HOLD_MS = 2000  # a watch that the agent lets go silent is begun anew soon after; asking costs nothing
 SILENT_S = 0.5  # past the hold: the agent is on this machine and answers at once
 LISTINGS = {"ready": Listing.READY, "gone": Listing.GONE}  # whatever else gets nothing new
 
@@ -54,9 +56,12 @@
 class Register:
     """Keeps the list current; what fails keeps the version, so that nothing is missed."""
 
-    def __init__(self, at: Address) -> None:
+    def __init__(self, at: Address, relays: int = 1, seed: int = 0) -> None:
+        """`relays`: how many ask the same register; `seed`: of this relay's own pauses."""
         self.agent = Agent(at)
         self.version = -1
+        self.asking = Asking(relays, random.Random(seed))
+        self.begun = False
 
     def known(self, raw: dict[str, Any]) -> Update:
         """The list as the configuration has it: it may be old, but its version says how old."""
@@ -72,27 +77,31 @@
         self.agent.close()
 
     async def run(self, told: Told) -> None:
-        backoff = Backoff(0.05, 0.5)
+        """Begun anew by a reload, at once; only a new process that knows a list waits for its turn."""
+        if not self.begun and self.version >= 0:
+            await asyncio.sleep(self.asking.first() / 1000)
+        self.begun = True
         while True:
             try:
                 version, update = read(await self._ask())
                 told(update)
                 self.version = version
-                backoff.reset()  # and at once again: a late call would begin a new watch
+                self.asking.answered()
             except (AgentError, ValueError) as error:
                 log.warning(Note("discovery failed", why=error))
                 self.agent.close()
-                await backoff.pause()
+                await asyncio.sleep(self.asking.failed() / 1000)
             except Exception:
                 log.exception("discovery: a list could not be taken")
-                await backoff.pause()
+                await asyncio.sleep(self.asking.failed() / 1000)
 
     async def _ask(self) -> dict[str, Any]:
         known, seconds = self.version >= 0, SILENT_S
         target = "/v1/servers"
         if known:
-            target += f"?from={self.version}&hold_ms={HOLD_MS}"
-            seconds += HOLD_MS / 1000
+            hold_ms = round(self.asking.hold())
+            target += f"?from={self.version}&hold_ms={hold_ms}"
+            seconds += hold_ms / 1000
         status, body = await self.agent.ask("GET", target, b"", seconds)
         raw = json.loads(body) if status == 200 else None
         if not isinstance(raw, dict):
--- /dev/null
+++ b/linnetstile/membership/asking.py
@@ -0,0 +1,51 @@
+"""When to ask a register that the whole fleet shares, and for how long: decided without I/O.
+
+What one relay does harmlessly, forty do together: they start in the same moment, their watches end in the
+same moment, and those that are turned away come again in the same half second. A register that can answer
+each of them once in some seconds then answers always the same few, and the others learn of no new endpoint at
+all (docs/design/load-at-size.md). So the fleet asks at a bounded rate, each relay by its own chance."""
+
+from __future__ import annotations
+
+import random
+
+START_MS = 100.0  # for each relay of the fleet: over so long their first calls are spread
+HOLD_MS = 500.0  # for each relay: a watch lasts half to all of it, so that the fleet makes 2.8 calls a second
+LEAST_HOLD_MS = 2000.0  # for a small fleet: a watch that its agent has lost is begun anew soon
+MOST_HOLD_MS = 60000.0  # the longest that the protocol knows
+FIRST_MS, MOST_MS = 25.0, 200.0  # for each relay: the first pause after a failed call, and the longest
+LEAST_FIRST_MS, LEAST_MOST_MS = 50.0, 500.0  # for a small fleet
+DOUBLINGS = 16  # past any ratio of the two
+
+
+class Asking:
+    """One relay's calls for the list. All times in ms."""
+
+    def __init__(self, relays: int, rng: random.Random) -> None:
+        """`relays`: how many ask the same register. Raises ValueError if that is less than 1."""
+        if relays < 1:
+            raise ValueError(f"relays: {relays}, must be 1 or more")
+        self.relays, self.rng, self.failures = relays, rng, 0
+
+    def first(self) -> float:
+        """The pause before a process's first call: a release starts most of a fleet at once."""
+        return self.rng.uniform(0.0, START_MS * (self.relays - 1))
+
+    def hold(self) -> float:
+        """How long the next watch may wait for something newer."""
+        most = min(MOST_HOLD_MS, HOLD_MS * self.relays)
+        if most <= LEAST_HOLD_MS:
+            return LEAST_HOLD_MS
+        return max(LEAST_HOLD_MS, self.rng.uniform(0.5, 1.0) * most)
+
+    def answered(self) -> None:
+        """The next call comes at once: a later one would begin a new watch."""
+        self.failures = 0
+
+    def failed(self) -> float:
+        """The pause before the next call: growing, and jittered, to spare a returning register."""
+        first, most = (max(least, each * self.relays)
+                       for least, each in ((LEAST_FIRST_MS, FIRST_MS), (LEAST_MOST_MS, MOST_MS)))
+        pause = min(most, first * 2.0 ** min(self.failures, DOUBLINGS))
+        self.failures += 1
+        return pause * self.rng.uniform(0.7, 1.3)
--- /dev/null
+++ b/tests/membership/test_asking.py
@@ -0,0 +1,117 @@
+"""Forty relays and a register that answers each of them once in some seconds, in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Iterator
+from itertools import count
+
+import pytest
+
+from linnetstile.membership.asking import LEAST_HOLD_MS, MOST_HOLD_MS, Asking
+
+ANSWER_MS = 133.0  # what an answer costs the register: 40 relays take 5.3 s
+PATIENCE_MS = 2000.0  # a call that would wait longer for its answer is turned away at once
+
+
+class Register:
+    """Answers one call after the other. All watches end when the list changes, in the same moment."""
+
+    def __init__(self, relays: int, seed: int) -> None:
+        self.askers = [Asking(relays, random.Random(seed * 1000 + n)) for n in range(relays)]
+        self.free_at, self.version = 0.0, 1
+        self.knows = [1] * relays
+        self.learnt: dict[tuple[int, int], float] = {}
+        self.turned_away = self.answered = 0
+        self.events: list[tuple[float, int, int, str, int]] = []  # when, number, relay, what, which call
+        self.numbers: Iterator[int] = count()
+        self.calls = [0] * relays
+
+    def at(self, when: float, relay: int, what: str) -> None:
+        heapq.heappush(self.events, (when, next(self.numbers), relay, what, self.calls[relay]))
+
+    def play(self, start_ms: float, changes: list[float], end_ms: float) -> None:
+        for n, asker in enumerate(self.askers):
+            self.at(start_ms + asker.first(), n, "ask")
+        for when in changes:
+            heapq.heappush(self.events, (when, next(self.numbers), -1, "change", 0))
+        waiting: dict[int, int] = {}
+        while self.events and self.events[0][0] <= end_ms:
+            now, _, n, what, call = heapq.heappop(self.events)
+            if what == "change":
+                self.version += 1
+                for each in list(waiting):
+                    del waiting[each]
+                    self.serve(now, each)
+            elif what == "ask":
+                self.calls[n] += 1
+                if self.knows[n] < self.version:
+                    self.serve(now, n)
+                else:
+                    waiting[n] = self.calls[n]
+                    self.at(now + self.askers[n].hold(), n, "held")
+            elif what == "held" and waiting.get(n) == call:
+                del waiting[n]
+                self.serve(now, n)
+            elif what == "told":
+                self.askers[n].answered()
+                self.answered += 1
+                self.knows[n] = self.version
+                self.learnt.setdefault((n, self.version), now)
+                self.at(now, n, "ask")
+
+    def serve(self, now: float, n: int) -> None:
+        if self.free_at > now + PATIENCE_MS:
+            self.turned_away += 1
+            self.at(now + self.askers[n].failed(), n, "ask")
+        else:
+            self.free_at = max(now, self.free_at) + ANSWER_MS
+            self.at(self.free_at, n, "told")
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_each_of_forty_learns_of_a_change_though_the_register_is_overbooked(seed: int) -> None:
+    """Broken by hand: with holds of 2 s for all and pauses of 50 to 500 ms, as before, most never learn."""
+    register = Register(40, seed)
+    register.play(0.0, [12_000.0], 30_000.0)
+    late = [register.learnt[n, 2] - 12_000.0 for n in range(40)]  # each of them has learnt
+    assert sorted(late)[20] < 4_000 and max(late) < 14_000
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_start_of_all_at_once_turns_few_away(seed: int) -> None:
+    """A restarted relay's list is old, so that its first call is answered at once, and costs."""
+    register = Register(40, seed)
+    register.version = 2
+    register.play(0.0, [], 20_000.0)
+    assert all((n, 2) in register.learnt for n in range(40))
+    assert register.turned_away < 40
+
+
+def test_a_steady_fleet_stays_below_what_the_register_can_answer() -> None:
+    for relays in (40, 100):
+        askers = [Asking(relays, random.Random(n)) for n in range(relays)]
+        mean = sum(asker.hold() for asker in askers for _ in range(50)) / (50 * relays)
+        assert relays / (mean / 1000) < 3.0  # calls a second of all
+        assert max(asker.hold() for asker in askers) <= MOST_HOLD_MS
+
+
+def test_a_small_fleet_hears_soon_that_its_agent_has_lost_a_watch() -> None:
+    asking = Asking(3, random.Random(1))
+    assert {asking.hold() for _ in range(20)} == {LEAST_HOLD_MS}
+    assert asking.first() <= 200.0
+
+
+def test_pauses_grow_are_jittered_and_bounded_and_begin_anew_after_an_answer() -> None:
+    asking = Asking(40, random.Random(1))
+    pauses = [asking.failed() for _ in range(40)]
+    assert pauses[0] <= 1300 < pauses[3] and max(pauses) <= 8000 * 1.3
+    assert len(set(pauses)) == 40
+    asking.answered()
+    assert asking.failed() <= 1300
+
+
+def test_a_fleet_of_none_is_refused() -> None:
+    with pytest.raises(ValueError, match="relays"):
+        Asking(0, random.Random(1))
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -15,6 +15,7 @@
 
 from linnetstile import interface as api
 from linnetstile.http import register as discovery
+from linnetstile.membership import asking
 from linnetstile.http.agent import Agent as AgentLink
 
 from linnetstile.core.messages import unix_ms
@@ -222,7 +223,8 @@
 def test_discovery_keeps_its_version_over_malformed_answers_and_silence(
     state: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(discovery, "HOLD_MS", 100)
+    monkeypatch.setattr(asking, "LEAST_HOLD_MS", 100.0)
+    monkeypatch.setattr(asking, "HOLD_MS", 0.0)
     monkeypatch.setattr(discovery, "SILENT_S", 0.1)
 
     async def work() -> None:
