--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -36,9 +36,11 @@
 LAST = 3.0  # the last try a message can have waits so many times longer: a late answer still saves it
 OVERDUE = 4.0  # an answer is overdue so many mean deviations above the mean
 STRETCH_MAX = 8.0  # time-outs double while calls time out (slow is not down), up to this factor
-BURST_S, BURST = 2.0, 3.0  # calls saved up for a clump: seconds of the pace, and at least so many
-START = 0.5  # calls a second that one of many relays may send unpaced, until one is refused
+BURST_S, BURST = 1.0, 2.0  # calls saved up for a clump: seconds of the pace, and at least so many
+START = 0.5  # calls a second of each relay at a destination with no listed rate, until one is refused
+RARE = 0.35  # calls a second that one of many relays may send unpaced, unless one was refused of late
 RISE, GROWTH = 0.5, 0.1  # pace gained with each success that finds it bound: unrefused of late, or paced
+EVEN, FEW = 1.25, 9.0  # a pace's most: of the equal part (others use theirs, unseen); of few, FEW / relays
 CUT = 0.7  # pace kept after a refusal above the limit
 ROUGH = 1.5  # a rough listed rate may be this much too high
 BLAME = 0.3  # weight of one failure: two in a row make an outage
@@ -480,7 +482,7 @@
             pace = lane.pace * (1 + (RISE if now > lane.free_at else GROWTH))
             if not lane.listed:  # its limit is found by answers and refusals alone
                 lane.total = max(lane.total, pace * self.s.relays)
-            lane.pace = min(lane.total, pace)
+            lane.pace = min(lane.total, pace, max(EVEN, FEW / self.s.relays) * lane.total / self.s.relays)
 
     def _cold(self, now: float, lane: Lane) -> None:
         """It is back: from here on the cold budget holds, shared by the relays that may know of it."""
@@ -546,7 +548,7 @@
         bad = lane.bad_since is not None and now - lane.bad_since > SHUT_MS
         if out or bad and (lane.failed_at > lane.last_ok or lane.hold > HOLD_MS):
             return cold / self._knowers(now, lane), 1.0
-        pace = max(lane.pace, START) if now > lane.free_at else lane.pace  # rare calls fit a limit unpaced
+        pace = max(lane.pace, RARE) if now > lane.free_at else lane.pace  # rare calls fit a limit unpaced
         if now < lane.cold_since + safety.cold_ms:
             warmth = (1 - safety.cold_share) * (now - lane.cold_since) / safety.cold_ms
             return min(pace, cold * (1 + warmth / max(safety.cold_share, 0.01)) / lane.knowers), 1.0
