--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -496,9 +496,8 @@
         if event.wait_ms > 0:  # told to many relays at once: the growing, jittered pause comes after it
             lane.wait_until = max(lane.wait_until, held.ready + event.wait_ms)
         if event.outcome is Outcome.FULL:
-            part, cut = lane.total / self.s.relays, lane.pace * CUT
-            paced = now < lane.free_at or part > START  # if not, the equal part is the first guess
-            lane.pace = max(part / 3, min(cut, (lane.pace * part) ** 0.5)) if paced else part
+            part = lane.total / self.s.relays
+            lane.pace = max(part / 3, min(lane.pace * CUT, (lane.pace * part) ** 0.5))
             lane.hold = min(HOLD_MAX_MS, max(HOLD_MS, 2 * lane.hold))
             lane.free_at = now + lane.hold * self.rng.uniform(0.5, 1.5)
             lane.credit = min(lane.credit, self.rng.uniform(-0.5, 0.5))
--- a/tests/emulator/test_size.py
+++ b/tests/emulator/test_size.py
@@ -49,6 +49,16 @@
     assert sum(kept) / 3 > sum(free) / 3 + 0.05
 
 
+def test_a_small_destination_is_not_called_at_its_whole_rate_once_it_refuses() -> None:
+    """Each of forty has a fraction of a call a second there, and kept all of it after its first refusal: then
+    next to nothing is taken, for good (0.15 of what came, in the mean of these seeds; now 0.64)."""
+    rate = 15.0
+    limit = {**FORTY["partners"][0]["rate"], "per_s": rate, "burst": rate / 2}
+    partner, traffic = {**FORTY["partners"][0], "rate": limit}, {**FORTY["traffic"], "rate": 0.8 * rate}
+    took = [delivered(seed, partners=[partner], traffic=traffic) for seed in range(1, 7)]
+    assert sum(took) / 6 > 0.4
+
+
 def test_in_a_small_fleet_one_relay_may_still_use_what_the_others_leave() -> None:
     """Its pace may come to the whole rate: it meets most of what is refused there itself."""
     fleet = {"relays": 3, "slots": 40, "hold": 200, "skew": 20.0}  # all of it comes by the first relay
