--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -100,7 +100,7 @@
 
 
 class Trouble(Strict, frozen=True):
-    fault: Literal["down", "hung", "silent", "shut", "failing", "brown"]
+    fault: Literal["down", "hung", "silent", "shut", "failing", "brown", "lowered"]
     begin_s: NotNegative
     end_s: Positive
     size: Positive = 1.0
--- a/emulator/partner.py
+++ b/emulator/partner.py
@@ -92,9 +92,11 @@
         rate, cold, back = self.spec.rate, self.spec.cold, self.back_since(at)
         if rate is None:
             return math.inf
+        lowered = self.trouble(at, Fault.LOWERED)
+        per_s = rate.per_s if lowered is None else rate.per_s * lowered.size
         if back is None or at >= back + cold.warm_ms:
-            return rate.per_s
-        return rate.per_s * (cold.share + (1 - cold.share) * (at - back) / cold.warm_ms)
+            return per_s
+        return per_s * (cold.share + (1 - cold.share) * (at - back) / cold.warm_ms)
 
     # -- a call ------------------------------------------------------------------------------------------
 
--- a/emulator/report.py
+++ b/emulator/report.py
@@ -32,6 +32,7 @@
     "shut": "#75507b",
     "failing": "#c17d11",
     "brown": "#8f5902",
+    "lowered": "#c4a000",
 }
 STYLE = """
 body{font:16px/1.5 system-ui,sans-serif;max-width:62rem;margin:2rem auto;padding:0 1rem;color:#222}
--- a/emulator/spec.py
+++ b/emulator/spec.py
@@ -78,11 +78,12 @@
     SHUT = "shut"  # refuses every call
     FAILING = "failing"  # `size` of the calls end with an error
     BROWN = "brown"  # calls take `size` times as long
+    LOWERED = "lowered"  # `size` of its rate is left
 
     @property
     def outage(self) -> bool:
         """It is cold after it."""
-        return self is not Fault.BROWN
+        return self not in (Fault.BROWN, Fault.LOWERED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,8 +95,8 @@
 
     def __post_init__(self) -> None:
         need(0 <= self.begin_ms < self.end_ms, "trouble.end_ms", "must come after begin_ms, and that after 0")
-        if self.fault is Fault.FAILING:
-            need(0 < self.size <= 1, "trouble.size", "must lie above 0, and be 1 at most, for failing")
+        if self.fault in (Fault.FAILING, Fault.LOWERED):
+            need(0 < self.size <= 1, "trouble.size", f"must lie in 0 (excluded) to 1 for {self.fault.value}")
         if self.fault is Fault.BROWN:
             need(self.size >= 1, "trouble.size", "must be 1 or more for brown")
 
--- a/tests/emulator/test_partner.py
+++ b/tests/emulator/test_partner.py
@@ -97,6 +97,20 @@
     assert brown.call(0.0, Call("a")).at == 240.0 and brown.call(1000.0, Call("b")).at == 1080.0
 
 
+def test_a_lowered_limit_is_a_part_of_the_rate_and_no_outage() -> None:
+    it = partner(
+        rate=Rate(100.0, Enforced.BUCKET, burst=5.0),
+        service=Service(1.0, 0.0),
+        cold=Cold(share=0.1),
+        troubles=(Trouble(Fault.LOWERED, 10_000.0, 20_000.0, 0.3),),
+    )
+    passed = [at for at, answer in drive(it, 100.0, 0.0, 30_000.0) if answer.reply is Reply.OK]
+    by_second = [sum(1000 * s <= at < 1000 * (s + 1) for at in passed) for s in range(30)]
+    assert min(by_second[1:10]) >= 99 and max(by_second[11:20]) <= 31 and min(by_second[21:29]) >= 99
+    with pytest.raises(ValueError, match="trouble.size"):
+        Trouble(Fault.LOWERED, 0.0, 1.0, 1.5)
+
+
 def test_each_trouble_does_what_it_says_and_effects_are_true() -> None:
     def one(fault: Fault, at: float, size: float = 1.0) -> tuple[Answer, int]:
         it = partner(service=Service(100.0, cv=0.0), troubles=(Trouble(fault, 1000.0, 2000.0, size),))
