--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -40,6 +40,7 @@
 START = 0.5  # calls a second of each relay at a destination with no listed rate, until one is refused
 RARE = 0.35  # calls a second that one of many relays may send unpaced, unless one was refused of late
 RISE, GROWTH = 0.5, 0.1  # pace gained with each success that finds it bound: unrefused of late, or paced
+LOW, BACK = 0.75, 0.25  # below so much of the equal part one of many gains more: a limit may be back
 EVEN, FEW = 1.25, 9.0  # a pace's most: of the equal part (others use theirs, unseen); of few, FEW / relays
 CUT = 0.7  # pace kept after a refusal above the limit
 ROUGH = 1.5  # a rough listed rate may be this much too high
@@ -490,7 +491,8 @@
         if held.msg.destination in self.board.queues:
             self._room_at(now, lane, lane.sick)  # what was saved up meanwhile counts: it is not bound by it
         if lane.credit < 1:
-            pace = lane.pace * (1 + (RISE if now > lane.free_at else GROWTH))
+            low = lane.pace < LOW * lane.total / self.s.relays and EVEN * self.s.relays > FEW
+            pace = lane.pace * (1 + (RISE if now > lane.free_at else BACK if low else GROWTH))
             if not lane.listed:  # its limit is found by answers and refusals alone
                 lane.total = max(lane.total, pace * self.s.relays)
             lane.pace = min(lane.total, pace, max(EVEN, FEW / self.s.relays) * lane.total / self.s.relays)
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -284,6 +284,30 @@
         d.pass_time(2500)
 
 
+def test_a_pace_far_below_the_equal_part_comes_back_within_a_few_successes() -> None:
+    """Guards many relays after a limit was lowered for a while: each has few calls to find it back."""
+    d = Driver(make_settings(relays=40, hold=200, slots=4))
+    d.listed((11, 1), rate=400.0)
+    d.warm_up()
+    lane = d.relay.lanes[1][-1]
+    while lane.pace > 0.4 * 10:
+        ident = d.message()
+        while ident not in d.out:
+            d.pass_time(5)
+        d.answer(ident, api.Outcome.FULL)
+        d.feed(api.Withdrawn(ident))
+    for _ in range(60):
+        d.message()
+    successes = 0
+    while lane.pace < 0.75 * 10:
+        d.pass_time(20)
+        for ident in list(d.out):
+            d.answer(ident, took=20.0)
+            successes += 1
+    assert successes <= 6
+    assert d.now < lane.free_at  # no refusal was forgotten meanwhile
+
+
 def test_an_idle_relay_is_not_woken_for_nothing() -> None:
     d = Driver()
     d.listed((11, 1))
