The test of AMQP timestamps has its bounds back, and a clock of its own

Need: its bounds were widened when a busy machine missed one by 3 ms; that hides a fault of the relay as well. Change: the intake's clock stands still in it; the bounds are the first ones.

--- a/tests/amqp/test_intake.py
+++ b/tests/amqp/test_intake.py
@@ -8,8 +8,10 @@
 import random
 from collections import Counter
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from pamqp import commands
 
 from linnetstile.amqp import intake as front
@@ -236,11 +238,16 @@
     run(work())
 
 
-def test_time_that_has_passed_since_it_was_sent_is_taken_off(tmp_path: Path) -> None:
+def test_time_that_has_passed_since_it_was_sent_is_taken_off(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    now = datetime.datetime.now(datetime.UTC)
+    # However long a busy machine takes until they are taken, no time passes for the intake.
+    monkeypatch.setattr(front, "time", SimpleNamespace(time=now.timestamp))
+
     async def work() -> None:
         inward, outward = brokers()
         outward.blocked = True
-        now = datetime.datetime.now(datetime.UTC)
         put(inward, "old", expiration="9000", timestamp=now - datetime.timedelta(seconds=5))
         put(inward, "new", expiration="9000", timestamp=now)
         put(inward, "plain", expiration=None)
@@ -248,8 +255,7 @@
             relay = await relay_of(tmp_path, both(a, b))
             await until(lambda: len(relay.journal.entries) == 3)
             lives = {ident: each.due - each.since for ident, each in relay.journal.entries.items()}
-            # A timestamp has whole seconds, and a busy machine takes its time: less than these is a fault.
-            assert 2000 <= lives["old"] <= 5100 and 6000 <= lives["new"] <= 9000 and lives["plain"] == 16000
+            assert 4000 <= lives["old"] <= 5100 and 8900 <= lives["new"] <= 9000 and lives["plain"] == 16000
             await relay.close()
 
     run(work())
