One growing pause for discovery and agents; a flag and a repeated bound go

Need: Asking.failed was http/agent.py's Backoff written again; Register.begun said what an unknown version says; the bound of a pace stood twice in Relay._answered. Change: core/growing.py, without I/O, for both; the flag is gone; the bound is named once. Behaviour is as it was.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -491,11 +491,12 @@
         if held.msg.destination in self.board.queues:
             self._room_at(now, lane, lane.sick)  # what was saved up meanwhile counts: it is not bound by it
         if lane.credit < 1:
-            low = lane.pace < LOW * lane.total / self.s.relays and EVEN * self.s.relays > FEW
+            most = max(EVEN, FEW / self.s.relays)  # of its equal part
+            low = most == EVEN and lane.pace < LOW * lane.total / self.s.relays
             pace = lane.pace * (1 + (RISE if now > lane.free_at else BACK if low else GROWTH))
             if not lane.listed:  # its limit is found by answers and refusals alone
                 lane.total = max(lane.total, pace * self.s.relays)
-            lane.pace = min(lane.total, pace, max(EVEN, FEW / self.s.relays) * lane.total / self.s.relays)
+            lane.pace = min(lane.total, pace, most * lane.total / self.s.relays)
 
     def _cold(self, now: float, lane: Lane) -> None:
         """It is back: from here on the cold budget holds, shared by the relays that may know of it."""
--- /dev/null
+++ b/linnetstile/core/growing.py
@@ -0,0 +1,23 @@
+"""Growing, jittered pauses between tries, decided without I/O. The unit is the caller's."""
+
+from __future__ import annotations
+
+import random
+
+DOUBLINGS = 16  # past any ratio of a longest pause to a first one
+LEAST, MOST = 0.7, 1.3  # of a pause, by chance: those that failed together do not come back together
+
+
+class Growing:
+    def __init__(self, first: float, most: float, rng: random.Random) -> None:
+        self.first, self.most, self.rng, self.fails = first, most, rng, 0
+
+    def next(self) -> float:
+        """The pause after one more failure in a row."""
+        pause = min(self.most, self.first * 2.0 ** min(self.fails, DOUBLINGS))
+        self.fails += 1
+        return pause * self.rng.uniform(LEAST, MOST)
+
+    def reset(self) -> None:
+        """What was tried has worked."""
+        self.fails = 0
--- a/linnetstile/http/agent.py
+++ b/linnetstile/http/agent.py
@@ -6,6 +6,7 @@
 import random
 
 from ..config import Address
+from ..core.growing import Growing
 from .link import Link, LinkLost
 
 ANSWER_BYTES = 1 << 20
@@ -42,16 +43,11 @@
             self.link = None
 
 
-class Backoff:
-    """Growing, jittered pauses between failed requests, so that a returning agent is not hammered."""
+class Backoff(Growing):
+    """Pauses between failed requests, in seconds, so that a returning agent is not hammered."""
 
     def __init__(self, first_s: float, most_s: float) -> None:
-        self.first_s, self.most_s, self.fails = first_s, most_s, 0
+        super().__init__(first_s, most_s, random.Random())
 
     async def pause(self) -> None:
-        wait = min(self.most_s, self.first_s * 2.0 ** min(self.fails, 16))
-        self.fails += 1
-        await asyncio.sleep(wait * random.uniform(0.7, 1.3))
-
-    def reset(self) -> None:
-        self.fails = 0
+        await asyncio.sleep(self.next())
--- a/linnetstile/http/register.py
+++ b/linnetstile/http/register.py
@@ -61,7 +61,6 @@
         self.agent = Agent(at)
         self.version = -1
         self.asking = Asking(relays, random.Random(seed))
-        self.begun = False
 
     def known(self, raw: dict[str, Any]) -> Update:
         """The list as the configuration has it: it may be old, but its version says how old."""
@@ -77,10 +76,9 @@
         self.agent.close()
 
     async def run(self, told: Told) -> None:
-        """Begun anew by a reload, at once; only a new process that knows a list waits for its turn."""
-        if not self.begun and self.version >= 0:
+        """A process that knows a list waits for its turn; after a reload none is known: it asks at once."""
+        if self.version >= 0:
             await asyncio.sleep(self.asking.first() / 1000)
-        self.begun = True
         while True:
             try:
                 version, update = read(await self._ask())
--- a/linnetstile/membership/asking.py
+++ b/linnetstile/membership/asking.py
@@ -9,13 +9,14 @@
 
 import random
 
+from ..core.growing import Growing
+
 START_MS = 100.0  # for each relay of the fleet: over so long their first calls are spread
 HOLD_MS = 500.0  # for each relay: a watch lasts half to all of it, so that the fleet makes 2.8 calls a second
 LEAST_HOLD_MS = 2000.0  # for a small fleet: a watch that its agent has lost is begun anew soon
 MOST_HOLD_MS = 60000.0  # the longest that the protocol knows
 FIRST_MS, MOST_MS = 25.0, 200.0  # for each relay: the first pause after a failed call, and the longest
 LEAST_FIRST_MS, LEAST_MOST_MS = 50.0, 500.0  # for a small fleet
-DOUBLINGS = 16  # past any ratio of the two
 
 
 class Asking:
@@ -25,7 +26,9 @@
         """`relays`: how many ask the same register. Raises ValueError if that is less than 1."""
         if relays < 1:
             raise ValueError(f"relays: {relays}, must be 1 or more")
-        self.relays, self.rng, self.failures = relays, rng, 0
+        self.relays, self.rng = relays, rng
+        first, most = max(LEAST_FIRST_MS, FIRST_MS * relays), max(LEAST_MOST_MS, MOST_MS * relays)
+        self.pauses = Growing(first, most, rng)
 
     def first(self) -> float:
         """The pause before a process's first call: a release starts most of a fleet at once."""
@@ -40,12 +43,8 @@
 
     def answered(self) -> None:
         """The next call comes at once: a later one would begin a new watch."""
-        self.failures = 0
+        self.pauses.reset()
 
     def failed(self) -> float:
         """The pause before the next call: growing, and jittered, to spare a returning register."""
-        first, most = (max(least, each * self.relays)
-                       for least, each in ((LEAST_FIRST_MS, FIRST_MS), (LEAST_MOST_MS, MOST_MS)))
-        pause = min(most, first * 2.0 ** min(self.failures, DOUBLINGS))
-        self.failures += 1
-        return pause * self.rng.uniform(0.7, 1.3)
+        return self.pauses.next()
