--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -24,6 +24,7 @@
 
 SWEEP_S = 1.0
 LOOK_S = 0.02
+FIRST_LIST_S = 0.5  # after its start a process waits so long for the list before it goes by the one it knew
 SERVE_ON_S = 0.5  # after SIGTERM: connections go on coming for up to 0.4 s
 CALLS_END_S = 3.0  # after SIGTERM: no call is out later
 GONE_S = 3.4  # after SIGTERM: whatever is still undone is left to the journal
@@ -48,6 +49,7 @@
         self.sources: list[Membership] = []
         self.merge: Merge | None = None
         self.watching: list[asyncio.Task[None]] = []  # the sources
+        self.heard: set[str] = set()  # the sources that have told something to this process
         self.closed = False
         self.permits: Permits | None = None
 
@@ -83,13 +85,19 @@
 
     async def start(self, known: Update | None = None) -> None:
         """With the members as they were last known, if any; from its end on messages are taken."""
+        # Guards endpoints that drained while this process was away: what discovery has counts as told from
+        # its first moment on, so that nothing goes out by an old list before it was asked for the new one.
+        self.turns.paused = bool(self.sources)
         if known is not None:
             self.listed(known)
         for lane in self.learned.load(unix_ms()):
             self.turns.feed(lane)
         self.messages.resume(self.directory.number)
-        self.turns.step()
         self._watch()
+        if self.turns.paused:
+            asyncio.get_running_loop().call_later(FIRST_LIST_S, self.turns.go_on)
+        else:
+            self.turns.step()
         self.tasks.start(self._sweep())
         if self.journal.durability is not None:
             self.tasks.start(self.journal.durability.run())
@@ -208,7 +216,14 @@
             log.error(Note("an end waits for a front that is not set up", id=end.id, front=origin))
 
     def listed(self, update: Update) -> None:
-        """A source has told something."""
+        """A source has told something, or the configuration what was known long ago."""
+        self._take(update)
+        if self.watching:
+            self.heard.add(update.source)
+            if len(self.heard) >= len(self.sources):
+                self.turns.go_on()
+
+    def _take(self, update: Update) -> None:
         if self.merge is not None:
             merged = self.merge.take(update, asyncio.get_running_loop().time())
             if merged is None:
--- a/linnetstile/http/register.py
+++ b/linnetstile/http/register.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import random
+from dataclasses import replace
 from typing import Any
 
 from ..config import Address, Config, address
@@ -17,7 +18,6 @@
 
 log = logging.getLogger(__name__)
 
-SILENT_S = 0.5  # past the hold: the agent is on this machine and answers at once
 LISTINGS = {"ready": Listing.READY, "gone": Listing.GONE}  # whatever else gets nothing new
 
 
@@ -29,18 +29,24 @@
         items = list(raw["instances"])
     except (KeyError, TypeError, OverflowError) as error:
         raise ValueError(f"malformed list: {error!r}") from error
-    members, lives = [], []
+    members, lives = dict[str, Member](), dict[str, Listing]()  # of one that comes twice the later holds
     for item in items:
         try:
-            members.append(_member(item))
+            member = _member(item)
+            members[member.name] = member
+            lives.pop(member.name, None)
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
             # Guards the others against one entry that cannot be read: where its endpoint is known already,
             # that stands, but for what it says of its life.
             log.warning(Note("discovery: an entry is passed over", why=repr(error)))
             if isinstance(item, dict) and "instanceId" in item:
+                name = str(item["instanceId"])
                 listing = LISTINGS.get(str(item.get("lifecycle")), Listing.DRAINING)
-                lives.append((str(item["instanceId"]), listing))
-    return version, Update(whole, tuple(members), tuple(lives))
+                if name in members:
+                    members[name] = replace(members[name], listing=listing)
+                else:
+                    lives[name] = listing
+    return version, Update(whole, tuple(members.values()), tuple(lives.items()))
 
 
 def _member(item: dict[str, Any]) -> Member:
@@ -56,11 +62,11 @@
 class Register:
     """Keeps the list current; what fails keeps the version, so that nothing is missed."""
 
-    def __init__(self, at: Address, relays: int = 1, seed: int = 0) -> None:
-        """`relays`: how many ask the same register; `seed`: of this relay's own pauses."""
+    def __init__(self, at: Address, relays: int = 1, seed: int = 0, shared: bool = True) -> None:
+        """`relays`: how many ask, `shared`: the same register; `seed`: of this relay's own pauses."""
         self.agent = Agent(at)
         self.version = -1
-        self.asking = Asking(relays, random.Random(seed))
+        self.asking = Asking(relays, random.Random(seed), shared)
 
     def known(self, raw: dict[str, Any]) -> Update:
         """The list as the configuration has it: it may be old, but its version says how old."""
@@ -71,6 +77,7 @@
         """Another agent counts its versions anew: what it has is asked for whole."""
         self.agent.close()
         self.agent, self.version = Agent(config.discovery), -1
+        self.asking.anew()
 
     def close(self) -> None:
         self.agent.close()
@@ -94,12 +101,10 @@
                 await asyncio.sleep(self.asking.failed() / 1000)
 
     async def _ask(self) -> dict[str, Any]:
-        known, seconds = self.version >= 0, SILENT_S
-        target = "/v1/servers"
-        if known:
-            hold_ms = round(self.asking.hold())
-            target += f"?from={self.version}&hold_ms={hold_ms}"
-            seconds += hold_ms / 1000
+        known = self.version >= 0
+        hold_ms = round(self.asking.hold()) if known else 0
+        target = "/v1/servers" + (f"?from={self.version}&hold_ms={hold_ms}" if known else "")
+        seconds = self.asking.patience(hold_ms) / 1000
         status, body = await self.agent.ask("GET", target, b"", seconds)
         raw = json.loads(body) if status == 200 else None
         if not isinstance(raw, dict):
--- /dev/null
+++ b/tests/http/test_discovery.py
@@ -0,0 +1,208 @@
+"""Discovery in its worst orders: an old list at a restart, silence, a reload right after an answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linnetstile.config import Config
+from linnetstile.core import host as core_host
+from linnetstile.core.messages import unix_ms
+from linnetstile.http.agent import Agent as AgentLink
+from linnetstile.http.register import Register
+from linnetstile.store.journal import Entry, Journal
+
+from ..loopback import Agent, Client, Running, Server, answer, host_of, listing, message, run, until
+
+
+def left_untried(folder: Path, count: int, class_: str = "safe") -> Path:
+    """What an earlier process took on and did not get to."""
+    state = folder / "state"
+    state.mkdir()
+    journal, now = Journal(state, 3_000_000), unix_ms()
+    for n in range(count):
+        journal.take(Entry(f"m{n}", class_, "t", 7, None, now, now + 8000, "", b"hello"))
+    journal.close()
+    return state
+
+
+async def old_and_new() -> tuple[Agent, Server, Server]:
+    agent, old, new = Agent(), Server(), Server()
+    for each in (agent, old, new):
+        await each.start()
+    return agent, old, new
+
+
+def moved(old: Server, new: Server, generation: int = 2) -> dict[str, Any]:
+    raw = listing(old, generation=generation, reset=False, state="draining")
+    raw["instances"] += listing(new)["instances"]
+    return raw
+
+
+def test_what_a_restart_found_does_not_go_where_the_first_answer_says_drain(tmp_path: Path) -> None:
+    """The operators' sighting on the days of rolling restarts. Seen to fail without the pause of the turns:
+    two of three went to the endpoint that had drained while the process was away."""
+    async def work() -> None:
+        state = left_untried(tmp_path, 3)
+        agent, old, new = await old_and_new()
+        agent.tell(moved(old, new))
+        host = host_of(state, agent, old)
+        await host.start()
+        await until(lambda: len(new.seen) == 3)
+        assert not old.seen
+        assert agent.seen[0].target.endswith("hold_ms=0")  # it does not wait on the far side
+        await host.close()
+    run(work())
+
+
+def test_where_discovery_is_silent_at_the_start_the_known_list_serves_after_a_wait(tmp_path: Path) -> None:
+    async def work() -> None:
+        state = left_untried(tmp_path, 3)
+        agent, old, _ = await old_and_new()
+        agent.silent = True
+        host, begun = host_of(state, agent, old), time.monotonic()
+        await host.start()
+        async with Client(host.ingress.port) as client:  # it takes messages on meanwhile
+            assert await client.ask(message("n")) == 202
+        assert not old.seen
+        await until(lambda: len(old.seen) == 4)
+        assert time.monotonic() - begun >= core_host.FIRST_LIST_S
+        await host.close()
+    run(work())
+
+
+def test_an_old_agents_answer_that_has_come_is_not_taken_after_a_reload(tmp_path: Path) -> None:
+    """The answer lies in the watch's future when the reload comes: neither its list nor its version may be
+    carried to the new agent, whose versions count anew."""
+    async def work() -> None:
+        state = left_untried(tmp_path, 0)
+        agent, old, new = await old_and_new()
+        other = await Agent().start()
+        host = host_of(state, agent, old)
+        await host.start()
+        await until(lambda: any("hold_ms=0" not in seen.target for seen in agent.seen))  # a watch is open
+        link = host.register.agent.link
+        assert link is not None
+        body = json.dumps(moved(old, new, generation=90))
+        # The answer is read, and the task that waits for it not yet woken, in the moment of the reload.
+        link.data_received(answer(200, body=body))
+        assert link.whole.done()
+        config = host.host.config
+        host.reload(_at(config, other))
+        await until(lambda: bool(other.seen))
+        assert other.seen[0].target == "/v1/servers" and host.register.version == -1
+        assert {each.address for each in host.directory.by_name.values()} == {old.address}
+        other.tell(listing(new, generation=3))
+        await until(lambda: host.register.version == 3)
+        await until(lambda: any("from=3&" in seen.target for seen in other.seen))
+        assert {each.address for each in host.directory.by_name.values()} == {new.address}
+        await host.close()
+    run(work())
+
+
+def _at(config: Config, agent: Server) -> Config:
+    return replace(config, discovery=agent.address)
+
+
+@pytest.mark.parametrize("moment", ("pause", "watch"))
+def test_a_reload_in_a_pause_and_in_a_watch_asks_the_new_agent_at_once(tmp_path: Path, moment: str) -> None:
+    async def work() -> None:
+        state = left_untried(tmp_path, 0)
+        agent, old, new = await old_and_new()
+        other = await Agent().start()
+        host = host_of(state, agent, old)
+        await host.start()
+        if moment == "pause":
+            host.register.asking.pauses.most = host.register.asking.pauses.first = 60_000.0
+            agent.changes.put_nowait(answer(500))
+        await until(lambda: any("hold_ms=0" not in seen.target for seen in agent.seen))
+        if moment == "pause":
+            await until(lambda: host.register.asking.pauses.fails > 0)
+        host.reload(_at(host.host.config, other))
+        await until(lambda: bool(other.seen))
+        other.tell(listing(new, generation=1))
+        await until(lambda: {each.address for each in host.directory.by_name.values()} == {new.address})
+        await host.close()
+    run(work())
+
+
+@pytest.mark.parametrize("text", ("compact", "indented"))
+def test_a_list_that_moves_an_endpoint_to_another_address_is_followed(tmp_path: Path, text: str) -> None:
+    async def work() -> None:
+        state = left_untried(tmp_path, 0)
+        agent, old, new = await old_and_new()
+        host = host_of(state, agent, old)
+        await host.start()
+        raw = listing(new, generation=2, reset=False)
+        (name,) = host.directory.by_name
+        raw["instances"][0]["instanceId"] = name
+        gone = {"instanceId": name, "lifecycle": "gone"}  # one that cannot be read, but for its life
+        raw["instances"] = [gone, *raw["instances"]]
+        agent.changes.put_nowait(answer(200, body=json.dumps(raw, indent=2 if text == "indented" else None)))
+        await until(lambda: host.register.version == 2)
+        async with Client(host.ingress.port) as client:
+            assert await client.ask(message("n")) == 202
+        await until(lambda: len(new.seen) == 1)
+        assert not old.seen
+        await host.close()
+    run(work())
+
+
+def test_a_list_that_is_cut_in_the_middle_changes_nothing_and_is_asked_for_again(tmp_path: Path) -> None:
+    async def work() -> None:
+        state = left_untried(tmp_path, 0)
+        agent, old, new = await old_and_new()
+        host = host_of(state, agent, old)
+        await host.start()
+        await until(lambda: any("hold_ms=0" not in seen.target for seen in agent.seen))
+        whole = answer(200, body=json.dumps(moved(old, new)))
+        agent.changes.put_nowait(whole[:-40])
+        await until(lambda: bool(agent.writers) and len(agent.seen) >= 2)
+        agent.writers[-1].close()  # the rest never comes
+        await until(lambda: len(agent.seen) >= 4)
+        assert host.register.version == 1 and len(host.directory.by_name) == 1
+        agent.tell(moved(old, new))
+        await until(lambda: host.register.version == 2)
+        await host.close()
+    run(work())
+
+
+def test_during_the_drain_of_a_stop_lists_are_still_followed(tmp_path: Path) -> None:
+    """Discovery goes silent and comes back while the process ends: what it holds goes to what stands then."""
+    async def work() -> None:
+        state = left_untried(tmp_path, 0)
+        agent, old, new = await old_and_new()
+        host = host_of(state, agent, old)
+        await host.start()
+        await until(lambda: bool(agent.seen))
+        stopping = asyncio.ensure_future(host.stop())
+        agent.tell(moved(old, new))
+        await until(lambda: host.register.version == 2)
+        async with Client(host.ingress.port) as client:
+            assert await client.ask(message("n")) == 202
+        await until(lambda: len(new.seen) == 1)
+        assert not old.seen
+        await stopping
+    run(work())
+
+
+def test_a_register_asks_another_agent_for_all_it_has(tmp_path: Path) -> None:
+    async def work() -> None:
+        register = Register(("127.0.0.1", 1), 3, 1, shared=False)
+        register.version = 7
+        register.asking.answered()
+        assert isinstance(register.agent, AgentLink)
+        state = left_untried(tmp_path, 0)
+        agent = await Agent().start()
+        host: Running = host_of(state, agent)
+        register.reload(host.host.config)
+        assert register.version == -1 and register.asking.hold() == 0.0
+        assert register.agent.address == agent.address
+        await host.close()
+    run(work())
