An attempt that was out at a kill is remembered as a risk over the second restart too

At fault: records.change, a TRY record took the place of an attempt without an outcome. Recovery makes a risk of such an attempt only if it is the last one; memory knew better, the log did not. Ruled out: the wait for the first list (found on the way: it made a message's times younger, mended with it), outcomes journalled late. Change: a TRY after an attempt without an outcome makes that one the risk. The test plays any sequence of outcomes and kills against a plain account; seen to fail without the change.

--- a/linnetstile/core/turns.py
+++ b/linnetstile/core/turns.py
@@ -23,7 +23,6 @@
         self.turn: asyncio.TimerHandle | None = None
         self.last = 0.0
         self.timer: asyncio.TimerHandle | None = None
-        self.paused = False  # events are gathered, and nothing is decided yet
 
     @staticmethod
     def now() -> float:
@@ -32,19 +31,11 @@
     def feed(self, event: api.Event) -> None:
         """All that comes within a tick is one turn: a busy relay takes few long turns for many short ones."""
         self.events.append(event)
-        if self.turn is None and not self.paused:
+        if self.turn is None:
             wait = max(0.0, self.last + self.tick_ms - self.now()) / 1000
             self.turn = asyncio.get_running_loop().call_later(wait, self.step)
 
-    def go_on(self) -> None:
-        """Decides on all that was gathered during a pause."""
-        if self.paused:
-            self.paused = False
-            self.step()
-
     def step(self) -> None:
-        if self.paused:
-            return
         if self.turn is not None:
             self.turn.cancel()
         self.turn, self.last = None, self.now()
--- a/linnetstile/store/records.py
+++ b/linnetstile/store/records.py
@@ -128,6 +128,10 @@
     back. ValueError if it can't be read."""
     if kind == TRY:
         raw = TRIED.decode(payload)
+        if entry.risk is None:
+            # Guards against a second restart: one that was out when a process ended has no outcome in the
+            # log, though the next process, which knew that it may have run, made another after it.
+            entry.risk = entry.out
         entry.out = Attempt(float(raw.at), raw.endpoint, raw.zone)
         entry.tries += 1
     elif kind == OUT:
--- a/tests/store/test_journal.py
+++ b/tests/store/test_journal.py
@@ -267,3 +267,29 @@
     assert again.entries == journal.entries and again.live == journal.live
     assert again.size == disk(folder)
     again.close()
+
+
+@given(st.lists(st.sampled_from(["ran", "not", "killed"]), min_size=1, max_size=6))
+def test_the_first_attempt_that_may_have_run_is_known_over_any_number_of_restarts(
+    tmp_path_factory: pytest.TempPathFactory, ends: list[str]
+) -> None:
+    """Each attempt ends with an outcome, or its process is killed. Seen to fail for "killed, not, killed":
+    the second restart took the message for one that had surely not run, and a keyed one went to another
+    zone."""
+    folder = tmp_path_factory.mktemp("state")
+    journal = Journal(folder, DISK)
+    journal.take(entry("m"))
+    first: float | None = None
+    for n, how in enumerate(ends):
+        at = 1500.0 + n
+        journal.tried(journal.entries["m"], at, f"s-{n}", n)
+        if how != "not" and first is None:
+            first = at
+        if how == "killed":
+            journal.close()
+            journal = Journal(folder, DISK)
+        else:
+            journal.outcome(journal.entries["m"], how == "ran")
+    journal.close()
+    risk = Journal(folder, DISK).entries["m"].risk
+    assert (None if risk is None else risk.at) == first
