Connections are given up where endpoints hold few; load reports are read; a drain costs no try

At fault: Calls._keep held an idle connection for 12 s, so that few relays had all places; who has one meets no refusal. Change: http/keeping.py decides: such a refusal at one endpoint of a kind ends the keeping at all of that kind for 60 s, and frees what is idle there. An outcome of 'could not connect' is claimed by whether the last byte has left (Link.sent), not by how far the task came: given up in the turn in which the buffer emptied, it claimed a proof that it had not. A call held back by a drain, a wait or a deadline is no try. The decisions hear of endpoints once discovery was asked, with ages as they are then.

--- a/linnetstile/assembly.py
+++ b/linnetstile/assembly.py
@@ -48,7 +48,7 @@
     clients = config.sockets - OWN_SOCKETS - settings.slots - idle - ending
     http = front.Front(host.messages, config, max(1, clients), config.sockets // 12,
                        (sockets or {}).get(CLIENTS))
-    calls = Calls(settings.idle_ms, settings.connect_timeout_ms, idle, ending)
+    calls = Calls(settings.idle_ms, settings.connect_timeout_ms, idle, ending, settings.report_fields)
     register = Register(config.discovery, settings.relays, config.seed, settings.ask_for_list)
     intakes: dict[str, Intake] = {front.NAME: http}
     transport: Transport = calls
--- a/linnetstile/core/attempts.py
+++ b/linnetstile/core/attempts.py
@@ -57,7 +57,7 @@
         begun, entry, attempt = self.turns.now(), held.entry, held.attempts - 1
         permit: Permit | None = None
         known = self.directory.by_number.get(endpoint)
-        result = Result(api.Outcome.NOT_SENT)
+        result = Result(api.Outcome.NOT_SENT, held_back=True)
         try:
             if known is not None and self.permits is not None:
                 permit = Permit(self.permits, self._call(entry, known))
@@ -66,7 +66,7 @@
                 result = await self.transport.attempt(Attempt(
                     endpoint, known.address, entry.id, entry.key, entry.body, until_ms / 1000, gate,
                     careful=self.messages.effect(entry) is api.Effect.UNSAFE,
-                    mark=None if permit is None else permit.said))
+                    mark=None if permit is None else permit.said, kind=known.kind))
         except asyncio.CancelledError:
             result = Result(api.Outcome.CANCELLED)  # by the module, or at the end of the process
         except Exception:
@@ -77,7 +77,7 @@
             permit.over(result, self.turns.now() - begun)
         self._ended(number, held, api.AttemptEnded(
             number, attempt, endpoint, result.outcome, self.turns.now() - begun, result.over, result.wait_ms,
-            result.no_slot))
+            result.no_slot, result.report, result.held_back))
 
     async def _safe(self, gate: Callable[[], bool], until_ms: float) -> bool:
         """Where a record has to outlast a power cut before it counts, it is written before the connection is
--- a/linnetstile/core/directory.py
+++ b/linnetstile/core/directory.py
@@ -16,6 +16,7 @@
     name: str
     entry: Endpoint
     address: Address
+    kind: str = ""  # as listed, also one that the settings do not name
 
     @property
     def key(self) -> Key:
@@ -66,4 +67,4 @@
             kind=self.kinds.index(member.kind) if member.kind in self.kinds else 0,
             zone=self.zones.index(member.zone) if member.zone in self.zones else 0, rate=member.rate,
         )
-        return Known(member.name, entry, member.address)
+        return Known(member.name, entry, member.address, member.kind or "")
--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -50,6 +50,9 @@
         self.merge: Merge | None = None
         self.watching: list[asyncio.Task[None]] = []  # the sources
         self.heard: set[str] = set()  # the sources that have told something to this process
+        # Guards endpoints that drained while this process was away: what discovery has counts as told from
+        # its first moment on, so that the decisions hear of no endpoint, and send nothing, before then.
+        self.open = False
         self.closed = False
         self.permits: Permits | None = None
 
@@ -61,7 +64,7 @@
     def retell(self) -> None:
         """What the rules make of the endpoints has changed: the decisions hear of all of them anew."""
         entries = tuple(known.entry for known in self.directory.by_number.values())
-        if entries:
+        if entries and self.open:
             self.turns.feed(self._ruled(api.EndpointList(api.ListKind.CHANGES, entries)))
 
     def _ruled(self, event: api.EndpointList) -> api.EndpointList:
@@ -85,19 +88,12 @@
 
     async def start(self, known: Update | None = None) -> None:
         """With the members as they were last known, if any; from its end on messages are taken."""
-        # Guards endpoints that drained while this process was away: what discovery has counts as told from
-        # its first moment on, so that nothing goes out by an old list before it was asked for the new one.
-        self.turns.paused = bool(self.sources)
-        if known is not None:
-            self.listed(known)
-        for lane in self.learned.load(unix_ms()):
-            self.turns.feed(lane)
+        self._take(known or Update(whole=False))
         self.messages.resume(self.directory.number)
+        self.turns.step()
         self._watch()
-        if self.turns.paused:
-            asyncio.get_running_loop().call_later(FIRST_LIST_S, self.turns.go_on)
-        else:
-            self.turns.step()
+        wait_s = FIRST_LIST_S if self.sources else 0.0
+        asyncio.get_running_loop().call_later(wait_s, self._go_by_what_is_known)
         self.tasks.start(self._sweep())
         if self.journal.durability is not None:
             self.tasks.start(self.journal.durability.run())
@@ -161,7 +157,7 @@
             intake.stop()
         await self.tasks.cancel()
         self.turns.stop()
-        self.learned.save(unix_ms(), self.relay.learned(self.turns.now()))
+        self._keep_learned()
         for intake in self.intakes.values():
             await intake.close()
         self.transport.close()
@@ -180,10 +176,15 @@
                 self.messages.forget()
                 self.messages.know({known.entry.destination for known in self.directory.by_number.values()})
                 self.journal.tidy(unix_ms())
-                self.learned.save(unix_ms(), self.relay.learned(self.turns.now()))
+                self._keep_learned()
             except Exception:
                 log.exception("tidying failed")  # and is tried again: without it the folder fills
 
+    def _keep_learned(self) -> None:
+        """What an earlier process learned stays until this one goes by it."""
+        if self.open:
+            self.learned.save(unix_ms(), self.relay.learned(self.turns.now()))
+
     # -- what the decisions say --------------------------------------------------------------------------
 
     def _act(self, action: api.Action) -> None:
@@ -221,7 +222,15 @@
         if self.watching:
             self.heard.add(update.source)
             if len(self.heard) >= len(self.sources):
-                self.turns.go_on()
+                self._go_by_what_is_known()
+
+    def _go_by_what_is_known(self) -> None:
+        """From now on messages are sent."""
+        if not self.open and not self.closed:
+            self.open = True
+            self.retell()
+            for lane in self.learned.load(unix_ms()):
+                self.turns.feed(lane)
 
     def _take(self, update: Update) -> None:
         if self.merge is not None:
@@ -237,4 +246,5 @@
         else:
             for key, listed in changed:
                 self.transport.changed(key, listed)
-        self.turns.feed(self._ruled(event))
+        if self.open:
+            self.turns.feed(self._ruled(event))
--- a/linnetstile/core/seams.py
+++ b/linnetstile/core/seams.py
@@ -169,6 +169,7 @@
     may_write: Callable[[], bool]  # asked right before the first byte, and the last if it is held back
     careful: bool = False  # an unclear outcome would be final
     mark: Callable[[], str] | None = None  # by which rules it is made, if there are any
+    kind: str = ""  # of the endpoint, as it is listed
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +180,8 @@
     wait_ms: float = 0.0
     no_slot: bool = False
     over: bool = False  # the endpoint says that nothing more is owed
+    held_back: bool = False  # nothing of it went out: with Outcome.NOT_SENT
+    report: tuple[float, ...] = ()  # what the endpoint says of its load, in the order of the settings
 
 
 class Transport(Protocol):
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -171,6 +171,7 @@
         if held is None or held.out is None:
             return
         door, held.out = held.out, None
+        held.tries -= event.held_back
         self.busy -= 1
         door.out -= 1
         door.lane.out.pop(event.id, None)
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -179,6 +179,7 @@
     longest_advice_ms: float = 0.0  # longest stay-away a client heeds; 0 = no advice
     cross_zone_price: float = 0.0
     route_fees: tuple[float, ...] = ()  # by zone
+    report_fields: tuple[str, ...] = ()  # what answers may report, in this order
     limit_report: tuple[int, int] | None = None  # where a report holds share left and limit a second
     safety: Safety = Safety()
     goal: Goal = Goal()
@@ -238,6 +239,7 @@
     wait_ms: float = 0.0  # told with Outcome.FULL
     no_slot: bool = False  # with Outcome.NOT_SENT
     report: tuple[float, ...] = ()
+    held_back: bool = False  # nothing of it went out, with Outcome.NOT_SENT: no try
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/decisions/settings.py
+++ b/linnetstile/decisions/settings.py
@@ -145,6 +145,7 @@
         marks_repeats=raw.client_habits.marks_retry,
         longest_advice_ms=limits.max_retry_after_ms,  # told also where few clients heed it
         cross_zone_price=raw.prices.cross_zone, route_fees=tuple(extra.carriage),
+        report_fields=tuple(fields),
         limit_report=(fields.index("x0"), fields.index("x1")) if {"x0", "x1"} <= set(fields) else None,
         safety=_safety(raw.safety),
         goal=api.Goal(raw.goal.whole, raw.goal.worst_window, raw.goal.worst_class, raw.goal.worst_tenant),
--- a/linnetstile/http/calls.py
+++ b/linnetstile/http/calls.py
@@ -5,10 +5,11 @@
 import asyncio
 import math
 from collections import OrderedDict
+from dataclasses import dataclass, replace
 
-from ..config import Address
 from ..core.seams import Attempt, Key, Result
 from ..decisions.interface import Outcome
+from .keeping import Keeping, no_place
 from .link import Head, Link, LinkLost
 
 IDLE_SHARE = 0.8  # of the idle limit: an older connection may be closed while a call is written to it
@@ -39,6 +40,20 @@
             return Result(Outcome.ERROR)
 
 
+def report_of(head: Head, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """What an answer says of the endpoint's load, in this order; empty if it cannot be read whole."""
+    kind, _, text = head.headers.get("endpoint-load-metrics", "").partition(" ")
+    if not fields or kind != "TEXT":
+        return ()
+    pairs = (part.split("=", 1) for part in text.split(",") if "=" in part)
+    said = {name.strip(): value for name, value in pairs}
+    try:
+        found = tuple(float(said[field]) for field in fields)
+    except (KeyError, ValueError):
+        return ()
+    return found if all(math.isfinite(value) and value >= 0 for value in found) else ()
+
+
 def told_wait(text: str) -> float:
     try:
         wait = float(text)
@@ -47,10 +62,33 @@
     return wait if wait > 0 and math.isfinite(wait) else 0.0
 
 
+@dataclass(slots=True)
+class Out:
+    """The connection that one call is on."""
+
+    link: Link | None = None
+
+    @property
+    def may_run(self) -> bool:
+        """Its last byte has left. Before that the endpoint never had the whole call."""
+        return self.link is not None and self.link.sent
+
+    def take(self, link: Link) -> Link:
+        self.link, link.sent = link, False  # what was sent on it before is over
+        return link
+
+    def drop(self) -> None:
+        if self.link is not None:
+            self.link.close()
+            self.link = None
+
+
 class Calls:
     def __init__(
-        self, idle_ms: float, connect_timeout_ms: float, most_idle: int, most_ending: int = 16
+        self, idle_ms: float, connect_timeout_ms: float, most_idle: int, most_ending: int = 16,
+        report_fields: tuple[str, ...] = ()
     ) -> None:
+        self.report_fields, self.keeping = report_fields, Keeping()
         self.idle_s = IDLE_SHARE * idle_ms / 1000
         self.connect_s = connect_timeout_ms / 1000 or None
         self.most_idle = most_idle
@@ -63,49 +101,61 @@
 
     async def attempt(self, attempt: Attempt) -> Result:
         """Makes one call; giving up closes its connection, which frees the slot at the endpoint."""
-        link: Link | None = None
-        key, wait = (attempt.endpoint, attempt.address), 0.0
+        out, key, wait = Out(), (attempt.endpoint, attempt.address), 0.0
         try:
             async with asyncio.timeout_at(attempt.give_up_at):
-                link = await self._written(attempt, key)
+                link = await self._written(attempt, key, out)
                 if link is None:
-                    return Result(Outcome.NOT_SENT)
+                    return Result(Outcome.NOT_SENT, held_back=True)
                 if await link.status == 200:
                     # True also if the rest of the answer is spoilt: the message is over.
-                    answer = Result(Outcome.OK, over=True)
+                    answer = Result(Outcome.OK, over=True, report=self._report(link))
                 else:
-                    answer = answer_of(await link.head)
+                    head = await link.head
+                    answer = replace(answer_of(head), report=report_of(head, self.report_fields))
+                    if no_place(head.status, head.headers, link.calls, answer.wait_ms):
+                        self._no_place(attempt.kind)
                 if answer.outcome.proves_no_effect:
                     # Guards unsafe messages: what looks like a refusal but does not end as one is spoilt,
                     # and a spoilt answer's request has run.
                     wait = answer.wait_ms
                     async with asyncio.timeout(BODY_S):
                         await link.whole
+            out.link = None
             self._after_body(key, link)
-            link = None
             return answer
         except TimeoutError:
-            # Connecting or writing took all the time: the endpoint never had the whole attempt.
-            return Result(Outcome.TIMEOUT if link else Outcome.CONNECT_FAILED, wait_ms=wait)
+            return Result(Outcome.TIMEOUT if out.may_run else Outcome.CONNECT_FAILED, wait_ms=wait)
         except LinkLost:
-            if link is not None and link.calls > 1:
+            if out.link is not None and out.may_run and out.link.calls > 1:
                 self.broke_at = asyncio.get_running_loop().time()
-            return Result(Outcome.RESET if link else Outcome.CONNECT_FAILED, wait_ms=wait)
+            return Result(Outcome.RESET if out.may_run else Outcome.CONNECT_FAILED, wait_ms=wait)
         finally:
-            if link is not None:
+            out.drop()
+
+    def _report(self, link: Link) -> tuple[float, ...]:
+        """Of an answer whose first line is enough, as far as the rest has come."""
+        come = link.head.done() and link.head.exception() is None
+        return report_of(link.head.result(), self.report_fields) if come else ()
+
+    def _no_place(self, kind: str) -> None:
+        """Frees the places that this relay holds at other endpoints of that kind, idle."""
+        if self.keeping.refused(kind, asyncio.get_running_loop().time()):
+            for link, key in [(link, key) for link, key in self.aged.items() if link.kind == kind]:
+                self._remove(link, key)
                 link.close()
 
-    async def _written(self, attempt: Attempt, key: Key) -> Link | None:
+    async def _written(self, attempt: Attempt, key: Key, out: Out) -> Link | None:
         """A connection with the whole call on it; None if it may not go out after all. One that was kept and
         breaks before the last byte tells nothing of the endpoint: the call goes on another at once."""
         for may_be_kept in (True, True, False):
             link = self._pooled(key) if may_be_kept else None
             kept = link is not None
-            link = link or await self._connect(attempt.address)
+            link = out.take(link or await self._connect(attempt))
             try:
                 if not attempt.may_write():
+                    out.link = None
                     self._keep(key, link)
-                    link = None
                     return None
                 hold_s = self._hold_s(attempt, kept)
                 await link.send("POST", "/inbox", self._headers(attempt), attempt.body, hold_s)
@@ -113,15 +163,12 @@
                     if not attempt.may_write():  # the time until the last byte counts too
                         return None
                     await link.finish()
-                whole, link = link, None
-                return whole
+                return link
             except LinkLost:
-                if not kept:
+                if not kept or out.may_run:
                     raise
                 self.broke_at = asyncio.get_running_loop().time()
-            finally:
-                if link is not None:
-                    link.close()
+                out.drop()
         raise LinkLost("no connection stays up")
 
     def _hold_s(self, attempt: Attempt, kept: bool) -> float:
@@ -191,14 +238,19 @@
             link.close()
         return None
 
-    async def _connect(self, address: Address) -> Link:
+    async def _connect(self, attempt: Attempt) -> Link:
         async with asyncio.timeout(self.connect_s):
-            return await Link.open(address, BODY_BYTES)
+            link = await Link.open(attempt.address, BODY_BYTES)
+        link.kind = attempt.kind
+        return link
 
     def _keep(self, key: Key, link: Link) -> None:
         if not link.usable or self.listed is not None and key not in self.listed:
             link.close()
             return
+        if not self.keeping.keeps(link.kind, asyncio.get_running_loop().time()):
+            link.close()
+            return
         if len(self.aged) >= self.most_idle:
             oldest, its = next(iter(self.aged.items()))
             self._remove(oldest, its)
--- a/linnetstile/http/link.py
+++ b/linnetstile/http/link.py
@@ -89,6 +89,8 @@
         self.idle_since = loop.time()
         self.busy = False
         self.last_byte = b""  # of a request that is written but for it
+        self.sent = False  # the last byte of the latest request has left: from then on it may run
+        self.sending_last = False  # what waits in the buffer ends with that byte
         self.status: asyncio.Future[int] = loop.create_future()  # by the first line, whatever comes after it
         self.head: asyncio.Future[Head] = loop.create_future()
         self.whole: asyncio.Future[bytes] = loop.create_future()
@@ -97,6 +99,7 @@
         self.body = bytearray()
         self.pieces = 0
         self.calls = 0  # this one included
+        self.kind = ""  # of the endpoint that it leads to
 
     @classmethod
     async def open(cls, address: Address, body_bytes: int) -> Link:
@@ -131,16 +134,16 @@
         self.status, self.head, self.whole = loop.create_future(), loop.create_future(), loop.create_future()
         self.start.clear()
         self.body.clear()
-        self.http, self.method = None, method
+        self.http, self.method, self.sent = None, method, False
         data = plain_request(method, target, headers, body)
         if hold_s > 0:
             self.last_byte = data[-1:]
-            await self._write(self.transport, data[:-1])
+            await self._write(self.transport, data[:-1], last=False)
             await asyncio.wait([self.status], timeout=hold_s)
             if self.status.done():
                 raise LinkLost("the connection broke before the request was whole")
         else:
-            await self._write(self.transport, data)
+            await self._write(self.transport, data, last=True)
 
     async def finish(self) -> None:
         """Writes what `send` held back."""
@@ -148,9 +151,11 @@
             raise LinkLost("the connection broke before the request was whole")
         last, self.last_byte = self.last_byte, b""
         if last:
-            await self._write(self.transport, last)
+            await self._write(self.transport, last, last=True)
 
-    async def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+    async def _write(self, transport: asyncio.Transport, data: bytes, last: bool) -> None:
+        """`sent` is set where the byte leaves, not where this task is woken: it may be given up between."""
+        self.sending_last = last
         transport.write(data)
         # A first write that fails closes the transport at once, and has not taken the whole request.
         if transport.is_closing():
@@ -158,6 +163,8 @@
         if transport.get_write_buffer_size():
             self.flushed = asyncio.get_running_loop().create_future()
             await self.flushed
+        else:
+            self.sent = last
 
     async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> tuple[Head, bytes]:
         """One request and its whole answer."""
@@ -176,6 +183,7 @@
         pass
 
     def resume_writing(self) -> None:
+        self.sent = self.sent or self.sending_last
         if self.flushed is not None and not self.flushed.done():
             self.flushed.set_result(None)
 
--- /dev/null
+++ b/tests/http/test_calls.py
@@ -0,0 +1,277 @@
+"""Calls whose end comes in the worst moment, and endpoints that hold few connections."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from linnetstile.core.seams import Attempt, Result
+from linnetstile.decisions import interface as api
+from linnetstile.decisions.interface import Outcome
+from linnetstile.http.calls import Calls, report_of
+from linnetstile.http.keeping import SCARCE_S, Keeping, no_place
+from linnetstile.http.link import Head, Link
+
+from ..conftest import Driver, make_settings
+from ..loopback import OK, Server, answer, run, until
+
+NO_PLACE = answer(503, "Connection: close")
+
+
+def attempt(address: tuple[str, int], body: bytes = b"b", endpoint: int = 1, kind: str = "k",
+            may: Callable[[], bool] = lambda: True, careful: bool = False, seconds: float = 20.0) -> Attempt:
+    give_up_at = asyncio.get_running_loop().time() + seconds
+    return Attempt(endpoint, address, "id", "key", body, give_up_at, may, careful, kind=kind)
+
+
+# -- may it have run? --------------------------------------------------------------------------------------
+
+
+def test_a_call_given_up_as_its_last_byte_leaves_may_have_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The buffer is written out and the time is up in one turn of the loop: the task is woken by the
+    time-out. Seen to fail where the end of `_written` was taken for the last byte: "could not connect" was
+    claimed, which proves that nothing ran, and the endpoint had the whole call."""
+    size = 8 << 20
+    limits: list[asyncio.Timeout] = []
+    timeout_at, resume = asyncio.timeout_at, Link.resume_writing
+
+    def noted(when: float | None) -> asyncio.Timeout:
+        limits.append(timeout_at(when))
+        return limits[-1]
+
+    def up_now(self: Link) -> None:
+        limits[0].reschedule(asyncio.get_running_loop().time() - 1)
+        resume(self)
+
+    monkeypatch.setattr(asyncio, "timeout_at", noted)
+    monkeypatch.setattr(Link, "resume_writing", up_now)
+
+    async def work() -> None:
+        got, gate = asyncio.Queue[int](), asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            got.put_nowait(len(await reader.read()))
+            writer.close()
+
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind(("127.0.0.1", 0))
+        server = await asyncio.start_server(serve, sock=sock, limit=1 << 16)
+        made = asyncio.ensure_future(Calls(60000.0, 20000.0, 10).attempt(
+            attempt(sock.getsockname(), b"x" * size)))
+        await until(lambda: bool(limits))
+        gate.set()
+        assert (await made).outcome is Outcome.TIMEOUT
+        assert await got.get() > size  # the endpoint has all of it, its head too
+        server.close()
+    run(work())
+
+
+def test_a_call_given_up_before_its_last_byte_proves_that_nothing_ran() -> None:
+    """The endpoint reads nothing: most of a large call still lies in the buffer when the time is up."""
+    async def work() -> None:
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sock.listen()
+        result = await Calls(60000.0, 20000.0, 10).attempt(
+            attempt(sock.getsockname(), b"x" * (32 << 20), seconds=0.2))
+        assert result == Result(Outcome.CONNECT_FAILED)
+        sock.close()
+    run(work())
+
+
+def test_a_connection_that_comes_up_after_the_call_was_given_up_carries_nothing() -> None:
+    """The listener's queue is full, so that the connection comes up only once others were taken from it."""
+    async def work() -> None:
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(0)
+        crowd = [socket.socket() for _ in range(2)]
+        for each in crowd:
+            each.setblocking(False)
+            each.connect_ex(sock.getsockname())
+        result = await Calls(60000.0, 20000.0, 10).attempt(attempt(sock.getsockname(), seconds=0.3))
+        assert result == Result(Outcome.CONNECT_FAILED)
+        sock.setblocking(False)
+        loop, came = asyncio.get_running_loop(), list[bytes]()
+        for _ in crowd:
+            taken, _ = await loop.sock_accept(sock)
+            taken.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                came.append(taken.recv(100))
+            taken.close()
+        assert not came
+        for each in (*crowd, sock):
+            each.close()
+    run(work())
+
+
+@pytest.mark.parametrize(("reply", "outcome"), [
+    (b"HTTP/1.1 20", Outcome.RESET), (b"HTTP/1.1 429 X\r\nX-RateLimit-Wa", Outcome.RESET),
+    (b"HTTP/1.1 429 X\r\nContent-Length: 10\r\n\r\nabc", Outcome.RESET),
+    (b"HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", Outcome.RESET),
+])
+def test_an_answer_that_stops_short_is_no_proof(reply: bytes, outcome: Outcome) -> None:
+    async def work() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\nb")
+            writer.write(reply)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        result = await Calls(60000.0, 20000.0, 10).attempt(attempt(server.sockets[0].getsockname()[:2]))
+        assert result.outcome is outcome and not result.outcome.proves_no_effect
+        server.close()
+    run(work())
+
+
+# -- held back ---------------------------------------------------------------------------------------------
+
+
+def test_a_call_held_back_by_a_drain_is_no_try() -> None:
+    """Ten endpoints drain while connections to them come up: the message has all its attempts left, and
+    goes to the next. Seen to fail where each of them counted: after five of five it was failed."""
+    driver = Driver(make_settings(attempts=5))
+    driver.listed(*((n, 1) for n in range(1, 12)))
+    ident = driver.message()
+    for _ in range(10):
+        send = driver.out[ident]
+        ended = api.AttemptEnded(ident, 0, send.endpoint, Outcome.NOT_SENT, held_back=True)
+        driver.feed(api.EndpointList(api.ListKind.CHANGES, (
+            api.Endpoint(send.endpoint, 1, api.Listing.DRAINING),)), ended)
+        del driver.out[ident]
+        driver.pass_time(500)
+    assert ident in driver.out and ident not in driver.ended
+
+
+def test_a_call_that_an_endpoint_turned_away_unsent_is_one() -> None:
+    driver = Driver(make_settings(attempts=3))
+    driver.listed((1, 1))
+    ident = driver.message()
+    for _ in range(3):
+        driver.feed(api.AttemptEnded(ident, 0, driver.out.pop(ident).endpoint, Outcome.NOT_SENT))
+        driver.pass_time(3000)
+    assert ident in driver.ended
+
+
+# -- few connections ---------------------------------------------------------------------------------------
+
+
+class Narrow(Server):
+    """An endpoint that holds `most` connections, idle ones counted."""
+
+    def __init__(self, most: int) -> None:
+        super().__init__()
+        self.most, self.now, self.turned_away, self.gate = most, 0, 0, asyncio.Event()
+        self.gate.set()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.now += 1
+        try:
+            if self.now > self.most:
+                self.turned_away += 1
+                await reader.readuntil(b"\r\n\r\nb")
+                writer.write(NO_PLACE)
+                writer.close()
+                return
+            await super()._serve(reader, writer)
+        finally:
+            self.now -= 1
+
+    async def reply(self, seen: Any) -> bytes:
+        await self.gate.wait()
+        return OK
+
+
+async def calls_of(relays: list[Calls], *servers: Server) -> int:
+    """Each relay calls each endpoint, beginning with another one, again and again until all have had an
+    answer; how many were turned away meanwhile."""
+    async def one(first: int, calls: Calls) -> int:
+        refused = 0
+        for n in [(first + step) % len(servers) for step in range(len(servers))]:
+            server = servers[n]
+            while (await calls.attempt(attempt(server.address, endpoint=n))).outcome is Outcome.FULL:
+                refused += 1
+                assert refused < 200, "the idle connections of others keep its place"
+                await asyncio.sleep(0)
+        return refused
+    return sum(await asyncio.gather(*(one(n, calls) for n, calls in enumerate(relays))))
+
+
+def test_where_endpoints_hold_few_connections_idle_ones_make_room_for_others() -> None:
+    """Six relays, two endpoints with three places each. Seen to fail where connections were kept: three of
+    six relays were turned away each time, for good."""
+    async def work() -> None:
+        narrow = [Narrow(3), Narrow(3)]
+        for server in narrow:
+            await server.start()
+        relays = [Calls(60000.0, 20000.0, 10) for _ in range(6)]
+        for _ in range(3):
+            await calls_of(relays, *narrow)
+        assert not any(calls.aged for calls in relays)
+        for calls in relays:
+            calls.close()
+    run(work())
+
+
+def test_a_place_held_idle_at_another_endpoint_of_the_kind_is_given_up() -> None:
+    """Whoever has a place meets no refusal there itself."""
+    async def work() -> None:
+        roomy, full, other = Server(), Server(usual=NO_PLACE), Server()
+        for server in (roomy, full, other):
+            await server.start()
+        calls = Calls(60000.0, 20000.0, 10)
+        await calls.attempt(attempt(roomy.address, endpoint=1, kind="small"))
+        await calls.attempt(attempt(other.address, endpoint=2, kind="large"))
+        await until(lambda: len(calls.aged) == 2)
+        result = await calls.attempt(attempt(full.address, endpoint=3, kind="small"))
+        assert result.outcome is Outcome.FULL
+        assert [key[0] for key in calls.aged.values()] == [2]  # of the other kind nothing is known
+        await until(roomy.left)
+        calls.close()
+    run(work())
+
+
+def test_other_refusals_leave_connections_alone() -> None:
+    assert no_place(503, {"connection": "Close"}, 1, 0.0)
+    assert not no_place(503, {}, 1, 0.0)  # above a limit, shut, or its queue is full
+    assert not no_place(503, {"connection": "close"}, 2, 0.0)  # it had a place
+    assert not no_place(503, {"connection": "close"}, 1, 300.0)  # told when to come: no matter of places
+    assert not no_place(429, {"connection": "close"}, 1, 0.0)
+
+
+def test_places_are_scarce_for_a_while() -> None:
+    keeping = Keeping()
+    assert keeping.keeps("k", 0.0) and keeping.refused("k", 10.0) and not keeping.refused("k", 20.0)
+    assert not keeping.keeps("k", 20.0 + SCARCE_S) and keeping.keeps("k", 20.1 + SCARCE_S)
+    assert keeping.keeps("other", 20.0)
+
+
+# -- reports -----------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("text", "report"), [
+    ("TEXT x0=0.852, x1=482.401", (0.852, 482.401)), ("TEXT x1=2,x0=1", (1.0, 2.0)),
+    ("TEXT x0=0.5", ()), ("TEXT x0=nan, x1=2", ()), ("TEXT x0=-1, x1=2", ()), ("TEXT x0=1e999, x1=2", ()),
+    ("JSON x0=1, x1=2", ()), ("\xff", ()), ("", ()), ("TEXT x0=0.5, x1=2, x9=y", (0.5, 2.0)),
+])
+def test_a_load_report_is_read_in_the_order_of_the_settings(text: str, report: tuple[float, ...]) -> None:
+    assert report_of(Head(200, {"endpoint-load-metrics": text}), ("x0", "x1")) == report
+    assert report_of(Head(200, {"endpoint-load-metrics": text}), ()) == ()
+
+
+@pytest.mark.parametrize("status", (200, 429, 500))
+def test_any_answer_may_carry_a_report(status: int) -> None:
+    async def work() -> None:
+        server = await Server(usual=answer(status, "Endpoint-Load-Metrics: TEXT x0=0.4, x1=25")).start()
+        calls = Calls(60000.0, 20000.0, 10, report_fields=("x0", "x1"))
+        assert (await calls.attempt(attempt(server.address))).report == (0.4, 25.0)
+        calls.close()
+    run(work())
+
+
--- a/tests/http/test_discovery.py
+++ b/tests/http/test_discovery.py
@@ -46,7 +46,7 @@
 
 
 def test_what_a_restart_found_does_not_go_where_the_first_answer_says_drain(tmp_path: Path) -> None:
-    """The operators' sighting on the days of rolling restarts. Seen to fail without the pause of the turns:
+    """The operators' sighting on the days of rolling restarts. Seen to fail without the wait for it:
     two of three went to the endpoint that had drained while the process was away."""
     async def work() -> None:
         state = left_untried(tmp_path, 3)
@@ -206,3 +206,39 @@
         assert register.agent.address == agent.address
         await host.close()
     run(work())
+
+
+def test_the_wait_for_the_first_list_makes_nothing_younger(tmp_path: Path) -> None:
+    """Seen to fail where events were gathered during the wait: a message's end and its key's window, told as
+    times to go, came later by the wait, and a keyed message was sent again half a second past its window."""
+    async def work() -> None:
+        state = tmp_path / "state"
+        state.mkdir()
+        journal, now = Journal(state, 3_000_000), unix_ms()
+        entry = Entry("k", "keyed", "t", 7, "key", now - 5000, now + 9000, "", b"hello")
+        journal.take(entry)
+        journal.tried(entry, now - 3800.0, "s-old", 0)  # window 4 s: over before the wait is
+        journal.close()
+        agent, old, _ = await old_and_new()
+        agent.silent = True
+        host = host_of(state, agent, old)
+        await host.start()
+        assert (await agent.notices.get())["id"] == "k"
+        assert not old.seen
+        await host.close()
+    run(work())
+
+
+def test_a_stop_before_the_first_list_keeps_what_an_earlier_process_learned(tmp_path: Path) -> None:
+    async def work() -> None:
+        state = left_untried(tmp_path, 0)
+        agent, old, _ = await old_and_new()
+        agent.silent = True
+        lane = {"destination": 7, "wait_ms": 30000.0, "out": False, "bad_ms": None, "cold_ms": None}
+        text = json.dumps({"version": 1, "at": unix_ms(), "lanes": [lane]})
+        (state / "learned").write_text(text)
+        host = host_of(state, agent, old)
+        await host.start()
+        await host.close()
+        assert (state / "learned").read_text() == text
+    run(work())
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -174,7 +174,7 @@
     async def work() -> None:
         server, calls, may = await Server().start(), egress(), iter([True, False])
         assert await calls.attempt(call(server.address, careful=True, may=lambda: next(may))) == Result(
-            Outcome.NOT_SENT)
+            Outcome.NOT_SENT, held_back=True)
         await until(server.left)
         assert server.opened == 1 and not server.seen and not calls.idle
     run(work())
@@ -276,7 +276,7 @@
     async def work() -> None:
         server, calls = await Server().start(), egress()
         got = await calls.attempt(call(server.address, may=lambda: False))
-        assert got == Result(Outcome.NOT_SENT)
+        assert got == Result(Outcome.NOT_SENT, held_back=True)
         assert (await calls.attempt(call(server.address))).outcome is Outcome.OK
         assert len(server.seen) == 1 and server.opened == 1
     run(work())
