One way to end a client's connection; connections are taken only while there is room

Seen in the code, and then made to happen over real sockets: a last answer, a stop, an idle time-out and an eviction each ended in transport.close(); bytes that lay unread reset the connection (a client that sends again in that moment), a request on a resting connection in the moment of SIGTERM was cut, the listener's queue was reset when it closed (asyncio closes it with what waits in it), and with no room a connection was accepted and aborted. A 202 that waited for its sync past the connection's time was answered 408 while the message stayed deliverable until the connection had gone. Change: intake._end_sending ends every connection: last answer, end of sending, then reading and dropping for a bounded time. A stop leaves alone what has bytes unread and gives one that has just come its 0.25 s. http/listener.py accepts 16 in a turn at most and only while there is room (asyncio took up to 512 before the first was looked at), pauses on EMFILE, and takes its queue before it closes. A message whose 202 may not be said is withdrawn before its client hears 503 (500 if a call was out). tests/test_clients.py: with all places in use a newcomer was expected to be closed; it waits in the system's queue now, and the test asks that it is not taken, costs no place, and is answered once there is room. Measured: 15 new tests; each guard taken out by hand: connection reset, empty answer, or 408, as named in the tests.

--- a/linnetstile/assembly.py
+++ b/linnetstile/assembly.py
@@ -16,6 +16,7 @@
 from .fleet.handover import CLIENTS
 from .http import front
 from .http.calls import Calls
+from .http.listener import AT_ONCE
 from .http.register import Register
 from .logs import Note
 from .membership.merge import Merge
@@ -23,7 +24,8 @@
 log = logging.getLogger(__name__)
 
 REGISTER, AMQP = "", "amqp"  # sources of members, by the name that their updates have
-OWN_SOCKETS = 24  # the loop's, the log's, the listener's, the journal's and two agents' descriptors
+OWN_SOCKETS = 24 + AT_ONCE  # the loop's, the log's, the listener's, the journal's, two agents' and a file's
+# descriptors, and those of connections that are just being taken
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -121,14 +121,16 @@
         if len(offer.body) > BODY_BYTES:
             raise Malformed("body", f"holds {BODY_BYTES} bytes at most")
 
-    def withdraw(self, ident: str) -> None:
+    def withdraw(self, ident: str) -> bool:
         """Its client never read the answer, and hands it in again under another id."""
         number = self.numbers.get(ident)
+        untried = number is not None and not self.held[number].attempts
         if number is not None:
             held = self.held[number]
             self.write(lambda: self.journal.withdrawn(held.entry))
             self.let_go(number)
             self.feed(api.Withdrawn(number))
+        return untried
 
     def told(self, idents: list[str]) -> None:
         self.write(lambda: self.journal.told(idents))
--- a/linnetstile/core/seams.py
+++ b/linnetstile/core/seams.py
@@ -76,8 +76,9 @@
     def take(self, offer: Offer) -> Receipt:
         """Journals it and owes its end, or refuses it. Raises Malformed."""
 
-    def withdraw(self, ident: str) -> None:
-        """Its client cannot have heard that it was taken, and hands it in again under another id."""
+    def withdraw(self, ident: str) -> bool:
+        """Its client cannot have heard that it was taken, and hands it in again under another id. True:
+        nothing of it has gone out."""
 
     def told(self, idents: list[str]) -> None:
         """Their ends have been passed on for good."""
--- a/linnetstile/http/front.py
+++ b/linnetstile/http/front.py
@@ -31,7 +31,7 @@
     async def open(self) -> None:
         self.telling = self.tasks.start(self.notices.run())
         self.tasks.start(self.clients.watch())
-        await self.clients.listen(*self.listen, self.handed)
+        self.clients.listen(*self.listen, self.handed)
 
     def end(self, end: End) -> None:
         self.notices.add(end.id, end.state, end.after_ms)
