What a restart left untried keeps its place; an earlier attempt's age by the clock that never steps

Need: what a restart finds taken on and untried is tried; a repeat window may be 1 s. The age of an attempt of an earlier process hung on the wall clock alone. Change: what was left is taken up with the lists, the earliest end first, counted as held until then; poorest() leaves what is untried; a TRY record has the system's monotonic clock beside the wall clock (older versions pass it over), and the larger age holds; an attempt from the future with nothing else known is past any window.

--- a/linnetstile/core/attempts.py
+++ b/linnetstile/core/attempts.py
@@ -112,7 +112,7 @@
             if permit is not None and not permit.given():
                 return False
             noted = noted or self.messages.write(lambda: self.messages.journal.tried(
-                entry, unix_ms(), known.name, known.entry.zone))
+                entry, unix_ms(), known.name, known.entry.zone, self.turns.now()))
             return noted
 
         return may_write
--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -89,8 +89,7 @@
     async def start(self, known: Update | None = None) -> None:
         """With the members as they were last known, if any; from its end on messages are taken."""
         self._take(known or Update(whole=False))
-        self.messages.resume(self.directory.number)
-        self.turns.step()
+        self.messages.know({entry.dest for entry in self.messages.left})
         self._watch()
         wait_s = FIRST_LIST_S if self.sources else 0.0
         asyncio.get_running_loop().call_later(wait_s, self._go_by_what_is_known)
@@ -139,7 +138,7 @@
     @property
     def idle(self) -> bool:
         """Nothing is owed to anybody."""
-        return not (self.messages.held or self.unsettled or self.messages.unsaid)
+        return not (self.messages.holding or self.unsettled or self.messages.unsaid)
 
     @property
     def reading(self) -> int:
@@ -231,6 +230,7 @@
             self.retell()
             for lane in self.learned.load(unix_ms()):
                 self.turns.feed(lane)
+            self.messages.resume(self.directory.number)
 
     def _take(self, update: Update) -> None:
         if self.merge is not None:
--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -13,7 +13,7 @@
 from ..decisions import interface as api
 from ..decisions.endings import CROWDED
 from ..logs import Note
-from ..store.journal import Entry, Journal, JournalError
+from ..store.journal import Attempt, Entry, Journal, JournalError
 from .seams import End, Malformed, Offer, Receipt
 
 log = logging.getLogger(__name__)
@@ -55,6 +55,8 @@
         self.tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
         self.dests: dict[int, float] = {}  # each destination listed of late, and until when it is known
         self.held: dict[int, Held] = {}
+        # Left by an earlier process, and taken up by `resume`: the earliest end first.
+        self.left = sorted((one for one in journal.entries.values() if one.owed), key=lambda one: one.due)
         self.numbers: dict[str, int] = {}
         self.last_number = 0
         self.unsaid: list[Entry] = []  # ended, but the journal does not take it yet: no more than are held
@@ -66,9 +68,13 @@
 
     # -- the desk ----------------------------------------------------------------------------------------
 
+    @property
+    def holding(self) -> int:
+        return len(self.held) + len(self.left)
+
     @property
     def roomy(self) -> bool:
-        return len(self.held) + 1 < CROWDED * self.settings.hold and not self.retiring
+        return self.holding + 1 < CROWDED * self.settings.hold and not self.retiring
 
     def take(self, offer: Offer) -> Receipt:
         """All of it happens before the next event of the loop."""
@@ -82,10 +88,10 @@
         barred = self.bars(offer.dest, offer.class_) if self.bars is not None else ""
         if barred:
             return Receipt(False, why=barred, retry_s=RETRY_S)
-        if len(self.held) >= self.settings.hold:
+        if self.holding >= self.settings.hold:
             return Receipt(False, why="this relay holds as many messages as it may", retry_s=RETRY_S)
         message = self._message(offer, float(offer.left_ms))
-        come_ms = self.turned_away(message, len(self.held))
+        come_ms = self.turned_away(message, self.holding)
         if come_ms is not None:
             self.tally["turned away"] += 1
             wait = max(TURNED_AWAY_S, come_ms / 1000)
@@ -138,22 +144,34 @@
     # -- their life --------------------------------------------------------------------------------------
 
     def resume(self, number_of: Callable[[str], int]) -> None:
-        """Takes up what an earlier process left: it owes each message its end."""
+        """Takes up what an earlier process left: it owes each message its end. Ages and times to go are as
+        they are now, so that what waited for a list is no younger by it."""
         now = unix_ms()
-        for entry in list(self.journal.entries.values()):
+        left, self.left = self.left, []
+        for entry in left:
+            if self.journal.entries.get(entry.id) is not entry:
+                continue
             if entry.owes_notice:
                 self.pass_on(entry.origin, End(entry.id, entry.end, entry.after_ms, entry.origin))
             elif not entry.end and entry.class_ not in self.classes:
                 self.end(entry, "failed")  # the settings no longer know its class
             elif not entry.end:
                 risk = entry.risk
-                self.dests[entry.dest] = self.now() + DEST_MS
                 self._hold(entry, self._message(
                     entry, entry.due - now, age_ms=max(0.0, now - entry.since), tries=entry.tries,
-                    risk_age_ms=None if risk is None else max(0.0, now - risk.at),
+                    risk_age_ms=None if risk is None else self._age(risk, now),
                     risk=None if risk is None else api.Endpoint(
                         number_of(risk.endpoint), entry.dest, api.Listing.READY, zone=risk.zone)))
 
+    def _age(self, risk: Attempt, now: float) -> float:
+        """How long ago an attempt of an earlier process was made, the time spent dead included. Guards key
+        windows against a wall clock that was set back meanwhile: the clock that never steps goes before it,
+        unless the machine has started anew. In doubt it is past any window."""
+        since = self.now() - risk.up if 0 <= risk.up <= self.now() else -1.0
+        if now < risk.at and since < 0:
+            return api.FOREVER
+        return max(0.0, now - risk.at, since)
+
     def _hold(self, entry: Entry, message: api.Message) -> None:
         self.last_number = message.id
         self.held[message.id] = Held(entry)
--- a/linnetstile/decisions/endings.py
+++ b/linnetstile/decisions/endings.py
@@ -66,8 +66,7 @@
         excess = len(self.board.held) - int(CROWDED * self.s.hold)
         self.crowded = excess > REFUSALS
         for _ in range(min(REFUSALS, excess)):
-            least = self.least(now)
-            if least is None:
+            if (least := self.least(now)) is None:
                 self.crowded = False
                 return
             self.end(now, least[2], acts)
@@ -101,7 +100,8 @@
         """What ending it now loses, its worth now, and the message for which both are least."""
         drained, found = self.drained(now, queue.dest), list[tuple[float, float, Held]]()
         for course in queue.courses.values():
-            for held in course.oldest() if course.refusable else ():
+            old = course.oldest() if course.refusable else []
+            for held in [it for it in old if it.tries or it.msg.age_ms is None]:  # a restart's untried stay
                 lost = BROKEN * held.worth if now < held.since + EARLY * (held.due - held.since) else 0.0
                 lost += held.worth_at(drained, self.s.decay)
                 found.append((lost, held.worth_at(now, self.s.decay), held))
--- a/linnetstile/store/journal.py
+++ b/linnetstile/store/journal.py
@@ -116,9 +116,10 @@
         self._move(entry.id)
         self._give_up_some()
 
-    def tried(self, entry: Entry, at: float, endpoint: str, zone: int) -> None:
-        """Must come before the attempt's first byte."""
-        self._record(entry, Kind.TRY, PACK(Tried(round(at), endpoint[:NAME], zone)))
+    def tried(self, entry: Entry, at: float, endpoint: str, zone: int, up: float = -1.0) -> None:
+        """Must come before the attempt's first byte. Times in whole ms, rounded down: a window that runs from
+        them ends no later for it."""
+        self._record(entry, Kind.TRY, PACK(Tried(int(at), endpoint[:NAME], zone, int(up))))
 
     def outcome(self, entry: Entry, may_have_run: bool) -> None:
         self._record(entry, Kind.OUT, PACK(may_have_run))
--- a/linnetstile/store/records.py
+++ b/linnetstile/store/records.py
@@ -28,6 +28,7 @@
     at: float  # Unix ms, right before its first byte
     endpoint: str
     zone: int
+    up: float = -1.0  # the same moment on the system's clock that never steps, in ms; -1: not known
 
 
 @dataclass(slots=True)
@@ -65,6 +66,7 @@
     at: int
     endpoint: str
     zone: int
+    up: int = -1  # journals of earlier versions have none; those versions pass it over
 
 
 class Taken(msgspec.Struct, array_like=True, frozen=True):
@@ -100,11 +102,13 @@
 
 
 def _flat(attempt: Attempt | None) -> Tried | None:
-    return None if attempt is None else Tried(round(attempt.at), attempt.endpoint, attempt.zone)
+    if attempt is None:
+        return None
+    return Tried(int(attempt.at), attempt.endpoint, attempt.zone, int(attempt.up))
 
 
 def _attempt(tried: Tried | None) -> Attempt | None:
-    return None if tried is None else Attempt(float(tried.at), tried.endpoint, tried.zone)
+    return None if tried is None else Attempt(float(tried.at), tried.endpoint, tried.zone, float(tried.up))
 
 
 def snapshot(entry: Entry) -> bytes:
@@ -132,7 +136,7 @@
             # Guards against a second restart: one that was out when a process ended has no outcome in the
             # log, though the next process, which knew that it may have run, made another after it.
             entry.risk = entry.out
-        entry.out = Attempt(float(raw.at), raw.endpoint, raw.zone)
+        entry.out = Attempt(float(raw.at), raw.endpoint, raw.zone, float(raw.up))
         entry.tries += 1
     elif kind == OUT:
         if RAN.decode(payload) and entry.risk is None:
