--- a/linnetstile/cli/demo.py
+++ b/linnetstile/cli/demo.py
@@ -28,9 +28,9 @@
 DOWN_FROM, DOWN_FOR = 0.25, 0.2  # parts of the whole time
 START_S = 20.0  # a part that has not said it is ready by then is a fault
 CLASSES = (  # name, effect, deadline: as an office for translations might have them
-    ("comanda", "by_key", 9000),
-    ("plata", "once", 9000),
-    ("stare", "repeatable", 5000),
+    ("order", "by_key", 9000),
+    ("payout", "once", 9000),
+    ("status", "repeatable", 5000),
 )
 
 
--- a/linnetstile/config.py
+++ b/linnetstile/config.py
@@ -55,11 +55,22 @@
                          f"and limits.memory_mb is {float(memory_mb):g}: hold {most} at most, or raise it")
 
 
+LEAST_SOCKETS = 64  # descriptors: some forty are the process's own, calls and clients need the rest
+
+
 class _Limits(msgspec.Struct, frozen=True):
     memory_mb: float | None = None
     sockets: int = 1024
     disk_mb: float = 3.0
 
+    def __post_init__(self) -> None:
+        if self.memory_mb is not None and self.memory_mb <= 0:
+            raise ValueError(f"memory_mb is {self.memory_mb:g}: must be above 0")
+        if self.sockets < LEAST_SOCKETS:
+            raise ValueError(f"sockets is {self.sockets}: must be {LEAST_SOCKETS} or more")
+        if self.disk_mb <= 0:
+            raise ValueError(f"disk_mb is {self.disk_mb:g}: must be above 0")
+
 
 class _File(msgspec.Struct):
     """The file, as far as a relay reads it; the platform may add to it."""
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -94,7 +94,9 @@
         _need(self.deadline_ms > 0, "classes.deadline_ms", "must be above 0")
         _need(self.worth >= 0, "classes.worth", "must not be negative")
         _need(0 <= self.late_share <= 1, "classes.late_share", "must lie in 0 to 1")
-        _need(self.key_window_ms >= 0, "classes.key_window_ms", "must not be negative")
+        _need(self.key_window_ms >= 0, "classes.window_ms", "must not be negative")
+        if self.effect is Effect.KEYED:
+            _need(self.key_window_ms > 0, "classes.window_ms", f"of {self.name}, keyed: must be above 0")
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +104,9 @@
     name: str
     quota_per_s: float  # over all relays
 
+    def __post_init__(self) -> None:
+        _need(self.quota_per_s >= 0, "orgs.quota_per_s", f"of {self.name}: must not be negative")
+
 
 @dataclass(frozen=True, slots=True)
 class DestinationKind:
@@ -187,6 +192,9 @@
 
     def __post_init__(self) -> None:
         _need(bool(self.classes), "classes", "there must be at least one")
+        for field, names in (("classes", [each.name for each in self.classes]),
+                             ("orgs", [each.name for each in self.tenants])):
+            _need(len(set(names)) == len(names), field, "each name must be there once")
         for field in ("slots", "hold", "attempts", "relays", "streams_per_connection"):
             _need(getattr(self, field) >= 1, field, "must be 1 or more")
         for field in ("idle_ms", "connect_timeout_ms", "longest_advice_ms", "over_share_worth"):
--- /dev/null
+++ b/tests/test_bad_settings.py
@@ -0,0 +1,92 @@
+"""Configurations that make no sense: refused at the start with the field's name; at SIGHUP the old one
+stays."""
+
+from __future__ import annotations
+
+import copy
+import json
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linnetstile import config
+
+from .loopback import SETTINGS, Agent, listing, raw_config, run, until
+from .test_process import world
+
+Change = Callable[[dict[str, Any]], object]
+BAD: list[tuple[Change, str]] = [
+    (lambda raw: raw["limits"].update(sockets=-5), "sockets"),
+    (lambda raw: raw["limits"].update(sockets=0), "sockets"),
+    (lambda raw: raw["limits"].update(disk_mb=-1), "disk_mb"),
+    (lambda raw: raw["limits"].update(memory_mb=-64), "memory_mb"),
+    (lambda raw: raw["settings"]["limits"].update({"open-cap": -1}), "hold"),
+    (lambda raw: raw["settings"]["limits"].update({"try-limit": 0}), "attempts"),
+    (lambda raw: raw["settings"]["limits"].update({"conn-idle-ms": -1.0}), "idle_ms"),
+    (lambda raw: raw["settings"]["extra"].update({"call-slots": 0}), "slots"),
+    (lambda raw: raw["settings"]["classes"][0].update({"window-ms": 0.0}), "window_ms"),
+    (lambda raw: raw["settings"]["classes"][0].pop("window-ms"), "window_ms"),
+    (lambda raw: raw["settings"]["classes"][0].update({"window-ms": -4000.0}), "window_ms"),
+    (lambda raw: raw["settings"]["classes"][0].update({"effect": "maybe"}), "effect"),
+    (lambda raw: raw["settings"]["classes"][1].pop("deadline-ms"), "deadline-ms"),
+    (lambda raw: raw["settings"]["classes"][1].update({"deadline-ms": 0.0}), "deadline_ms"),
+    (lambda raw: raw["settings"]["classes"][1].update({"name": "keyed"}), "classes"),
+    (lambda raw: raw["settings"]["classes"].clear(), "classes"),
+    (lambda raw: raw["settings"]["orgs"][0].update({"quota-per-s": -1.0}), "quota_per_s"),
+    (lambda raw: raw["settings"].update({"balancers": 0}), "relays"),
+]
+
+
+def changed(tmp_path: Path, change: Change) -> dict[str, Any]:
+    (tmp_path / "state").mkdir(exist_ok=True)
+    raw = raw_config(tmp_path / "state", Agent(address=("127.0.0.1", 1)))
+    raw = copy.deepcopy({**raw, "settings": SETTINGS})
+    change(raw)
+    return raw
+
+
+@pytest.mark.parametrize(("change", "field"), BAD)
+def test_it_is_refused_with_the_fields_name(tmp_path: Path, change: Change, field: str) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(changed(tmp_path, change)))
+    with pytest.raises(config.ConfigError, match=field):
+        config.load({"RELAY_CONFIG": str(path)})
+
+
+def test_a_process_says_so_in_one_line_and_ends_with_2(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(changed(tmp_path, BAD[8][0])))
+    done = subprocess.run([sys.executable, "-m", "linnetstile"], env={"RELAY_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=60, check=False)
+    assert done.returncode == 2 and "window_ms" in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_keys_that_nobody_knows_are_skipped(tmp_path: Path) -> None:
+    def more(raw: dict[str, Any]) -> None:
+        settings = raw["settings"]
+        for place in (raw, raw["limits"], settings, settings["classes"][0], settings["extra"]):
+            place["what-is-new"] = {"a": [1, None]}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(changed(tmp_path, more)))
+    assert config.load({"RELAY_CONFIG": str(path)}).settings.classes[0].name == "keyed"
+
+
+def test_at_sighup_the_old_one_stays(tmp_path: Path) -> None:
+    async def work() -> None:
+        agent, server, process = await world(tmp_path)
+        await process.start()
+        other = await Agent().start()
+        bad = copy.deepcopy(SETTINGS)
+        bad["classes"][0]["window-ms"] = 0.0
+        process.configure(settings=bad, discovery="{}:{}".format(*other.address))
+        process.process.send_signal(signal.SIGHUP)
+        agent.tell(listing(server, generation=5))
+        await until(lambda: any("from=5" in seen.target for seen in agent.seen))
+        assert not other.seen
+        assert await process.end(signal.SIGTERM) == 0
+    run(work())
