--- /dev/null
+++ b/tests/test_cold.py
@@ -0,0 +1,23 @@
+"""A destination that has just come back, and the sum of what a fleet sends it (benchmarks/cold.py has 200
+seeds)."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks import cold
+from linnetstile.decisions.paces import Paces
+
+
+@pytest.mark.parametrize("way", cold.WAYS)
+@pytest.mark.parametrize("relays", (1, 20, 30))
+def test_the_budget_of_a_cold_destination_holds_for_the_sum_of_the_fleet(relays: int, way: str) -> None:
+    row = cold.row(relays, way, 3)
+    assert row.worst_max <= 1.0 and row.over == 0
+    assert row.full_use_s_p50 <= 6.0  # and what it can do is used
+
+
+def test_it_breaks_where_no_relay_reckons_with_the_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The play can fail: without each relay's estimate of how many others know, the sum goes over."""
+    monkeypatch.setattr(Paces, "knowers", lambda self, now, lane: 1.0)
+    assert cold.row(20, "all know", 2).over == 2
