The first pace without a listed rate is half a call a second again

Seen: tests/emulator/test_world (a destination without a listed rate) failed with a first pace of 12, 8, 6 and 4 calls a second of all: with one relay more calls were refused than taken, since the believed total ran past the limit before the first refusal came.

--- a/linnetstile/decisions/members.py
+++ b/linnetstile/decisions/members.py
@@ -13,7 +13,7 @@
 from .state import Board, Door, Lane
 
 GONE_MS = 60000.0  # a lane without endpoints is remembered for so long: past any outage seen
-START, START_ALL = 0.5, 12.0  # calls a second with no listed rate until one is refused: each, all at least
+START = 0.5  # calls a second of each relay at a destination with no listed rate, until one is refused
 
 
 class Members:
@@ -88,7 +88,7 @@
         listed = entry.rate if self.s.rates is not Rates.NONE and entry.rate > 0 else 0.0
         if key not in lanes:
             total = listed or START * self.s.relays
-            pace = (listed or max(total, START_ALL)) / self.s.relays  # `total` follows what was answered
+            pace = total / self.s.relays
             lanes[key] = Lane(*self.paces.usual, total, pace, BURST, now, listed=bool(listed))
             if self.s.fleet is not None and listed:
                 lanes[key].share = Share(self.s.fleet, listed, self.s.safety)
