--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -125,11 +125,11 @@
         await asyncio.sleep(SERVE_ON_S)
         for intake in self.intakes.values():
             intake.stop()
-        while (self.messages.held or self.reading) and loop.time() < begun + CALLS_END_S + 0.1:
+        while (self.messages.holding or self.reading) and loop.time() < begun + CALLS_END_S + 0.1:
             await asyncio.sleep(LOOK_S)
         while self.unsettled and loop.time() < begun + GONE_S:
             await asyncio.sleep(LOOK_S)
-        log.info(Note("what is left to the journal", messages=len(self.messages.held), ends=self.unsettled))
+        log.info(Note("what is left to the journal", messages=self.messages.holding, ends=self.unsettled))
         await self.close()
 
     def retire(self) -> None:
--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -72,6 +72,10 @@
     def holding(self) -> int:
         return len(self.held) + len(self.left)
 
+    def owed(self) -> list[Entry]:
+        """All that are held, what an earlier process left too."""
+        return [held.entry for held in self.held.values()] + self.left
+
     @property
     def roomy(self) -> bool:
         return self.holding + 1 < CROWDED * self.settings.hold and not self.retiring
--- a/linnetstile/failover/node.py
+++ b/linnetstile/failover/node.py
@@ -88,7 +88,7 @@
     def _tell(self) -> None:
         now = self._now()
         seconds, self.window_began = max(0.001, now - self.window_began), now
-        load = len(self.host.messages.held) / max(1, self.host.messages.settings.hold)
+        load = self.host.messages.holding / max(1, self.host.messages.settings.hold)
         voters = [name for name in self.accord.voting_now() if name != self.accord.me]
         mine = self.counting.reports(seconds, load)
         forwarded: list[Report] = []
--- a/linnetstile/fleet/instance.py
+++ b/linnetstile/fleet/instance.py
@@ -152,7 +152,7 @@
         """It is not one of the fleet any more: takes nothing new, ends what it holds, and then itself."""
         if self.state != "retiring":
             self.state = "retiring"
-            log.info(Note("retiring", held=len(self.host.messages.held)))
+            log.info(Note("retiring", held=self.host.messages.holding))
             self.host.retire()
             self.host.tasks.start(self.retired())
 
--- a/linnetstile/fleet/report.py
+++ b/linnetstile/fleet/report.py
@@ -105,7 +105,7 @@
 def of(host: Host, number: int, state: str, began: float, lag: Lag, most: int) -> Report:
     """`began`: Unix time in s; `most` destinations are told one by one."""
     now, messages, settings = host.turns.now(), host.messages, host.relay.s
-    counts = Counter(held.entry.class_ for held in messages.held.values())
+    counts = Counter(entry.class_ for entry in messages.owed())
     lanes = [(dest, key, lane) for dest, routes in host.relay.lanes.items() for key, lane in routes.items()]
     waiting = _waiting(host)
     told = heapq.nlargest(most, lanes, key=lambda item: (waiting(item[0]), len(item[2].out), item[2].blame))
@@ -117,7 +117,7 @@
         state=state,
         at_ms=time.time() * 1000,
         up_s=time.time() - began,
-        held=len(messages.held),
+        held=messages.holding,
         hold=settings.hold,
         by_class={cls.name: counts[cls.name] for cls in settings.classes},
         slots_out=host.relay.busy,
--- a/linnetstile/process.py
+++ b/linnetstile/process.py
@@ -51,7 +51,7 @@
         self.notifier.ready()
         log.info(Note("serving", name=self.host.config.name, listen="{}:{}".format(*self.host.config.listen)))
         self.host.tasks.start(self.follow())
-        self.host.tasks.start(tend(lambda: len(self.host.messages.held)))
+        self.host.tasks.start(tend(lambda: self.host.messages.holding))
         await self.signals.stop.wait()
         self.notifier.stopping()
         try:
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -21,7 +21,7 @@
 from linnetstile.store.journal import Entry, Journal
 
 from .conftest import Driver, make_settings
-from .loopback import SETTINGS, Agent, Client, Server, answer, listing, message, run, until
+from .loopback import SETTINGS, Agent, Client, Server, answer, host_of, listing, message, run, until
 from .test_process import Process
 
 LEFT = 500
@@ -251,3 +251,24 @@
             sock.close()
         assert await process.end(signal.SIGTERM) == 0
     run(work())
+
+
+def test_what_was_left_counts_as_held_before_it_is_taken_up(tmp_path: Path) -> None:
+    """Whoever waits until a process holds nothing, and a stop within the first moments, must not pass it
+    over. Seen to fail where only what had been taken up was counted: a fleet was reported drained right
+    after a restart."""
+    async def work() -> None:
+        agent, server = await Agent(silent=True).start(), await Server().start()
+        state = tmp_path / "state"
+        state.mkdir()
+        journal, now = Journal(state, 3_000_000), unix_ms()
+        journal.take(Entry("m", "safe", "t", 7, None, now, now + 8000, "", b"hello"))
+        journal.close()
+        host = host_of(state, agent, server)
+        await host.start()
+        assert not host.held and host.messages.holding == 1 and not host.host.idle
+        assert [entry.id for entry in host.messages.owed()] == ["m"]
+        stopping = asyncio.ensure_future(host.stop())
+        await until(lambda: len(server.seen) == 1)  # it has its try, in the drain of the stop
+        await stopping
+    run(work())
