A shared register that refuses is watched again; the wait for the first list is for pushed ones

At fault: after a refusal a call without a hold costs the register an answer and is followed by a watch; and 28 restarted relays waited half a second for a register that counts as having told only what it answered. Change: a refusal by a shared register shows that it is there, so that the next call is a watch; the wait holds where lists are pushed.

--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -92,7 +92,9 @@
         self.messages.know({entry.dest for entry in self.messages.left})
         self.messages.pass_on_ends()
         self._watch()
-        wait_s = FIRST_LIST_S if self.sources else 0.0
+        # A shared register counts as having told what it answered, and may be busy with a whole fleet's
+        # start.
+        wait_s = FIRST_LIST_S if self.sources and not self.settings.ask_for_list else 0.0
         asyncio.get_running_loop().call_later(wait_s, self._go_by_what_is_known)
         self.tasks.start(self._sweep())
         if self.journal.durability is not None:
--- a/linnetstile/http/register.py
+++ b/linnetstile/http/register.py
@@ -95,7 +95,7 @@
             except (AgentError, ValueError) as error:
                 log.warning(Note("discovery failed", why=error))
                 self.agent.close()
-                await asyncio.sleep(self.asking.failed() / 1000)
+                await asyncio.sleep(self.asking.failed(refused=isinstance(error, ValueError)) / 1000)
             except Exception:
                 log.exception("discovery: a list could not be taken")
                 await asyncio.sleep(self.asking.failed() / 1000)
--- a/linnetstile/membership/asking.py
+++ b/linnetstile/membership/asking.py
@@ -79,7 +79,8 @@
         self.reached = False
         self.pauses.reset()
 
-    def failed(self) -> float:
-        """The pause before the next call: growing, and jittered, to spare a returning register."""
-        self.reached = False
+    def failed(self, refused: bool = False) -> float:
+        """The pause before the next call: growing, and jittered, to spare a returning register. One that has
+        refused is there, and a watch costs it less than to be asked again and again."""
+        self.reached = refused and self.shared
         return self.pauses.next()
