--- a/linnetstile/http/calls.py
+++ b/linnetstile/http/calls.py
@@ -245,10 +245,8 @@
         return link
 
     def _keep(self, key: Key, link: Link) -> None:
-        if not link.usable or self.listed is not None and key not in self.listed:
-            link.close()
-            return
-        if not self.keeping.keeps(link.kind, asyncio.get_running_loop().time()):
+        wanted = self.listed is None or key in self.listed
+        if not (link.usable and wanted and self.keeping.keeps(link.kind, asyncio.get_running_loop().time())):
             link.close()
             return
         if len(self.aged) >= self.most_idle:
--- a/tests/http/test_discovery.py
+++ b/tests/http/test_discovery.py
@@ -21,13 +21,13 @@
 from ..loopback import Agent, Client, Running, Server, answer, host_of, listing, message, run, until
 
 
-def left_untried(folder: Path, count: int, class_: str = "safe") -> Path:
+def left_untried(folder: Path, count: int) -> Path:
     """What an earlier process took on and did not get to."""
     state = folder / "state"
     state.mkdir()
     journal, now = Journal(state, 3_000_000), unix_ms()
     for n in range(count):
-        journal.take(Entry(f"m{n}", class_, "t", 7, None, now, now + 8000, "", b"hello"))
+        journal.take(Entry(f"m{n}", "safe", "t", 7, None, now, now + 8000, "", b"hello"))
     journal.close()
     return state
 
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -62,10 +62,6 @@
     run(work())
 
 
-def resumed(driver: Driver, ident: int, class_: int, left: float, **more: Any) -> api.Message:
-    return api.Message(ident, 1, class_, left, age_ms=5000.0, **more)
-
-
 def test_of_what_was_left_and_counts_alike_the_earliest_end_goes_first(tmp_path: Path) -> None:
     async def work() -> None:
         settings = copy.deepcopy(SETTINGS)
@@ -74,7 +70,7 @@
         journal, now = Journal(process.state, 3_000_000), unix_ms()
         for n in (3, 1, 4, 0, 2):
             journal.take(Entry(f"m{n}", "unsafe", "t", 7, None, now - 100 + n, now + 15_900 + n, "",
-            b"hello"))
+                               b"hello"))
         journal.close()
         await process.start()
         await until(lambda: len(server.seen) == 5)
