Capacity: one form of result for all slopes, with a size that is predicted first

Need: the capacity page has to come from measured slopes, by several hands; without one form each part would tell its figures in its own way.

--- /dev/null
+++ b/emulator/capacity/slopes.py
@@ -0,0 +1,103 @@
+"""One cost by size: measured by `python -m benchmarks.capacity`, reckoned with by
+`python -m emulator capacity`.
+
+`cost = base + each * size`, fitted by least squares of the relative residuals (a cost at 100 weighs as
+much as one at 10,000), and beside it the exponent of `cost ~ size ** exponent`, both with their intervals of 95%. One
+size is in no fit: it is predicted, and then run.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+import numpy as np
+
+OFF = 0.25  # a prediction that is off by more is a finding
+# Two-sided 95% of Student's t by degrees of freedom (sizes less the two fitted).
+T95 = {2: 4.303, 3: 3.182, 4: 2.776, 5: 2.571, 6: 2.447, 7: 2.365, 8: 2.306}
+
+
+class Sample(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    size: int
+    value: float  # the median of the rounds
+    least: float
+    most: float
+
+
+class Slope(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One cost by size."""
+
+    name: str
+    per: str
+    unit: str
+    samples: list[Sample]
+    base: float
+    each: float
+    each_low: float
+    each_high: float
+    exponent: float
+    exponent_low: float
+    exponent_high: float
+    largest: int
+    predicted: float
+    measured: float
+    mechanism: str
+    note: str = ""
+
+    @property
+    def off(self) -> float:
+        """How far the prediction was off, as a part of what was measured."""
+        return (self.predicted - self.measured) / self.measured if self.measured else 0.0
+
+    @property
+    def finding(self) -> bool:
+        return abs(self.off) > OFF
+
+    def at(self, size: float) -> float:
+        return self.base + self.each * size
+
+
+class Report(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """docs/reports/capacity.json. `facts`: single figures that are no slope (a hollow fleet's, a storm's)."""
+
+    machine: str
+    seconds: float  # that all of it took
+    most_mb: float  # of memory of all its processes at once
+    most_processes: int
+    slopes: list[Slope]
+    facts: dict[str, float] = {}
+    missing: list[str] = []  # measures that failed, with why
+
+    def slope(self, name: str) -> Slope:
+        """Raises KeyError."""
+        for each in self.slopes:
+            if each.name == name:
+                return each
+        raise KeyError(name)
+
+
+def _line(x: np.ndarray, y: np.ndarray, weights: np.ndarray) -> tuple[float, float, float]:
+    """Base, slope and half of the slope's interval."""
+    shape = np.stack([np.ones_like(x), x], axis=1)
+    weighed = shape * weights[:, None]
+    found, _, _, _ = np.linalg.lstsq(weighed, y * weights, rcond=None)
+    rest = (y - shape @ found) * weights
+    free = len(x) - 2
+    spread = float(rest @ rest) / free
+    half = T95[min(free, max(T95))] * float(np.sqrt(spread * np.linalg.pinv(weighed.T @ weighed)[1, 1]))
+    return float(found[0]), float(found[1]), half
+
+
+def fitted(name: str, per: str, unit: str, samples: Sequence[Sample], largest: Sample, mechanism: str,
+           note: str = "") -> Slope:
+    """`largest`: what was measured at the size that is in no fit."""
+    x = np.array([each.size for each in samples], dtype=float)
+    y = np.array([each.value for each in samples], dtype=float)
+    floor = max(float(np.max(np.abs(y))) * 1e-6, 1e-12)  # a cost of 0 has no relative residual
+    base, each, half = _line(x, y, 1.0 / np.maximum(np.abs(y), floor))
+    _, power, give = _line(np.log(x), np.log(np.maximum(y, floor)), np.ones_like(x))
+    return Slope(
+        name, per, unit, list(samples), base, each, each - half, each + half,
+        power, power - give, power + give, largest.size, base + each * largest.size, largest.value, mechanism, note,
+    )
