--- a/emulator/capacity/slopes.py
+++ b/emulator/capacity/slopes.py
@@ -2,8 +2,8 @@
 `python -m emulator capacity`.
 
 `cost = base + each * size`, fitted by least squares of the relative residuals (a cost at 100 weighs as
-much as one at 10,000), and beside it the exponent of `cost ~ size ** exponent`, both with their intervals of 95%. One
-size is in no fit: it is predicted, and then run.
+much as one at 10,000), and beside it the exponent of `cost ~ size ** exponent`, both with their intervals of
+95%. One size is in no fit: it is predicted, and then run.
 """
 
 from __future__ import annotations
@@ -99,5 +99,6 @@
     _, power, give = _line(np.log(x), np.log(np.maximum(y, floor)), np.ones_like(x))
     return Slope(
         name, per, unit, list(samples), base, each, each - half, each + half,
-        power, power - give, power + give, largest.size, base + each * largest.size, largest.value, mechanism, note,
+        power, power - give, power + give,
+        largest.size, base + each * largest.size, largest.value, mechanism, note,
     )
