Capacity as code: a size file, formulas for each role, and their tables

Need: the operators' plan for two years is to be held against what each role costs, and by hand it drifts. Change: deploy/sizes/two-years.toml has their words and what is assumed; emulator/capacity/ reckons each role's figures from measured slopes; `python -m emulator capacity` prints them. A slope that is not in the report makes its rows "not measured".

--- /dev/null
+++ b/emulator/capacity/agreement.py
@@ -0,0 +1,130 @@
+"""What a voter, the leader of the log and the decider of plans cost: one process each, on a machine that is
+set aside for control."""
+
+from __future__ import annotations
+
+from linnetstile.failover.evidence import CELLS
+
+from . import budgets as b
+from .rows import Formula, Kind, Reckoner, Role, Unit, When
+from .steps import ASSIGN, CAP, COUNTING, LAYERS, PARTS, PLANNER
+from .terms import DAY_S, changes_s, datagrams_s, members, needed, renewals_s
+
+GRANTING, RULES = "linnetstile/accord/granting.py", "linnetstile/accord/rules.py"
+NODE, LOG = "linnetstile/accord/node.py", "linnetstile/accord/log.py"
+FAILOVER = "linnetstile/failover/node.py"
+
+
+def renewing(m: Reckoner, relays: float) -> float:
+    """Processor time of so many relays' renewals at one voter."""
+    return relays * renewals_s(m) * m.at("accord.renewal.cpu_us", m.size.fleet.relays)
+
+
+def reported(m: Reckoner) -> float:
+    return m.size.fleet.relays / m.assume("window_s")
+
+
+def version_bytes(m: Reckoner) -> float:
+    return m.at("accord.rules.bytes", m.size.fleet.destinations)
+
+
+def voting(m: Reckoner) -> float:
+    """All of one voter's process but the log."""
+    relays = m.size.fleet.relays
+    return (relays * renewals_s(m) * m.part("accord.renewal.cpu_us", relays)
+            + reported(m) * m.part("evidence.report.cpu_ms", relays)
+            + m.part("peers.members.cpu_ms_s", members(m)))
+
+
+VOTER = [
+    Formula("voter.relays", Role.VOTER, When.REST, Kind.STATE, "relays it keeps a record of", Unit.COUNT,
+            lambda m: float(m.size.fleet.relays), "relays", GRANTING, b.GRANTED, CAP),
+    Formula("voter.renewals", Role.VOTER, When.REST, Kind.IN, "renewals, and as many answers out",
+            Unit.EACH_S,
+            datagrams_s, "relays x renewals of a lease", NODE, step=LAYERS),
+    Formula("voter.renewal_bytes", Role.VOTER, When.REST, Kind.IN, "renewals and their answers", Unit.RATE,
+            lambda m: datagrams_s(m) * m.at("accord.renewal.bytes", m.size.fleet.relays),
+            "renewals x bytes of one", NODE, b.LINK, LAYERS),
+    Formula("voter.processor", Role.VOTER, When.REST, Kind.PROCESSOR, "renewals", Unit.CORE,
+            lambda m: renewing(m, m.size.fleet.relays), "renewals x processor time of one", GRANTING,
+            b.PROCESS,
+            LAYERS),
+    Formula("voter.clear", Role.VOTER, When.CHANGES, Kind.TIME, "clearing a version, in one turn",
+            Unit.SECONDS,
+            lambda m: m.at("accord.clear.cpu_ms", m.size.fleet.relays),
+            "processor time at so many relays",
+            GRANTING, b.TURN, LAYERS),
+    Formula("voter.clear_day", Role.VOTER, When.CHANGES, Kind.PROCESSOR, "clearing a day's versions",
+            Unit.CORE,
+            lambda m: changes_s(m) * m.at("accord.clear.cpu_ms", m.size.fleet.relays),
+            "changes x processor time at so many relays", GRANTING, b.PROCESS),
+    Formula("voter.evidence", Role.VOTER, When.HOUR, Kind.IN, "reports", Unit.RATE,
+            lambda m: reported(m) * m.at("evidence.report.bytes", m.size.fleet.relays),
+            "relays x bytes of a window's reports", COUNTING, b.LINK, ASSIGN),
+    Formula("voter.evidence_relays", Role.VOTER, When.HOUR, Kind.STATE, "relays whose reports it keeps",
+            Unit.COUNT,
+            lambda m: float(m.size.fleet.relays), "relays", COUNTING, b.EVIDENCE, CAP),
+    Formula("voter.evidence_processor", Role.VOTER, When.HOUR, Kind.PROCESSOR, "taking reports in", Unit.CORE,
+            lambda m: reported(m) * m.at("evidence.report.cpu_ms", m.size.fleet.relays),
+            "relays x processor time of a window's reports", COUNTING, b.PROCESS, LAYERS),
+    Formula("voter.all", Role.VOTER, When.HOUR, Kind.PROCESSOR, "renewals, evidence and membership",
+            Unit.CORE,
+            voting, "renewals + evidence + membership of one among so many", NODE, b.PROCESS, LAYERS),
+    Formula("voter.number", Role.VOTER, When.REST, Kind.STATE, "highest number of an instance that votes",
+            Unit.COUNT,
+            lambda m: float(m.size.fleet.relays + m.size.control.machines - 1),
+            "relays + machines of control - 1", "linnetstile/accord/settings.py", b.NUMBERS, CAP),
+    Formula("voter.zone", Role.VOTER, When.BACK, Kind.PROCESSOR, "a zone's relays renew beside the others'",
+            Unit.CORE, lambda m: renewing(m, m.size.fleet.relays), "as at rest: a renewal costs the same",
+            GRANTING, b.PROCESS, LAYERS),
+    Formula("voter.apart", Role.VOTER, When.APART, Kind.IN, "renewals on one side", Unit.EACH_S,
+            lambda m: datagrams_s(m) / m.size.fleet.regions, "renewals / regions", NODE),
+    Formula("voter.restarts", Role.VOTER, When.DAY, Kind.IN, "relays that begin anew", Unit.EACH_S,
+            lambda m: m.size.failures.restarts_a_day / DAY_S, "restarts / day", GRANTING),
+]
+
+LEADER = [
+    Formula("leader.version", Role.LEADER, When.CHANGES, Kind.STATE,
+            "a version with a rate for each destination", Unit.BYTES, version_bytes,
+            "bytes of a version at so many destinations", RULES, step=PARTS),
+    Formula("leader.version_turn", Role.LEADER, When.CHANGES, Kind.TIME, "checking and packing a version",
+            Unit.SECONDS, lambda m: m.at("accord.rules.cpu_ms", m.size.fleet.destinations),
+            "processor time of a version at so many destinations", RULES, b.TURN, PARTS),
+    Formula("leader.log", Role.LEADER, When.CHANGES, Kind.OUT, "versions to the other voters", Unit.RATE,
+            lambda m: changes_s(m) * version_bytes(m) * (m.assume("voters") - 1),
+            "changes x bytes of a version x other voters", LOG, b.LINK, PARTS),
+    Formula("leader.all", Role.LEADER, When.CHANGES, Kind.OUT,
+            "versions to all relays, shared by the voters", Unit.RATE,
+            lambda m: changes_s(m) * version_bytes(m) * m.size.fleet.relays / m.assume("voters"),
+            "changes x bytes of a version x relays / voters", NODE, b.LINK, PARTS),
+    Formula("leader.one", Role.LEADER, When.CHANGES, Kind.TIME, "one version out to all relays, links full",
+            Unit.SECONDS,
+            lambda m: version_bytes(m) * m.size.fleet.relays / m.assume("voters")
+            / (m.assume("link_mb_s") * b.MB),
+            "bytes of a version x relays / voters / link", NODE, b.FORCE, PARTS),
+]
+
+DECIDER = [
+    Formula("decider.destinations", Role.DECIDER, When.HOUR, Kind.STATE, "destinations called in a window",
+            Unit.COUNT,
+            lambda m: min(float(m.size.fleet.destinations), m.size.fleet.events_s * m.assume("window_s")),
+            "the fewer of destinations and calls", "linnetstile/failover/decider.py", step=PARTS),
+    Formula("decider.named", Role.DECIDER, When.HOUR, Kind.STATE,
+            "calls of a window that get no cell of their own",
+            Unit.SHARE, lambda m: max(0.0, 1 - CELLS / needed(m, m.assume("window_s"))),
+            "1 - cells of a report / destinations called", COUNTING, step=ASSIGN),
+    Formula("decider.sum", Role.DECIDER, When.HOUR, Kind.TIME, "summing a window", Unit.SECONDS,
+            lambda m: m.at("evidence.sum.cpu_ms", m.size.fleet.relays),
+            "processor time at so many relays",
+            COUNTING, b.WINDOW, LAYERS),
+    Formula("decider.rooms", Role.DECIDER, When.HOUR, Kind.TIME, "going through the list once a window",
+            Unit.SECONDS, lambda m: m.at("failover.rooms.cpu_ms", m.size.fleet.destinations),
+            "processor time at so many destinations", FAILOVER, b.TURN, PARTS),
+    Formula("decider.plan", Role.DECIDER, When.ZONE, Kind.TIME, "one plan of one destination", Unit.SECONDS,
+            lambda m: m.at("planner.plan.cpu_ms", m.size.fleet.zones), "processor time at so many zones",
+            PLANNER, b.WINDOW),
+    Formula("decider.plans", Role.DECIDER, When.ZONE, Kind.TIME, "plans for all destinations of a zone",
+            Unit.SECONDS,
+            lambda m: m.assume("storm") * m.at("planner.plan.cpu_ms", m.size.fleet.zones),
+            "entries that change x processor time of a plan", FAILOVER, b.FORCE, PARTS),
+]
--- /dev/null
+++ b/emulator/capacity/budgets.py
@@ -0,0 +1,61 @@
+"""What figures are held against: the operators' words, what was assumed, and the caps that the code has."""
+
+from __future__ import annotations
+
+import msgspec
+
+from linnetstile.accord.granting import RELAYS_MAX
+from linnetstile.accord.settings import AccordPart
+from linnetstile.failover.evidence import CELLS, RELAYS
+from linnetstile.fleet.operator import FleetPart
+from linnetstile.http.agent import ANSWER_BYTES
+from linnetstile.peers.swim import MEMBERS_MAX
+
+from .rows import Budget
+
+MB, KB = 1e6, 1e3
+
+
+def bound(shape: type[msgspec.Struct], name: str) -> float:
+    """The most that a field of the operator's file may be; of a list, each of its items. Infinite: no end."""
+    told = msgspec.inspect.type_info(shape)
+    assert isinstance(told, msgspec.inspect.StructType)
+    kind = next(each.type for each in told.fields if each.name == name)
+    if isinstance(kind, msgspec.inspect.VarTupleType):
+        kind = kind.item_type
+    most = kind.le if isinstance(kind, msgspec.inspect.IntType) else None
+    return float("inf") if most is None else float(most)
+
+
+# Asked.
+CORE = Budget("asked: of a core, for control", lambda it: it.control.core)
+MEMORY = Budget("asked: for control", lambda it: it.control.memory_mb * MB)
+BYTES = Budget("asked: for control", lambda it: it.control.kb_s * KB)
+FORCE = Budget("asked: in force everywhere", lambda it: it.changes.force_s)
+
+# Assumed.
+PROCESS = Budget("assumed: one process", lambda it: it.assumed.process_core)
+DATA_MEMORY = Budget("assumed: for messages", lambda it: it.assumed.data_memory_mb * MB)
+DATA_DISK = Budget("assumed: for the journal", lambda it: it.assumed.data_disk_mb * MB)
+START = Budget("assumed: back after a restart", lambda it: it.assumed.start_s)
+TURN = Budget("assumed: one turn of the loop", lambda it: it.assumed.turn_s)
+WINDOW = Budget("assumed: one window", lambda it: it.assumed.window_s)
+LEASE = Budget("assumed: accord.bound_s", lambda it: it.assumed.bound_s)
+MACHINE = Budget("assumed: one machine of control", lambda it: it.assumed.machine_memory_mb * MB)
+LINK = Budget("assumed: its link", lambda it: it.assumed.link_mb_s * MB)
+SUPERVISOR_CORE = Budget("assumed", lambda it: it.assumed.supervisor_core)
+SUPERVISOR_MEMORY = Budget("assumed", lambda it: it.assumed.supervisor_memory_mb * MB)
+COMMAND = Budget("assumed: until it has answered", lambda it: it.assumed.command_s)
+COMMAND_MEMORY = Budget("assumed", lambda it: it.assumed.command_memory_mb * MB)
+CONNECTIONS = Budget("assumed: places of a destination", lambda it: it.assumed.connections)
+DEADLINE = Budget("assumed: an event's time", lambda it: it.assumed.deadline_s)
+DEADLINE_TODAY = Budget("assumed: an event's time today", lambda it: it.assumed.deadline_today_s)
+
+# Caps of the code.
+ANSWER = Budget("cap: ANSWER_BYTES", lambda it: ANSWER_BYTES)
+MEMBERS = Budget("cap: MEMBERS_MAX", lambda it: MEMBERS_MAX)
+GRANTED = Budget("cap: RELAYS_MAX", lambda it: RELAYS_MAX)
+EVIDENCE = Budget("cap: evidence.RELAYS", lambda it: RELAYS)
+CELLS_OF = Budget("cap: evidence.CELLS", lambda it: CELLS)
+INSTANCES = Budget("cap: fleet.instances", lambda it: bound(FleetPart, "instances"))
+NUMBERS = Budget("cap: accord.voters", lambda it: bound(AccordPart, "voters"))
--- /dev/null
+++ b/emulator/capacity/control.py
@@ -0,0 +1,233 @@
+"""What a relay spends on control: held against the operators' budget of processor, memory and bytes."""
+
+from __future__ import annotations
+
+from . import budgets as b
+from .rows import Formula, Kind, Reckoner, Role, Unit, When
+from .steps import ASSIGN, CAP, COUNTING, INTEREST, LAYERS, PARTS
+from .terms import (
+    DAY_S,
+    changes_s,
+    entry_bytes,
+    in_use,
+    members,
+    needed,
+    of_rack,
+    of_zone,
+    renewals_s,
+)
+
+LIST, REGISTER = "linnetstile/core/directory.py", "linnetstile/http/register.py"
+AGENT = "linnetstile/http/agent.py"
+SWIM, HOLDING = "linnetstile/peers/swim.py", "linnetstile/accord/holding.py"
+READING = "linnetstile/shards/reading.py"
+RULES = "linnetstile/accord/rules.py"
+
+
+def renewal_bytes(m: Reckoner) -> float:
+    """A renewal to each voter and its answer."""
+    return renewals_s(m) * m.assume("voters") * m.part("accord.renewal.bytes", m.size.fleet.relays)
+
+
+def renewal_core(m: Reckoner) -> float:
+    """What a voter spends on a renewal stands for what its relay does, who packs it and reads the answer."""
+    return renewals_s(m) * m.assume("voters") * m.part("accord.renewal.cpu_us", m.size.fleet.relays)
+
+
+def report_bytes(m: Reckoner) -> float:
+    return m.assume("voters") / m.assume("window_s") * m.part("evidence.report.bytes",
+    m.size.fleet.relays)
+
+
+def report_core(m: Reckoner) -> float:
+    return m.part("evidence.report.cpu_ms", m.size.fleet.relays) / m.assume("window_s")
+
+
+def change_core(m: Reckoner) -> float:
+    return changes_s(m) * m.part("directory.change.cpu_ms", m.size.fleet.destinations)
+
+
+def total_memory(m: Reckoner, directory: float) -> float:
+    return directory + m.part("peers.members.memory_bytes", members(m))
+
+
+def total_bytes(m: Reckoner, directory: float) -> float:
+    return (directory + m.part("peers.members.bytes_s", members(m)) + renewal_bytes(m)
+            + report_bytes(m))
+
+
+def total_core(m: Reckoner, directory: float) -> float:
+    return (directory + m.part("peers.members.cpu_ms_s", members(m)) + renewal_core(m)
+            + report_core(m))
+
+
+def read_bytes(m: Reckoner, every: bool = False) -> float:
+    return m.part("shards.reader.bytes_s", in_use(m, every))
+
+
+def read_memory(m: Reckoner, every: bool = False) -> float:
+    return m.part("shards.reader.memory_bytes", in_use(m, every))
+
+
+def read_core(m: Reckoner) -> float:
+    """A keeper's work on a change stands for the reader's."""
+    return changes_s(m) * m.part("shards.change.cpu_us", m.size.fleet.relays) / m.size.fleet.relays
+
+
+RELAY_CONTROL = [
+    Formula("relay.directory_memory", Role.CONTROL, When.REST, Kind.MEMORY,
+            "the whole list, in directory and decisions", Unit.BYTES,
+            lambda m: m.at("directory.list.memory_bytes", m.size.fleet.destinations),
+            "memory at so many destinations", LIST, b.MEMORY, INTEREST),
+    Formula("relay.directory_answer", Role.CONTROL, When.REST, Kind.IN, "the whole list in one answer",
+            Unit.BYTES,
+            lambda m: m.at("directory.list.json_bytes", m.size.fleet.destinations),
+            "JSON of so many destinations", AGENT, b.ANSWER, INTEREST),
+    Formula("relay.directory_turn", Role.CONTROL, When.REST, Kind.TIME,
+            "the whole list in one turn of the loop",
+            Unit.SECONDS, lambda m: m.at("directory.list.turn_ms", m.size.fleet.destinations),
+            "longest turn at so many destinations", REGISTER, b.TURN, INTEREST),
+    Formula("relay.directory_change", Role.CONTROL, When.CHANGES, Kind.PROCESSOR, "one change of the list",
+            Unit.SECONDS, lambda m: m.at("directory.change.cpu_ms", m.size.fleet.destinations),
+            "processor time at so many destinations", LIST, b.TURN),
+    Formula("relay.directory_changes", Role.CONTROL, When.CHANGES, Kind.IN, "a day's changes of the list",
+            Unit.RATE, lambda m: changes_s(m) * entry_bytes(m), "changes x bytes of an entry", REGISTER,
+            b.BYTES),
+    Formula("relay.storm_bytes", Role.CONTROL, When.STORM, Kind.IN,
+            "whole storm, within the time to be in force",
+            Unit.RATE, lambda m: m.assume("storm") * entry_bytes(m) / m.size.changes.force_s,
+            "entries x bytes of an entry / time to be in force", REGISTER, b.BYTES, INTEREST),
+    Formula("relay.storm_processor", Role.CONTROL, When.STORM, Kind.TIME, "taking the whole storm in",
+            Unit.SECONDS,
+            lambda m: m.assume("storm")
+            * m.at("directory.change.cpu_ms", m.size.fleet.destinations),
+            "entries x processor time of a change", LIST, b.FORCE, INTEREST),
+    Formula("relay.storm_in_use", Role.CONTROL, When.STORM, Kind.IN,
+            "a storm's part of the destinations in use",
+            Unit.RATE,
+            lambda m: m.assume("storm") * m.assume("in_use") * entry_bytes(m) / m.size.changes.force_s,
+            "entries x share in use x bytes of an entry / time to be in force", READING, b.BYTES, INTEREST),
+    Formula("relay.reader_memory", Role.CONTROL, When.HOUR, Kind.MEMORY, "shards of the destinations in use",
+            Unit.BYTES, lambda m: m.at("shards.reader.memory_bytes", in_use(m)),
+            "memory at so many in use", READING, b.MEMORY),
+    Formula("relay.reader_memory_all", Role.CONTROL, When.HOUR, Kind.MEMORY,
+            "shards where clients spread evenly", Unit.BYTES,
+            lambda m: m.at("shards.reader.memory_bytes", in_use(m, True)),
+            "memory at so many in use", READING, b.MEMORY, ASSIGN),
+    Formula("relay.reader_bytes", Role.CONTROL, When.HOUR, Kind.IN, "shards of the destinations in use",
+            Unit.RATE,
+            lambda m: m.at("shards.reader.bytes_s", in_use(m)),
+            "bytes a second at so many in use", READING, b.BYTES),
+    Formula("relay.reader_bytes_all", Role.CONTROL, When.HOUR, Kind.IN, "shards where clients spread evenly",
+            Unit.RATE, lambda m: m.at("shards.reader.bytes_s", in_use(m, True)),
+            "bytes a second at so many in use", READING, b.BYTES, ASSIGN),
+    Formula("relay.members", Role.CONTROL, When.REST, Kind.STATE, "members known", Unit.COUNT, members,
+            "relays + machines of control", SWIM, b.MEMBERS, CAP),
+    Formula("relay.members_memory", Role.CONTROL, When.REST, Kind.MEMORY, "members", Unit.BYTES,
+            lambda m: m.at("peers.members.memory_bytes", members(m)), "memory of one among so many",
+            SWIM, b.MEMORY, LAYERS),
+    Formula("relay.members_bytes", Role.CONTROL, When.REST, Kind.OUT, "words on members", Unit.RATE,
+            lambda m: m.at("peers.members.bytes_s", members(m)), "bytes of one among so many",
+            SWIM, b.BYTES, LAYERS),
+    Formula("relay.members_datagrams", Role.CONTROL, When.REST, Kind.OUT, "datagrams of membership",
+            Unit.EACH_S,
+            lambda m: m.at("peers.members.datagrams_s", members(m)), "datagrams of one among so many",
+            SWIM),
+    Formula("relay.members_processor", Role.CONTROL, When.REST, Kind.PROCESSOR, "membership", Unit.CORE,
+            lambda m: m.at("peers.members.cpu_ms_s", members(m)),
+            "processor time of one among so many",
+            SWIM, b.CORE, LAYERS),
+    Formula("relay.members_start", Role.CONTROL, When.BACK, Kind.PROCESSOR,
+            "first words when all start together", Unit.SECONDS,
+            lambda m: m.at("peers.members.start_cpu_ms", members(m)),
+            "processor time of one among so many",
+            SWIM, step=LAYERS),
+    Formula("relay.renewals", Role.CONTROL, When.REST, Kind.OUT, "renewals to the voters", Unit.EACH_S,
+            lambda m: renewals_s(m) * m.assume("voters"), "renewals of a lease x voters", HOLDING),
+    Formula("relay.renewal_bytes", Role.CONTROL, When.REST, Kind.OUT, "renewals and their answers", Unit.RATE,
+            lambda m: renewals_s(m) * m.assume("voters")
+            * m.at("accord.renewal.bytes", m.size.fleet.relays),
+            "renewals x bytes of one", HOLDING, b.BYTES),
+    Formula("relay.report_bytes", Role.CONTROL, When.HOUR, Kind.OUT, "evidence to the voters", Unit.RATE,
+            lambda m: m.assume("voters") / m.assume("window_s")
+            * m.at("evidence.report.bytes", m.size.fleet.relays),
+            "voters x bytes of a window's reports", COUNTING, b.BYTES, ASSIGN),
+    Formula("relay.report_cells", Role.CONTROL, When.HOUR, Kind.STATE, "destinations called in a window",
+            Unit.COUNT, lambda m: needed(m, m.assume("window_s")),
+            "destinations x (1 - e^-(window / time between two calls))", COUNTING, b.CELLS_OF, ASSIGN),
+    Formula("relay.rules_bytes", Role.CONTROL, When.CHANGES, Kind.IN,
+            "each change as a version of rules with a rate for each destination", Unit.RATE,
+            lambda m: changes_s(m) * m.at("accord.rules.bytes", m.size.fleet.destinations),
+            "changes x bytes of a version", RULES, b.BYTES, PARTS),
+    Formula("relay.rules_processor", Role.CONTROL, When.CHANGES, Kind.PROCESSOR,
+            "each change as a version of rules with a rate for each destination", Unit.CORE,
+            lambda m: changes_s(m) * m.at("accord.rules.cpu_ms", m.size.fleet.destinations),
+            "changes x processor time of a version", RULES, b.CORE, PARTS),
+    Formula("relay.control_memory", Role.CONTROL, When.REST, Kind.MEMORY, "all of control, whole list",
+            Unit.BYTES,
+            lambda m: total_memory(m, m.part("directory.list.memory_bytes",
+            m.size.fleet.destinations)),
+            "whole list + members", LIST, b.MEMORY, INTEREST),
+    Formula("relay.control_memory_shards", Role.CONTROL, When.HOUR, Kind.MEMORY,
+            "all of control, with keepers",
+            Unit.BYTES, lambda m: total_memory(m, read_memory(m)), "shards in use + members", READING,
+            b.MEMORY,
+            LAYERS),
+    Formula("relay.control_bytes", Role.CONTROL, When.HOUR, Kind.OUT, "all of control, whole list", Unit.RATE,
+            lambda m: total_bytes(m, changes_s(m) * m.part("directory.list.json_bytes",
+                                                           m.size.fleet.destinations)
+                                  / m.size.fleet.destinations),
+            "changes + membership + renewals + evidence", SWIM, b.BYTES, LAYERS),
+    Formula("relay.control_bytes_shards", Role.CONTROL, When.HOUR, Kind.OUT, "all of control, with keepers",
+            Unit.RATE,
+            lambda m: total_bytes(m, read_bytes(m)), "shards in use + membership + renewals + evidence",
+            READING, b.BYTES, LAYERS),
+    Formula("relay.control_processor", Role.CONTROL, When.HOUR, Kind.PROCESSOR, "all of control, whole list",
+            Unit.CORE,
+            lambda m: total_core(m, change_core(m)), "changes + membership + renewals + evidence", SWIM,
+            b.CORE,
+            LAYERS),
+    Formula("relay.control_processor_shards", Role.CONTROL, When.HOUR, Kind.PROCESSOR,
+            "all of control, with keepers",
+            Unit.CORE, lambda m: total_core(m, read_core(m)), "changes + membership + renewals + evidence",
+            READING, b.CORE, LAYERS),
+    Formula("relay.day_changes", Role.CONTROL, When.DAY, Kind.IN, "members that go and come back",
+            Unit.EACH_S,
+            lambda m: 2 * (m.size.failures.restarts_a_day
+                           + m.size.failures.machines_a_day * m.assume("relays_a_machine")) / DAY_S,
+            "2 x (restarts + machines that fail x relays of one) / day", SWIM),
+    Formula("relay.machine_members", Role.CONTROL, When.MACHINE, Kind.STATE, "members gone at once",
+            Unit.COUNT,
+            lambda m: m.assume("relays_a_machine"), "relays of a machine", SWIM),
+    Formula("relay.rack_members", Role.CONTROL, When.RACK, Kind.STATE, "members gone at once", Unit.COUNT,
+            of_rack,
+            "relays of a machine x machines of a rack", SWIM),
+    Formula("relay.zone_members", Role.CONTROL, When.ZONE, Kind.STATE, "members gone at once", Unit.COUNT,
+            of_zone,
+            "relays / zones", SWIM),
+    Formula("relay.apart_floor", Role.CONTROL, When.APART, Kind.STATE,
+            "relays on the side without a majority: a horizon, then the floor", Unit.COUNT,
+            lambda m: m.size.fleet.relays / m.size.fleet.regions, "relays / regions", HOLDING),
+    Formula("relay.force", Role.CONTROL, When.CHANGES, Kind.TIME,
+            "a change, until the last hollow instance acts",
+            Unit.SECONDS, lambda m: m.fact("hollow.change_most_s"), "the hollow fleet's longest", HOLDING,
+            b.FORCE),
+    Formula("relay.force_p99", Role.CONTROL, When.CHANGES, Kind.TIME,
+            "a change, until 99% of hollow instances act", Unit.SECONDS,
+            lambda m: m.fact("hollow.change_p99_s"), "the hollow fleet's p99", HOLDING, b.FORCE),
+    Formula("relay.hollow_bytes", Role.CONTROL, When.REST, Kind.OUT, "of a hollow instance, measured",
+            Unit.RATE,
+            lambda m: m.fact("hollow.bytes_s"), "the hollow fleet's mean", SWIM, b.BYTES, LAYERS),
+    Formula("relay.hollow_processor", Role.CONTROL, When.REST, Kind.PROCESSOR,
+            "of a hollow instance, measured",
+            Unit.CORE, lambda m: m.fact("hollow.cpu_share"), "the hollow fleet's mean", SWIM, b.CORE, LAYERS),
+    Formula("relay.hollow_memory", Role.CONTROL, When.REST, Kind.MEMORY, "of a hollow instance, measured",
+            Unit.BYTES, lambda m: m.fact("hollow.memory_bytes"), "the hollow fleet's mean", SWIM, b.MEMORY,
+            LAYERS),
+    Formula("relay.hollow_return", Role.CONTROL, When.BACK, Kind.TIME,
+            "200 that end at once and come back, until all know", Unit.SECONDS,
+            lambda m: m.fact("hollow.return_200_s"), "the hollow fleet's longest", SWIM, b.FORCE, LAYERS),
+    Formula("relay.caps_instances", Role.CONTROL, When.REST, Kind.STATE, "instances of one file", Unit.COUNT,
+            members,
+            "relays + machines of control", "linnetstile/fleet/operator.py", b.INSTANCES, CAP),
+]
--- /dev/null
+++ b/emulator/capacity/keepers.py
@@ -0,0 +1,90 @@
+"""What a keeper of the directory costs, one on each machine that is set aside for control."""
+
+from __future__ import annotations
+
+from . import budgets as b
+from .rows import Formula, Kind, Reckoner, Role, Unit, When
+from .steps import ASSIGN
+from .terms import DAY_S, changes_s, entry_bytes, of_rack, of_zone, shards_in_use
+
+KEEPING, NODE = "linnetstile/shards/keeping.py", "linnetstile/shards/node.py"
+SOURCE = "linnetstile/shards/source.py"
+
+
+def shard_bytes(m: Reckoner) -> float:
+    """A whole shard, counted as its entries of the list."""
+    return entry_bytes(m) * m.size.fleet.destinations / m.assume("shards")
+
+
+def asked(m: Reckoner, readers: float, every: bool = False) -> float:
+    """Bytes of all shards in use of so many readers, from one keeper of those there are."""
+    return readers * shards_in_use(m, every) * shard_bytes(m) / m.assume("keepers")
+
+
+def serving_s(m: Reckoner, readers: float, every: bool = False) -> float:
+    return asked(m, readers, every) / (m.assume("link_mb_s") * b.MB)
+
+
+def holders(m: Reckoner) -> float:
+    """Readers that hold one shard."""
+    return m.size.fleet.relays * shards_in_use(m) / m.assume("shards")
+
+
+def digests(m: Reckoner) -> float:
+    """A reader hears the keepers that it asks."""
+    return (m.size.fleet.relays * m.assume("keepers_a_reader") / m.assume("keepers")) / m.assume("digest_s")
+
+
+KEEPER = [
+    Formula("keeper.memory", Role.KEEPER, When.REST, Kind.MEMORY, "all destinations", Unit.BYTES,
+            lambda m: m.at("shards.keeper.memory_bytes", m.size.fleet.destinations),
+            "memory at so many destinations", KEEPING, b.MACHINE),
+    Formula("keeper.digests", Role.KEEPER, When.REST, Kind.OUT, "digests", Unit.EACH_S, digests,
+            "relays x keepers that each asks / keepers / time between two", NODE),
+    Formula("keeper.shards", Role.KEEPER, When.HOUR, Kind.STATE, "shards that one reader holds", Unit.COUNT,
+            shards_in_use, "shards with a destination in use", KEEPING),
+    Formula("keeper.shards_all", Role.KEEPER, When.HOUR, Kind.STATE,
+            "shards that one reader holds, clients spread evenly",
+            Unit.COUNT, lambda m: shards_in_use(m, True), "shards with a destination in use", KEEPING,
+            step=ASSIGN),
+    Formula("keeper.load", Role.KEEPER, When.DAY, Kind.TIME, "reading the whole list at its start",
+            Unit.SECONDS,
+            lambda m: m.at("shards.keeper.load_s", m.size.fleet.destinations),
+            "time at so many destinations", SOURCE, b.FORCE),
+    Formula("keeper.changes", Role.KEEPER, When.CHANGES, Kind.PROCESSOR, "a day's changes to all readers",
+            Unit.CORE, lambda m: changes_s(m) * m.at("shards.change.cpu_us", holders(m)),
+            "changes x processor time at so many readers of a shard", KEEPING, b.PROCESS),
+    Formula("keeper.change_bytes", Role.KEEPER, When.CHANGES, Kind.OUT, "a day's changes to all readers",
+            Unit.RATE,
+            lambda m: changes_s(m) * m.at("shards.change.bytes", holders(m)),
+            "changes x bytes at so many readers of a shard", NODE, b.LINK),
+    Formula("keeper.storm", Role.KEEPER, When.STORM, Kind.OUT, "whole storm within the time to be in force",
+            Unit.RATE,
+            lambda m: m.assume("storm") * m.at("shards.change.bytes",
+            holders(m)) / m.size.changes.force_s,
+            "entries x bytes at so many readers of a shard / time to be in force", NODE, b.LINK),
+    Formula("keeper.storm_processor", Role.KEEPER, When.STORM, Kind.TIME, "processor time of the whole storm",
+            Unit.SECONDS,
+            lambda m: m.assume("storm") * m.at("shards.change.cpu_us", holders(m)),
+            "entries x processor time at so many readers of a shard", KEEPING, b.FORCE),
+    Formula("keeper.restarts", Role.KEEPER, When.DAY, Kind.OUT, "shards to relays that begin anew", Unit.RATE,
+            lambda m: asked(m, m.size.failures.restarts_a_day) / DAY_S,
+            "restarts x shards in use x bytes of one / keepers", NODE, b.LINK),
+    Formula("keeper.machine", Role.KEEPER, When.MACHINE, Kind.TIME, "a machine's relays ask for theirs anew",
+            Unit.SECONDS, lambda m: serving_s(m, m.assume("relays_a_machine")),
+            "relays x shards in use x bytes of one / keepers / link", NODE, b.FORCE),
+    Formula("keeper.rack", Role.KEEPER, When.RACK, Kind.TIME, "a rack's relays ask for theirs anew",
+            Unit.SECONDS, lambda m: serving_s(m, of_rack(m)),
+            "relays x shards in use x bytes of one / keepers / link", NODE, b.FORCE),
+    Formula("keeper.zone", Role.KEEPER, When.ZONE, Kind.TIME, "a zone's relays come back and ask for theirs",
+            Unit.SECONDS, lambda m: serving_s(m, of_zone(m)),
+            "relays x shards in use x bytes of one / keepers / link", NODE, b.FORCE),
+    Formula("keeper.zone_all", Role.KEEPER, When.ZONE, Kind.TIME,
+            "a zone's relays come back, clients spread evenly",
+            Unit.SECONDS, lambda m: serving_s(m, of_zone(m), True),
+            "relays x shards in use x bytes of one / keepers / link", NODE, b.FORCE, ASSIGN),
+    Formula("keeper.apart", Role.KEEPER, When.BACK, Kind.STATE, "changes that one side has missed",
+            Unit.COUNT,
+            lambda m: changes_s(m) * m.size.failures.regions_apart_s, "changes a second x time apart",
+            KEEPING),
+]
--- a/emulator/capacity/slopes.py
+++ b/emulator/capacity/slopes.py
@@ -8,11 +8,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 import msgspec
 import numpy as np
 
+FLOOR = 1e-12  # a cost of 0 has no logarithm
+LOG_MOST = 600.0  # of a cost: beyond it a float ends
 OFF = 0.25  # a prediction that is off by more is a finding
 # Two-sided 95% of Student's t by degrees of freedom (sizes less the two fitted).
 T95 = {2: 4.303, 3: 3.182, 4: 2.776, 5: 2.571, 6: 2.447, 7: 2.365, 8: 2.306}
@@ -57,6 +60,32 @@
     def at(self, size: float) -> float:
         return self.base + self.each * size
 
+    @property
+    def superlinear(self) -> bool:
+        """The exponent's whole interval lies above 1: a line through small sizes tells too little."""
+        return self.exponent_low > 1.0
+
+    @property
+    def sizes(self) -> tuple[int, int]:
+        """The smallest and the largest that was run, the predicted one too."""
+        return min(each.size for each in self.samples), max(self.largest, *(s.size for s in self.samples))
+
+    def power(self, size: float, exponent: float) -> float:
+        """By a power law through the middle of the fitted sizes."""
+        logs = [(math.log(each.size), math.log(max(each.value, FLOOR))) for each in self.samples]
+        x, y = (sum(column) / len(logs) for column in zip(*logs, strict=True))
+        return math.exp(min(y + exponent * (math.log(size) - x), LOG_MOST)) if size > 0 else 0.0
+
+    def reckoned(self, size: float) -> tuple[float, float, float]:
+        """What it costs at this size, with the ends of its interval; never below 0. By the line; where the
+        cost grows faster than one, by the power law if that is worse."""
+        line = [self.base + each * size for each in (self.each, self.each_low, self.each_high)]
+        if self.superlinear:
+            powers = (self.exponent, self.exponent_low, self.exponent_high)
+            line = [max(pair) for pair in zip(line, (self.power(size, each) for each in powers), strict=True)]
+        middle, low, high = (max(0.0, each) for each in line)
+        return middle, low, high
+
 
 class Report(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """docs/reports/capacity.json. `facts`: single figures that are no slope (a hollow fleet's, a storm's)."""
--- a/emulator/commands.py
+++ b/emulator/commands.py
@@ -18,6 +18,7 @@
 from rich.table import Table
 
 from . import trace as traces
+from .capacity.command import capacity
 from .draws import stream
 from .experiment import Experiment, ExperimentError, decoded, read
 from .intervals import difference, interval, verdict
@@ -73,6 +74,9 @@
     """Model partners and a fleet, and tell what a change would do."""
 
 
+main.add_command(capacity)
+
+
 def cores() -> int:
     return len(os.sched_getaffinity(0))
 
