--- a/emulator/capacity/rows.py
+++ b/emulator/capacity/rows.py
@@ -176,7 +176,8 @@
     high: float | None
     budget: float | None
     budget_words: str
-    factor: float | None  # value over budget: above 1 it is over
+    factor: float | None  # value over budget
+    over: bool  # told by itself: a figure without end has no number in JSON
     state: str  # "measured", "reckoned", "assumed" or "not measured"
     mechanism: str
     step: str
@@ -185,10 +186,6 @@
     assumed: list[str]
     lacks: list[str]
 
-    @property
-    def over(self) -> bool:
-        return self.factor is not None and self.factor > 1.0
-
 
 def reckoned(formula: Formula, size: Size, report: Report) -> Row:
     values: list[float] = []
@@ -208,12 +205,13 @@
     # A sum of which nothing was measured, though it rests on measures, is no figure.
     value = values[0] if values and (not one.lacks or one.uses or one.facts) else None
     budget = None if formula.budget is None else formula.budget.most(size)
+    factor = None if value is None or not budget else value / budget
     return Row(
         formula.name, formula.role.value, formula.when.value, formula.kind.value, formula.what,
         formula.unit.value, formula.how, value,
         None if value is None else min(values), None if value is None else max(values),
         budget, "" if formula.budget is None else formula.budget.words,
-        None if value is None or not budget else value / budget,
+        factor, factor is not None and factor > 1.0 + SAME,
         "not measured" if value is None else state(one, value), mechanism(formula.mechanism), formula.step,
         one.uses, one.facts, one.assumed, list(dict.fromkeys(lacks)),
     )
--- a/emulator/capacity/tables.py
+++ b/emulator/capacity/tables.py
@@ -169,7 +169,8 @@
 def spelled(slope: Slope) -> str:
     low, high = slope.sizes
     law = ", power law taken where worse" if slope.superlinear else ""
-    return (f"`{slope.name}` {slope.each:.3g} +- {slope.each_high - slope.each:.1g} {slope.unit} a {slope.per}, run at "
+    half = slope.each_high - slope.each
+    return (f"`{slope.name}` {slope.each:.3g} +- {half:.1g} {slope.unit} a {slope.per}, run at "
             f"{low:,} to {high:,}, exponent {exponent(slope)}{law}")
 
 
@@ -284,5 +285,5 @@
 
 
 def as_json(told: Tables) -> bytes:
-    """Figures without end become null."""
+    """Figures without end become null; their rows are "over", and their state is not "not measured"."""
     return msgspec.json.format(msgspec.json.encode(told), indent=1) + b"\n"
