Capacity: a size that was run is told as it was run; the hollow fleet's rows and periods

Change: a size that was run is told by its run, with its rounds; what was stretched is put back to usual periods.

--- a/emulator/capacity/rows.py
+++ b/emulator/capacity/rows.py
@@ -1,8 +1,8 @@
 """One figure of one role at the size that is asked for: how it is worked out, and what it is held against.
 
 A `Formula` is what a role's file lists; a `Reckoner` gives it the size, the assumptions and the measured
-slopes, and notes each that it uses. So a row can tell by itself what it rests on: a slope within the sizes
-that were run ("measured"), slopes beyond them or several put together, or the operators' words alone
+slopes, and notes each that it uses. So a row can tell by itself what it rests on: a cost as it was run at
+just this size ("measured"), slopes at other sizes or several put together, or the operators' words alone
 ("reckoned"), these with something assumed ("assumed"), or a slope that nobody has measured ("not measured").
 """
 
@@ -75,7 +75,7 @@
 # Units that measures tell, and what one of them is in the units here.
 SCALE = {
     "bytes": 1.0, "KB": 1e3, "MB": 1e6, "bytes/s": 1.0, "KB/s": 1e3,
-    "s": 1.0, "ms": 1e-3, "us": 1e-6, "s/s": 1.0, "ms/s": 1e-3, "us/s": 1e-6, "core": 1.0,
+    "s": 1.0, "ms": 1e-3, "us": 1e-6, "s/s": 1.0, "ms/s": 1e-3, "us/s": 1e-6, "core": 1.0, "cores": 1.0,
     "datagrams/s": 1.0, "datagrams": 1.0, "messages/s": 1.0, "1/s": 1.0, "": 1.0, "share": 1.0, "count": 1.0,
 }
 
@@ -220,9 +220,9 @@
 def state(one: Reckoner, value: float) -> str:
     if not one.uses and not one.facts:
         return "assumed" if one.assumed else "reckoned"
-    within = all(use.size <= one.report.slope(use.slope).sizes[1] for use in one.uses)
+    run = all(one.report.slope(use.slope).run(use.size) is not None for use in one.uses)
     plain = len(one.alone) == 1 and math.isclose(value, one.alone[0], rel_tol=SAME) and not one.lacks
-    return "measured" if within and plain and not one.assumed else "reckoned"
+    return "measured" if run and plain and not one.assumed else "reckoned"
 
 
 def mechanism(told: str) -> str:
--- a/emulator/capacity/slopes.py
+++ b/emulator/capacity/slopes.py
@@ -70,6 +70,13 @@
         """The smallest and the largest that was run, the predicted one too."""
         return min(each.size for each in self.samples), max(self.largest, *(s.size for s in self.samples))
 
+    def run(self, size: float) -> tuple[float, float, float] | None:
+        """What was measured at just this size, with the least and the most of its rounds; None: it was not
+        run."""
+        if size == self.largest:
+            return self.measured, self.measured, self.measured
+        return next(((each.value, each.least, each.most) for each in self.samples if each.size == size), None)
+
     def power(self, size: float, exponent: float) -> float:
         """By a power law through the middle of the fitted sizes."""
         logs = [(math.log(each.size), math.log(max(each.value, FLOOR))) for each in self.samples]
@@ -77,8 +84,10 @@
         return math.exp(min(y + exponent * (math.log(size) - x), LOG_MOST)) if size > 0 else 0.0
 
     def reckoned(self, size: float) -> tuple[float, float, float]:
-        """What it costs at this size, with the ends of its interval; never below 0. By the line; where the
-        cost grows faster than one, by the power law if that is worse."""
+        """What it costs at this size, with the ends of its interval; never below 0. As it was run, if it was;
+        else by the line, and where the cost grows faster than one by the power law if that is worse."""
+        if (found := self.run(size)) is not None:
+            return found
         line = [self.base + each * size for each in (self.each, self.each_low, self.each_high)]
         if self.superlinear:
             powers = (self.exponent, self.exponent_low, self.exponent_high)
--- a/emulator/capacity/tables.py
+++ b/emulator/capacity/tables.py
@@ -159,6 +159,9 @@
     least = "at least " if row.lacks else ""
     if shown(row.low, row.unit) == shown(row.high, row.unit):
         return least + text
+    if row.unit == Unit.CORE.value:
+        plain, tail = Unit.SHARE.value, " of a core"
+        return f"{least}{shown(row.value, plain)} ({shown(row.low, plain)} to {shown(row.high, plain)}){tail}"
     return f"{least}{text} ({shown(row.low, row.unit)} to {shown(row.high, row.unit)})"
 
 
--- a/tests/emulator/test_capacity.py
+++ b/tests/emulator/test_capacity.py
@@ -88,7 +88,7 @@
     ("relay.call_again", 10.0, "reckoned"),  # 100 x 1,000 / 10,000
     ("relay.backlog", 10_000.0, "reckoned"),  # 1e6 / 100
     ("relay.held", 110.0, "assumed"),  # 100 x (0.1 + 0.02 x 50)
-    ("relay.directory_memory", 2_001_000.0, "measured"),  # 1,000 + 2,000 x 1,000, within 100 to 1,600
+    ("relay.directory_memory", 2_001_000.0, "reckoned"),  # 1,000 + 2,000 x 1,000: 1,000 was not run
     ("relay.storm_processor", 0.05, "reckoned"),  # 500 x 0.1 ms
     ("relay.start", 0.1, "reckoned"),  # 10,000 x 0.01 ms: beyond 1,600
     ("relay.start_hour", 0.0011, "reckoned"),  # 110 x 0.01 ms
@@ -125,6 +125,27 @@
     assert found.state == state
 
 
+@pytest.mark.parametrize("destinations, value, state", [
+    (800, 1_601_000.0, "measured"),  # a size of the fit
+    (1600, 4_000_000.0, "measured"),  # the largest: as it was run, whatever was predicted
+    (1601, 3_203_000.0, "reckoned"),
+])
+def test_a_size_that_was_run_is_told_as_it_was_run(destinations: int, value: float, state: str) -> None:
+    line = fitted("directory.list.memory_bytes", "destination", "bytes",
+                  [sample(each, 1000 + 2000 * each) for each in FIT], sample(LARGEST, 4_000_000.0), "f")
+    found = row("relay.directory_memory", small(fleet__destinations=destinations), report(line))
+    assert found.value == pytest.approx(value) and found.state == state
+
+
+def test_stretched_periods_are_put_back() -> None:
+    told = report(slope("hollow.cpu_share", "cores", lambda n: 1e-5 * n, per="instance"),
+                  hollow__stretch=6.0, hollow__change_most_s=18.0)
+    assert row("relay.hollow_processor", told=told).value == pytest.approx(0.006)  # 100 x 1e-5 x 6
+    usual = row("relay.force_usual", told=told)
+    assert usual.value == pytest.approx(3.0) and usual.state == "reckoned"
+    assert row("relay.force", told=told).state == "measured"
+
+
 def test_what_is_over_budget_comes_first_and_the_worst_at_the_top() -> None:
     found = rows(FORMULAS, small(), MADE_UP)
     factors = [each.factor or 0.0 for each in found if each.over]
@@ -386,7 +407,7 @@
     line = next(line for line in text.splitlines() if "the whole list, in directory and decisions" in line)
     for part in ("2 MB", "1 MB (asked: for control)", "**2**", "`directory.list.memory_bytes` 2e+03 +- ",
                  "bytes a destination", "run at 100 to 1,600", "exponent 1.00 +- 0.00",
-                 "`linnetstile/core/directory.py`; would: directory by interest", "measured"):
+                 "`linnetstile/core/directory.py`; would: directory by interest", "reckoned"):
         assert part in line, part
 
 
