Caps: one fleet may have 4,096 instances, and what is past a cap is told by name

Need: 3,500 relays are planned, and MEMBERS_MAX, RELAYS_MAX and evidence.RELAYS stood at 1,200, voters at 0 to 999, fleet.instances at 1,000, RELAY_INSTANCE at four letters. What was past a cap was passed over without a word (members, reports).

Change: peers.settings.INSTANCES_MAX = 4096 is the one figure, and the others are named by it. Members and reports past a cap are counted, and the latest is named in the log (the first, third, seventh ... time); a voter tells the relay which one it is. Ports past 65,535 by peers.listen + number are refused with field and instance; they were an OverflowError at the bind.

--- a/linnetstile/accord/granting.py
+++ b/linnetstile/accord/granting.py
@@ -24,11 +24,12 @@
 import zlib
 from dataclasses import dataclass, field
 
+from ..peers.settings import INSTANCES_MAX
 from .book import Book, Stage, Version
 from .rules import Rules, meet_all, standby, within
 from .terms import Counts, Grant, Renew, Terms
 
-RELAYS_MAX = 1200  # as many as peers are known
+RELAYS_MAX = INSTANCES_MAX  # as many as peers are known: a record of each, and a walk over them to clear
 MET = 4096  # answers that are kept: pairs of the versions that relays act by at one time
 
 
@@ -80,7 +81,7 @@
                     told, why=f"boot {told.boot} is not above {record.boot}: another process"
                 )
             if record is None and len(self.records) >= RELAYS_MAX:
-                return self._answer(told, why="too many relays")
+                return self._answer(told, why=f"it is relay {RELAYS_MAX + 1}: {RELAYS_MAX} at most")
             # A process that has just started acts by nothing, and the one before it has ended.
             record = self.records[name] = Record(told.boot, told.nonce)
         if told.seq <= record.seq:
--- a/linnetstile/accord/settings.py
+++ b/linnetstile/accord/settings.py
@@ -7,16 +7,18 @@
 import msgspec
 from msgspec import Meta
 
+from ..peers.settings import INSTANCES_MAX
 from .rules import NOTHING, Rules, RulesError, check
 from .terms import Terms
 
+Number = Annotated[int, Meta(ge=0, le=INSTANCES_MAX - 1)]
 MOST_VOTERS = 9  # more cost more messages for each version and outlive no likelier fault
 
 
 class AccordPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Versions of rules on which all instances agree. Needs [peers]."""
 
-    voters: tuple[Annotated[int, Meta(ge=0, le=999)], ...] = ()  # instance numbers, the same in each file
+    voters: tuple[Number, ...] = ()  # instance numbers, the same in each file
     bound_s: Annotated[float, Meta(ge=0.2, le=600)] = 2.0  # T: no two act on contrary versions for longer
     horizon_s: Annotated[float, Meta(ge=1, le=86_400)] = 30.0  # one that is cut off goes on for so long
     drift: Annotated[float, Meta(ge=0.001, le=0.2)] = 0.05  # of any two clocks, in s a second
--- a/linnetstile/cli/fleet.py
+++ b/linnetstile/cli/fleet.py
@@ -14,6 +14,7 @@
 from ..fleet.status import folder_of
 from ..fleet.supervisor import Supervisor
 from ..logs import plain, structured
+from ..peers.settings import INSTANCES_MAX
 
 
 async def supervise(file: Path) -> None:
@@ -31,7 +32,9 @@
 @click.option(
     "--config", "file", type=click.Path(path_type=Path), required=True, help="The operator's file (TOML)."
 )
-@click.option("--instances", type=click.IntRange(1, 1000), help="Goes before fleet.instances of the file.")
+@click.option(
+    "--instances", type=click.IntRange(1, INSTANCES_MAX), help="Goes before fleet.instances of the file."
+)
 def fleet(file: Path, instances: int | None) -> None:
     """Start, watch, restart and end the instances of a fleet.
 
--- a/linnetstile/cli/rules.py
+++ b/linnetstile/cli/rules.py
@@ -18,6 +18,7 @@
 from ..accord.rules import RulesError, check, decoded, difference
 from ..fleet.operator import OperatorError, read
 from ..fleet.status import StatusError, folder_of
+from ..peers.settings import INSTANCES_MAX
 
 Asked = Callable[..., dict[str, Any]]
 
@@ -79,7 +80,9 @@
         click.pass_context,
         click.option("--json", "as_json", is_flag=True, help="All that is told, as JSON."),
         click.option(
-            "--instance", type=click.IntRange(0, 999), help="Ask this one; else the first that answers."
+            "--instance",
+            type=click.IntRange(0, INSTANCES_MAX - 1),
+            help="Ask this one; else the first that answers.",
         ),
         click.option(
             "--config", type=click.Path(path_type=Path), required=True, help="The operator's file (TOML)."
@@ -180,8 +183,8 @@
 
 
 @rules.command()
-@click.option("--add", type=click.IntRange(0, 999), help="An instance that is to vote.")
-@click.option("--remove", type=click.IntRange(0, 999), help="One that is not to vote any more.")
+@click.option("--add", type=click.IntRange(0, INSTANCES_MAX - 1), help="An instance that is to vote.")
+@click.option("--remove", type=click.IntRange(0, INSTANCES_MAX - 1), help="One that is not to vote any more.")
 @author
 @pass_instances
 def voters(it: Instances, add: int | None, remove: int | None, author: str) -> None:
--- a/linnetstile/failover/evidence.py
+++ b/linnetstile/failover/evidence.py
@@ -19,11 +19,13 @@
 import msgspec
 
 from ..decisions.interface import Outcome
+from ..peers.settings import INSTANCES_MAX
 
 WINDOW_S = 1.0
 KEPT = 10  # windows that count
 CELLS = 200  # of one report: 1,000 destinations change their zone together, so the most called ones do
-RELAYS = 1200  # as many as peers are known
+RELAYS = INSTANCES_MAX  # as many as peers are known
+REPORTS = RELAYS * KEPT  # parts kept at once: one a window of each relay; some have more, most a small one
 BUCKETS = 32  # of a sketch: by the square root of 2 from 1 ms to 46 s, each within a fifth of the truth
 REPORT_BYTES = 900  # of one part, so that it goes into one datagram
 PARTS = 64  # of one window
@@ -246,6 +248,7 @@
     def __init__(self, window_s: float = WINDOW_S) -> None:
         self.window_s = window_s
         self.reports: dict[Name, tuple[Report, float]] = {}  # and when its window ended, here
+        self.surplus, self.turned_away = 0, ""  # reports past the most there may be, and whose the latest was
 
     @property
     def span(self) -> float:
@@ -261,7 +264,10 @@
     def _put(self, report: Report, ended: float) -> bool:
         known = self.reports.get(report.name)
         if known is None:
-            if len(self.reports) >= RELAYS * KEPT or report.part >= PARTS:
+            if report.part >= PARTS:
+                return False
+            if len(self.reports) >= REPORTS:
+                self.surplus, self.turned_away = self.surplus + 1, report.origin
                 return False
             self.reports[report.name] = msgspec.structs.replace(report, age_s=0.0), ended
             return True
--- a/linnetstile/failover/node.py
+++ b/linnetstile/failover/node.py
@@ -20,7 +20,7 @@
 from ..logs import Note
 from ..peers.node import Node
 from .decider import Decider, Rooms
-from .evidence import Counting, Evidence, Report
+from .evidence import REPORTS, Counting, Evidence, Report
 from .planner import Solver
 from .settings import FailoverPart
 
@@ -51,6 +51,7 @@
         self.decider = Decider(part, self.evidence, solver(), time.perf_counter)
         self.window_began = 0.0
         self.why = ""  # the latest proposal was not taken
+        self.surplus = 0  # reports that were not kept, as it was said last
         self.tasks = Tasks()
         peers.datagrams[EVIDENCE] = self._heard
         accord.watching = self
@@ -113,6 +114,16 @@
             return
         if report.zone in self.part.zones and math.isfinite(report.age_s):
             self.evidence.take(self._now(), report)
+        if self.evidence.surplus > 2 * self.surplus:  # the first, third, seventh ...: more may come
+            self.surplus = self.evidence.surplus
+            log.warning(
+                Note(
+                    "a report is not kept: there are as many as may be",
+                    sender=self.evidence.turned_away,
+                    most=REPORTS,
+                    so_far=self.surplus,
+                )
+            )
 
     # -- deciding --------------------------------------------------------------------------------------------
 
--- a/linnetstile/fleet/operator.py
+++ b/linnetstile/fleet/operator.py
@@ -22,14 +22,15 @@
 from ..amqp.settings import AmqpPart
 from ..decisions.interface import Fleet, Settings
 from ..failover.settings import FailoverPart
-from ..peers.settings import PeersPart
+from ..peers.settings import INSTANCES_MAX, PeersPart
 
 VARIABLE, NUMBER = "RELAY_OPERATOR", "RELAY_INSTANCE"
 INSTANCES = "RELAY_INSTANCES"  # goes before fleet.instances
 RETIRE = "RELAY_RETIRE"  # "1": it is no longer one of the fleet, and ends what an earlier process left
 
 Seconds = Annotated[float, Meta(ge=0.05, le=3600)]
-Count = Annotated[int, Meta(ge=1, le=1000)]
+NUMBER_LETTERS = 9  # of an instance, with zeros in front: more is no number of one
+Count = Annotated[int, Meta(ge=1, le=INSTANCES_MAX)]
 Lines = Annotated[int, Meta(ge=10, le=1_000_000)]
 
 
@@ -115,6 +116,12 @@
     failover: FailoverPart = FailoverPart()
 
     def __post_init__(self) -> None:
+        if self.peers.on:
+            for at in (self.peers.at, self.peers.told):
+                try:
+                    at(self.fleet.instances - 1)
+                except ValueError as error:
+                    raise ValueError(f"peers.{error}") from error
         if self.accord.on and not self.peers.on:
             raise ValueError("accord.voters: needs peers.listen: instances have to know each other")
         if self.accord.on and not self.peers.secret_file and not self.peers.listen.startswith("127."):
@@ -235,7 +242,7 @@
     text = env.get(NUMBER, "")
     if not text and size == 1:
         return 0
-    if not text.isdecimal() or len(text) > 4:
+    if not text.isdecimal() or len(text) > NUMBER_LETTERS:
         raise OperatorError(f"{NUMBER}: {text!r} must be a number from 0 to {size - 1}")
     if int(text) >= size and env.get(RETIRE) != "1":
         raise OperatorError(
--- a/linnetstile/peers/node.py
+++ b/linnetstile/peers/node.py
@@ -20,7 +20,7 @@
 from ..logs import Note
 from .identity import Identity, IdentityError, raised
 from .settings import PeersPart, place
-from .swim import Address, Swim
+from .swim import MEMBERS_MAX, Address, Swim
 from .wire import SEAL_BYTES, App, Body, Claim, Packet, State, Unreadable, opened, sealed
 
 log = logging.getLogger(__name__)
@@ -195,6 +195,16 @@
             log.error(Note("this process is not the one that counts", why=why))
             for refused in self.refused:
                 refused(why)
+        if self.swim.surplus > 2 * self.counts["surplus"]:  # the first, third, seventh ...: they come again
+            self.counts["surplus"] = self.swim.surplus
+            log.warning(
+                Note(
+                    "a member is not taken: there are as many as may be",
+                    member=self.swim.turned_away,
+                    most=MEMBERS_MAX,
+                    so_far=self.swim.surplus,
+                )
+            )
         changes, self.swim.changes = self.swim.changes, []
         for claim in changes:
             log.info(Note("a member has changed", member=claim.name, state=claim.state.name.lower()))
--- a/linnetstile/peers/settings.py
+++ b/linnetstile/peers/settings.py
@@ -9,6 +9,9 @@
 from msgspec import Meta
 
 SECRET_BYTES = 16  # at least: shorter ones can be guessed
+# Of one fleet: what is known of each instance at each other one, and at each voter, is bounded by it. It is
+# above the 3,500 relays of the largest plan there is, and its own size was tested (tests/scale).
+INSTANCES_MAX = 4096
 
 
 class PeersPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -57,6 +60,8 @@
     if "{n}" in text:
         return place(text.replace("{n}", str(number)), field)
     host, port = place(text, field)
+    if port + number > 65535:
+        raise ValueError(f"{field}: instance {number} would be at port {port + number}: 65535 at most")
     return host, port + number
 
 
--- a/linnetstile/peers/swim.py
+++ b/linnetstile/peers/swim.py
@@ -32,6 +32,7 @@
 
 import msgspec
 
+from .settings import INSTANCES_MAX
 from .wire import Ack, App, Body, Claim, Nack, Ping, PingFor, Refused, State, Sync, size
 
 Address = tuple[str, int]
@@ -50,7 +51,7 @@
 FORGET_S = 600.0  # the dead are remembered: an old word on them is not news
 SYNC_PERIODS = 15.0  # between two exchanges of all that is known, with one member
 JOIN_S = 0.5  # a joining member asks its seeds again
-MEMBERS_MAX = 1200  # known at once: past any fleet; more are somebody's mistake, or worse
+MEMBERS_MAX = INSTANCES_MAX  # known at once, as many as a fleet has; more are somebody's mistake, or worse
 
 
 @dataclass
@@ -109,6 +110,7 @@
         self.probe: Probe | None = None
         self.errands: dict[int, Errand] = {}
         self.period_at = self.sync_at = self.due = 0.0
+        self.surplus, self.turned_away = 0, ""  # words on members past the most there may be; the latest name
         self.synced = not self.seeds
         self.tell[self.me.name] = 0
 
@@ -240,7 +242,7 @@
             self._of_me(claim)
             return
         known = self.members.get(claim.name)
-        if known is None and (claim.gone or len(self.members) >= MEMBERS_MAX):
+        if known is None and (claim.gone or self._full(claim)):
             return
         if known is not None and claim.id != known.id and not known.gone:
             if not claim.gone:
@@ -274,6 +276,12 @@
         if known is None or (known.state, known.boot, known.caps) != (claim.state, claim.boot, claim.caps):
             self.changes.append(claim)
 
+    def _full(self, claim: Claim) -> bool:
+        if len(self.members) < MEMBERS_MAX:
+            return False
+        self.surplus, self.turned_away = self.surplus + 1, claim.name
+        return True
+
     def _confirm(self, known: Claim, claim: Claim) -> None:
         suspicion = self.suspicions.get(claim.name)
         if suspicion is None or claim.rank != known.rank or claim.by in suspicion.by:
--- /dev/null
+++ b/tests/scale/test_edges.py
@@ -0,0 +1,108 @@
+"""Each cap at its edge: as many as it says are taken, and the next one is refused by name."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from click.testing import CliRunner
+
+from linnetstile.accord.book import Book
+from linnetstile.accord.granting import RELAYS_MAX, Granting
+from linnetstile.accord.rules import Rules
+from linnetstile.accord.settings import AccordPart
+from linnetstile.accord.terms import Renew, Terms
+from linnetstile.cli.main import group
+from linnetstile.failover.evidence import KEPT, RELAYS, REPORTS, Evidence, Report
+from linnetstile.fleet.operator import FleetPart, Operator, OperatorError, decoded, instance
+from linnetstile.peers.settings import INSTANCES_MAX, PeersPart
+from linnetstile.peers.swim import MEMBERS_MAX, Swim
+from linnetstile.peers.wire import Claim, State, Sync
+
+PLANNED = 3500  # relays of the largest plan there is: each cap holds them with room
+
+
+def claim(n: int) -> Claim:
+    return Claim(f"n{n}", f"id{n}", 1, n + 1, 0, State.ALIVE, "127.0.0.1", 7000 + n, "z", 15)
+
+
+def test_each_cap_holds_the_relays_that_are_planned() -> None:
+    assert min(MEMBERS_MAX, RELAYS_MAX, RELAYS, INSTANCES_MAX) >= 1.1 * PLANNED
+
+
+def test_members_are_taken_up_to_the_most_and_the_next_one_is_named() -> None:
+    it = Swim(claim(0), (), random.Random(1))
+    told = [claim(n + 1) for n in range(MEMBERS_MAX)]
+    for n in range(0, len(told), 10):
+        it.receive(0.0, "n1", 2, Sync(False, tuple(told[n : n + 10])))
+    assert len(it.members) == MEMBERS_MAX and it.turned_away == ""
+    it.receive(0.0, "n1", 2, Sync(False, (claim(MEMBERS_MAX + 1),)))
+    assert len(it.members) == MEMBERS_MAX
+    assert (it.surplus, it.turned_away) == (1, f"n{MEMBERS_MAX + 1}")
+    it.receive(0.0, "n1", 2, Sync(False, (claim(1),)))  # one that is known is heard as before
+    assert it.surplus == 1
+
+
+def test_a_voter_grants_to_as_many_relays_as_there_may_be_and_tells_the_next_one_why() -> None:
+    it = Granting("n0", Book(Rules(), ("n0",)), Terms(), "f", 0, 0.0)
+    it.clear(0.0)
+    for n in range(RELAYS_MAX):
+        grant = it.renewed(1.0, f"n{n}", Renew(1, n, 1, "f", (), 0))
+        assert grant.noted and grant.granted == 1
+    over = it.renewed(1.0, "over", Renew(1, 9, 1, "f", (), 0))
+    assert not over.noted and over.why == f"it is relay {RELAYS_MAX + 1}: {RELAYS_MAX} at most"
+    assert it.renewed(1.1, "n7", Renew(1, 7, 2, "f", (1,), 0)).noted
+
+
+def test_reports_of_all_relays_and_windows_are_kept_and_the_next_one_is_named() -> None:
+    it = Evidence()
+    for n in range(RELAYS):
+        for window in range(KEPT):
+            assert it.take(100.0, Report(f"n{n}", 1, window, 0, "a", 0.0, 0.0))
+    assert len(it.reports) == REPORTS and not it.surplus
+    assert not it.take(100.0, Report("over", 1, 1, 0, "a", 0.0, 0.0))
+    assert (it.surplus, it.turned_away) == (1, "over")
+
+
+def test_numbers_of_voters_and_instances() -> None:
+    last = INSTANCES_MAX - 1
+    told = {
+        "fleet": {"instances": INSTANCES_MAX},
+        "peers": {"listen": "127.0.0.1:9000"},
+        "accord": {"voters": [0, 1000, last]},
+    }
+    assert decoded(told, "f").accord.voters == (0, 1000, last)
+    for where, value in (("fleet.instances", INSTANCES_MAX + 1), ("accord.voters", INSTANCES_MAX)):
+        part, field = where.split(".")
+        wrong = {part: {field: [value] if part == "accord" else value}}
+        with pytest.raises(OperatorError, match=rf"f: {where}: .*<= {INSTANCES_MAX - (part == 'accord')}"):
+            decoded(wrong, "f")
+    with pytest.raises(ValueError, match="is not among fleet.instances = 3"):
+        Operator(
+            fleet=FleetPart(instances=3), peers=PeersPart("127.0.0.1:9000"), accord=AccordPart((last,))
+        )
+
+
+@pytest.mark.parametrize("text", ["4095", "004095", "0000004095"[-9:]])
+def test_an_instance_of_four_digits_and_more(text: str) -> None:
+    fleet = Operator(fleet=FleetPart(instances=INSTANCES_MAX))
+    assert instance(fleet, {"RELAY_INSTANCE": text}) == 4095
+    with pytest.raises(OperatorError, match="4096 is not among fleet.instances = 4096: 0 to 4095 are"):
+        instance(fleet, {"RELAY_INSTANCE": "4096"})
+
+
+def test_ports_past_the_last_one_are_told_with_the_instance() -> None:
+    with pytest.raises(OperatorError, match="peers.listen: instance 4095 would be at port 66095: 65535 at"):
+        decoded({"fleet": {"instances": 4096}, "peers": {"listen": "127.0.0.1:62000"}}, "f")
+    told = {"fleet": {"instances": 4096}, "peers": {"listen": "127.0.0.1:61440"}}
+    assert decoded(told, "f").peers.at(4095) == ("127.0.0.1", 65535)
+
+
+@pytest.mark.parametrize(
+    "words", [["rules", "--instance", "4096"], ["fleet", "--instances", "4097", "--config", "x"]]
+)
+def test_commands_refuse_numbers_past_the_edge(words: list[str]) -> None:
+    done = CliRunner().invoke(group, words)
+    assert done.exit_code == 2 and "4096 is not in the range 0<=x<=4095" in done.output + done.stderr or (
+        "4097 is not in the range 1<=x<=4096" in done.output + done.stderr
+    )
