Units: a template of four digits, and the ports that digits make are told

Need: linnetstile@1000 is port 71000, and linnetstile@03 port 703: three digits end at 1,000 instances, and what a wrong number of digits makes was told nowhere.

Change: linnetstile4@ takes four digits behind a 1 (10000 to 14095, all that a fleet may have). More digits are no port, which systemd refuses (systemd-analyze verify: 'Numerical result out of range'); fewer are a port that nobody meant, and the socket's ExecStartPre refuses them with what is needed.

--- a/tests/fleet/test_operator.py
+++ b/tests/fleet/test_operator.py
@@ -111,21 +111,56 @@
     assert done.stdout.strip() == "[]"
 
 
-def test_units_give_each_instance_a_port_and_a_number_of_its_own() -> None:
-    """Guards against 700%i, which is port 70010 for instance 10."""
-    socket_, service = ((DEPLOY / "systemd" / f"linnetstile@.{kind}").read_text()
+def units(template: str) -> tuple[str, str]:
+    """Its socket and its service."""
+    socket_, service = ((DEPLOY / "systemd" / f"{template}@.{kind}").read_text()
                         for kind in ("socket", "service"))
+    return socket_, service
+
+
+@pytest.mark.parametrize(("template", "digits", "last", "first_port"), [
+    ("linnetstile", 3, 999, 7000), ("linnetstile4", 4, 4095, 10000)])
+def test_units_give_each_instance_a_port_and_a_number_of_its_own(
+    template: str, digits: int, last: int, first_port: int
+) -> None:
+    """Guards against 700%i, which is port 70010 for instance 10."""
+    socket_, service = units(template)
     ports = set()
-    for n in range(40):
-        name = f"{n:03}"
+    fleet = Operator(fleet=Operator().fleet.__class__(instances=last + 1))
+    for n in range(last + 1):
+        name = f"{n:0{digits}}"
         listen = re.search(r"^ListenStream=\S+:(\S+)$", socket_.replace("%i", name), re.MULTILINE)
         own = service.replace("%i", name)
         assert listen is not None and f"RELAY_LISTEN=127.0.0.1:{listen[1]} " in own
+        assert f"Requires={template}@{name}.socket" in own and f"StateDirectory=linnetstile/{name}" in own
         ports.add(int(listen[1]))
         env = dict(word.split("=", 1) for line in own.splitlines() if line.startswith("Environment=")
                    for word in line.removeprefix("Environment=").split())
-        assert instance(Operator(fleet=Operator().fleet.__class__(instances=40)), env) == n
-    assert len(ports) == 40 and max(ports) <= 65535
+        assert instance(fleet, env) == n
+    assert ports == set(range(first_port, first_port + last + 1)) and max(ports) <= 65535
+
+
+@pytest.mark.parametrize(("template", "good", "wrong", "says"), [
+    ("linnetstile", "003", ("03", "3", "0003", "x03"), "three digits are needed"),
+    ("linnetstile4", "0003", ("003", "3", "00003", "x003"), "four digits are needed")])
+def test_units_say_which_digits_they_need(template: str, good: str, wrong: tuple[str, ...], says: str) -> None:
+    """Guards against 1%i, which is port 1003 for instance 003: it would listen there, without a word."""
+    told = re.search(r"^ExecStartPre=/bin/sh -c '(.*)'$", units(template)[0], re.MULTILINE)
+    assert told is not None
+    for name in (good, *wrong):
+        done = subprocess.run(["/bin/sh", "-c", told[1].replace("%i", name)], capture_output=True, text=True,
+                              timeout=10)
+        assert (done.returncode == 0) is (name == good)
+        assert (f"instance {name}: {says}" in done.stderr) is (name != good)
+
+
+def test_the_units_differ_in_their_digits_alone() -> None:
+    def plain(text: str, digit: str, template: str) -> list[str]:
+        lines = text.replace(f"127.0.0.1:{digit}%i", "PORT").replace(f"{template}@%i", "UNIT").splitlines()
+        return [line for line in lines if not line.startswith(("#", "ExecStartPre="))]
+
+    for three, four in zip(units("linnetstile"), units("linnetstile4"), strict=True):
+        assert plain(three, "7", "linnetstile") == plain(four, "1", "linnetstile4")
 
 
 def test_a_smaller_part_is_taken_up_at_once_and_a_larger_one_when_all_have_heard() -> None:
