--- a/tests/fleet/test_operator.py
+++ b/tests/fleet/test_operator.py
@@ -143,7 +143,9 @@
 @pytest.mark.parametrize(("template", "good", "wrong", "says"), [
     ("linnetstile", "003", ("03", "3", "0003", "x03"), "three digits are needed"),
     ("linnetstile4", "0003", ("003", "3", "00003", "x003"), "four digits are needed")])
-def test_units_say_which_digits_they_need(template: str, good: str, wrong: tuple[str, ...], says: str) -> None:
+def test_units_say_which_digits_they_need(
+    template: str, good: str, wrong: tuple[str, ...], says: str
+) -> None:
     """Guards against 1%i, which is port 1003 for instance 003: it would listen there, without a word."""
     told = re.search(r"^ExecStartPre=/bin/sh -c '(.*)'$", units(template)[0], re.MULTILINE)
     assert told is not None
