--- a/benchmarks/capacity/peers.py
+++ b/benchmarks/capacity/peers.py
@@ -52,7 +52,7 @@
             for n, word in enumerate(words):
                 it = self._made(word)
                 it.receive(0.0, "n0", 1, Sync(False, tuple(each for each in words if each is not word)))
-                it.tell.clear()
+                it.news.clear()
                 it.synced, it.sync_at = True, self.rng.uniform(0.0, 15.0)
                 it.period_at = self.rng.uniform(0.0, 1.0)
                 it.changes.clear()
@@ -179,7 +179,7 @@
             "bytes_s": "bytes/s", "datagrams_s": "datagrams/s", "cpu_ms_s": "ms/s", "memory_bytes": "bytes",
         },
         members, "linnetstile/peers/swim.py",
-        "virtual time, no sockets: processor time holds the driver's (2 us a datagram) and no system call; all "
+        "virtual time, no sockets: processor time holds the driver's (2 us a datagram), no system call; all "
         "start in 1 s; at rest there is no news",
     ),
 )
--- a/linnetstile/peers/node.py
+++ b/linnetstile/peers/node.py
@@ -20,8 +20,8 @@
 from ..logs import Note
 from .identity import Identity, IdentityError, raised
 from .settings import PeersPart, place
-from .swim import MEMBERS_MAX, Address, Swim
-from .wire import SEAL_BYTES, App, Body, Claim, Packet, State, Unreadable, opened, sealed
+from .swim import MEMBERS_MAX, Swim
+from .wire import SEAL_BYTES, Address, App, Body, Claim, Packet, State, Unreadable, opened, sealed
 
 log = logging.getLogger(__name__)
 
--- a/linnetstile/peers/swim.py
+++ b/linnetstile/peers/swim.py
@@ -17,6 +17,9 @@
 - A suspicion's time shrinks as others confirm it from own probes: one member's bad link takes long to shut
   out another, three that agree do not.
 - The dead are asked now and then for some time, and the seeds for good: so two halves find each other again.
+- A joining member asks one seed at a time, and what it is answered is no news: all but it know of that. Who
+  learns much from an answer asks another one soon, so that a fleet that starts together knows all within some
+  rounds, and not by gossip, of which a packet holds a dozen words.
 - A name stays with one identity while that lives. A second process of the same folder (copied, or started
   twice) has another nonce: both hear of the other by gossip, and the one with the lower (boot, nonce) knows
   that it is not the one that counts. A folder that went back in time has a boot that was seen already.
@@ -26,16 +29,16 @@
 
 import math
 import random
-import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 import msgspec
 
+from .answers import Answers
+from .news import News
+from .roll import Roll
 from .settings import INSTANCES_MAX
-from .wire import Ack, App, Body, Claim, Nack, Ping, PingFor, Refused, State, Sync, size
-
-Address = tuple[str, int]
+from .wire import Ack, Address, App, Body, Claim, Nack, Ping, PingFor, Refused, State, Sync, size
 
 CLAIMS_BYTES = 1000  # of words on members in one packet
 TELL = 3.0  # each word is sent so many times log2(members): all but few hear of it by then (SWIM, 4.1)
@@ -50,7 +53,11 @@
 LATE_PERIODS = 0.5  # a tick so much later than it was due says that this process stood still
 FORGET_S = 600.0  # the dead are remembered: an old word on them is not news
 SYNC_PERIODS = 15.0  # between two exchanges of all that is known, with one member
-JOIN_S = 0.5  # a joining member asks its seeds again
+SOON_PERIODS = 1.0  # one whose answer held as many new words as a packet has asks another one so soon,
+LATER_PERIODS = 4.0  # and one that learned less, so soon
+PACKET_FULL = 8  # words at the least in a packet that is full
+JOIN_S = 0.5  # a joining member asks the next seed
+PACKET_WORDS = 40  # looked at for one packet: it has room for 25 at the most
 MEMBERS_MAX = INSTANCES_MAX  # known at once, as many as a fleet has; more are somebody's mistake, or worse
 
 
@@ -93,7 +100,7 @@
     seeds: tuple[Address, ...]
     rng: random.Random
     period: float = 1.0
-    members: dict[str, Claim] = field(default_factory=dict)  # all but this one
+    roll: Roll = field(default_factory=Roll)
     outbox: list[tuple[Address, Body]] = field(default_factory=list)
     changes: list[Claim] = field(default_factory=list)
     refused: Claim | None = None  # another process is who this one says it is
@@ -103,16 +110,24 @@
     def __post_init__(self) -> None:
         self.doubt = 0
         self.seq = 0
-        self.tell: dict[str, int] = {}  # whose word is news -> how often it was sent
+        self.news = News()
+        self.answers = Answers()
+        self.learned = 0  # words that were new, from others' answers since this one asked
+        self.asked = self.rng.randrange(len(self.seeds)) if self.seeds else 0  # the seed that is asked next
         self.suspicions: dict[str, Suspicion] = {}
-        self.gone_at: dict[str, float] = {}
+        self.suspicion_at = math.inf  # none ends before that
         self.ring: list[str] = []
         self.probe: Probe | None = None
         self.errands: dict[int, Errand] = {}
         self.period_at = self.sync_at = self.due = 0.0
         self.surplus, self.turned_away = 0, ""  # words on members past the most there may be; the latest name
         self.synced = not self.seeds
-        self.tell[self.me.name] = 0
+        self.news.add(self.me.name)
+
+    @property
+    def members(self) -> dict[str, Claim]:
+        """All that are known but this one."""
+        return self.roll.members
 
     # -- time ------------------------------------------------------------------------------------------------
 
@@ -122,14 +137,12 @@
             self._stood_still(now)
         if not self.synced and now >= self.sync_at:
             self.sync_at = now + JOIN_S * self.rng.uniform(0.8, 1.2)
-            for seed in self.seeds:
-                self._out(seed, Sync(True, (self.me,)))  # all of it, whatever that is
+            self._out(self.seeds[self.asked % len(self.seeds)], Sync(True, (self.me,)))  # for all there is
+            self.asked += 1
         elif self.synced and now >= self.sync_at:
             self._sync(now)
-        for seq, errand in list(self.errands.items()):
-            if now >= errand.nack_at:
-                del self.errands[seq]
-                self._to(errand.asker, Nack(errand.seq))
+        self._errands(now)
+        self.outbox += self.answers.spurt(now)
         self._probe(now)
         self._suspicions(now)
         self._forget(now)
@@ -139,10 +152,23 @@
         times = [self.period_at, self.sync_at]
         if self.probe is not None and not self.probe.asked and not self.probe.answered:
             times.append(self.probe.begun + self._answer_s())
-        times += [errand.nack_at for errand in self.errands.values()]
-        times += [suspicion.ends() for suspicion in self.suspicions.values()]
+        if self.errands:
+            times.append(next(iter(self.errands.values())).nack_at)
+        if self.suspicions:
+            times.append(self.suspicion_at)
+        if self.answers.going:
+            times.append(self.answers.at)
         return min(times)
 
+    def _errands(self, now: float) -> None:
+        """All have the same time, so that the first one is due first."""
+        while self.errands:
+            seq, errand = next(iter(self.errands.items()))
+            if now < errand.nack_at:
+                return
+            del self.errands[seq]
+            self._to(errand.asker, Nack(errand.seq))
+
     def _stood_still(self, now: float) -> None:
         """Answers may lie unread: nobody is blamed for what this process missed."""
         self.doubt = DOUBT_MAX
@@ -151,6 +177,7 @@
         self.errands.clear()
         for suspicion in self.suspicions.values():
             suspicion.since += late
+        self.suspicion_at += late
 
     def _span(self) -> float:
         return self.period * (1 + self.doubt)
@@ -191,12 +218,7 @@
 
     def _ask_others(self, probe: Probe) -> None:
         probe.asked = True
-        able = [
-            name
-            for name, claim in self.members.items()
-            if claim.state is State.ALIVE and name != probe.target
-        ]
-        helpers = self.rng.sample(able, min(OTHERS, len(able)))
+        helpers = self.roll.some(self.rng, OTHERS, State.ALIVE, probe.target)
         probe.helpers = len(helpers)
         for name in helpers:
             self._to(name, PingFor(probe.seq, probe.target, self._claims(name)))
@@ -215,29 +237,30 @@
     # -- suspicion -------------------------------------------------------------------------------------------
 
     def _suspicions(self, now: float) -> None:
+        if not self.suspicions or now < self.suspicion_at:
+            return
         for name, suspicion in list(self.suspicions.items()):
             if now >= suspicion.ends():
                 claim = self.members[name]
                 self._take(now, msgspec.structs.replace(claim, state=State.DEAD, by=self.me.name))
+        self.suspicion_at = min((each.ends() for each in self.suspicions.values()), default=math.inf)
 
     def _suspected(self, now: float, claim: Claim) -> None:
-        count = 1 + sum(not each.gone for each in self.members.values())
+        count = 1 + self.roll.there
         least = SUSPICION * max(1.0, math.log10(max(1, count))) * self.period * (1 + self.doubt)
         # With few members there is nobody to confirm: the least time has to do.
         most = least * (SUSPICION_MAX if count > CONFIRMS + 2 else 1.0)
-        self.suspicions[claim.name] = Suspicion(now, {claim.by}, least, most)
+        suspicion = self.suspicions[claim.name] = Suspicion(now, {claim.by}, least, most)
+        self.suspicion_at = min(self.suspicion_at, suspicion.ends())
 
     def _forget(self, now: float) -> None:
-        for name, at in list(self.gone_at.items()):
-            if now > at + FORGET_S:
-                del self.gone_at[name]
-                self.members.pop(name, None)
-                self.tell.pop(name, None)
+        for name in self.roll.forget(now - FORGET_S):
+            self.news.drop(name)
 
     # -- words on members ------------------------------------------------------------------------------------
 
-    def _take(self, now: float, claim: Claim) -> None:
-        """One word: it stands if it is above what stood."""
+    def _take(self, now: float, claim: Claim, answer: bool = False) -> None:
+        """One word: it stands if it is above what stood. `answer`: it came among all that another knows."""
         if claim.name == self.me.name:
             self._of_me(claim)
             return
@@ -265,14 +288,14 @@
         if claim.boot < self.seen.get(claim.id, 0):
             return
         self.seen[claim.id] = claim.boot
-        self.members[claim.name] = claim
-        self.tell[claim.name] = 0
+        self.roll.put(now, claim)
+        self.learned += answer
+        joined = claim.state <= State.ALIVE and (known is None or known.state is State.JOINING)
+        if not (answer and joined):
+            self.news.add(claim.name)
         self.suspicions.pop(claim.name, None)
-        self.gone_at.pop(claim.name, None)
         if claim.state is State.SUSPECT:
             self._suspected(now, claim)
-        elif claim.gone:
-            self.gone_at[claim.name] = now
         if known is None or (known.state, known.boot, known.caps) != (claim.state, claim.boot, claim.caps):
             self.changes.append(claim)
 
@@ -288,8 +311,9 @@
             return
         if len(suspicion.by) <= CONFIRMS:
             suspicion.by.add(claim.by)
-            self.members[claim.name] = claim  # goes on under the name of who confirmed it
-            self.tell[claim.name] = 0
+            self.suspicion_at = min(self.suspicion_at, suspicion.ends())
+            self.roll.confirmed(claim)  # goes on under the name of who confirmed it
+            self.news.add(claim.name)
 
     def _of_me(self, claim: Claim) -> None:
         """Refutes what is not so. A live word on another process under this name counts by boot and nonce; a
@@ -309,18 +333,18 @@
 
     def _reborn(self, incarnation: int) -> None:
         self.me = msgspec.structs.replace(self.me, incarnation=incarnation)
-        self.tell[self.me.name] = 0
+        self.news.add(self.me.name)
 
     def reboot(self, boot: int) -> None:
         """Above all processes of this folder that others have seen: joins anew."""
         self.me = msgspec.structs.replace(self.me, boot=boot, incarnation=0, state=State.JOINING)
         self.refused, self.behind, self.synced, self.sync_at = None, 0, not self.seeds, 0.0
-        self.tell[self.me.name] = 0
+        self.news.add(self.me.name)
 
     def leave(self) -> None:
         """Says so to some, who pass it on: for a stop that is meant."""
         self.me = msgspec.structs.replace(self.me, state=State.LEFT)
-        self.tell[self.me.name] = 0
+        self.news.add(self.me.name)
         able = [name for name, claim in self.members.items() if not claim.gone]
         for name in self.rng.sample(able, min(2 * OTHERS, len(able))):
             self._to(name, Sync(False, (self.me,)))
@@ -346,21 +370,21 @@
             case Nack(seq):
                 if self.probe is not None and self.probe.seq == seq:
                     self.probe.nacks += 1
-            case Sync(want, claims, same):
-                self._words(now, claims)
-                if want and claims and same != self._sum():
-                    self._whole((claims[0].host, claims[0].port))
-                if not want and not self.synced:
-                    self._joined()
+            case Sync(want, claims, same, slices):
+                self._words(now, claims, answer=not want)
+                if want and claims:
+                    self._answer(now, (claims[0].host, claims[0].port), same, slices)
+                elif not want:
+                    self._answered(now)
             case Refused(claim):
                 self._of_me(claim)
             case App():
                 return body
         return None
 
-    def _words(self, now: float, claims: Iterable[Claim]) -> None:
+    def _words(self, now: float, claims: Iterable[Claim], answer: bool = False) -> None:
         for claim in claims:
-            self._take(now, claim)
+            self._take(now, claim, answer)
 
     def _acked(self, seq: int, sender: str) -> None:
         errand = self.errands.pop(seq, None)
@@ -373,9 +397,16 @@
         self.synced = True
         if self.me.state is State.JOINING:
             self.me = msgspec.structs.replace(self.me, state=State.ALIVE)
-            self.tell[self.me.name] = 0
+            self.news.add(self.me.name)
             self.changes.append(self.me)
 
+    def _answered(self, now: float) -> None:
+        if not self.synced:
+            self._joined()
+        if self.learned:
+            periods = SOON_PERIODS if self.learned >= PACKET_FULL else LATER_PERIODS
+            self.sync_at = min(self.sync_at, now + periods * self.period * self.rng.uniform(0.5, 1.5))
+
     # -- what goes -------------------------------------------------------------------------------------------
 
     def _sync(self, now: float) -> None:
@@ -383,33 +414,43 @@
         if self.me.state is State.JOINING:
             self._joined()
         self.sync_at = now + SYNC_PERIODS * self.period * self.rng.uniform(0.8, 1.2)
+        self.learned = 0
         there = [claim for claim in self.members.values() if not claim.gone]
         if there:
             one = self.rng.choice(there)
-            self._out((one.host, one.port), Sync(True, (self.me,), self._sum()))
+            self._out((one.host, one.port), self._ask())
         lost = [(claim.host, claim.port) for claim in self.members.values() if claim.state is State.DEAD]
         known = {(claim.host, claim.port) for claim in there} | {(self.me.host, self.me.port)}
         lost += [seed for seed in self.seeds if seed not in known]
         if lost:
-            self._out(self.rng.choice(lost), Sync(True, (self.me,), self._sum()))
+            self._out(self.rng.choice(lost), self._ask())
 
-    def _sum(self) -> int:
-        """The same where the same is known; never 0."""
-        known = sorted((each.name, *each.rank) for each in (self.me, *self.members.values()))
-        return zlib.crc32(repr(known).encode()) or 1
+    def _ask(self) -> Sync:
+        return Sync(True, (self.me,), self.roll.same(self.me), self.roll.slices(self.me))
 
-    def _whole(self, to: Address) -> None:
-        """All that is known, in as many packets as it takes."""
+    def _answer(self, now: float, to: Address, same: int, slices: bytes) -> None:
+        """With all that differs; one of a build without slices gets everything, unless it is the same."""
+        parts = self.roll.differing(self.me, slices) if slices else None
+        if parts is None and same and same == self.roll.same(self.me) or parts is not None and not parts:
+            return
+        if self.answers.begin(to, self._packets(self.roll.words(parts))):
+            self.outbox += self.answers.spurt(now)
+        else:  # enough to go on with, and to ask others
+            names = self.roll.some(self.rng, PACKET_WORDS, State.ALIVE)
+            self._out(to, next(self._packets(self.members[name] for name in names)))
+
+    def _packets(self, words: Iterable[Claim]) -> Iterator[Sync]:
+        """In as many as it takes."""
         part: list[Claim] = [self.me]
         room = CLAIMS_BYTES - size(self.me)
-        for claim in self.members.values():
+        for claim in words:
             need = size(claim)
             if need > room:
-                self._out(to, Sync(False, tuple(part)))
+                yield Sync(False, tuple(part))
                 part, room = [self.me], CLAIMS_BYTES - size(self.me)
             part.append(claim)
             room -= need
-        self._out(to, Sync(False, tuple(part)))
+        yield Sync(False, tuple(part))
 
     def _claims(self, to: str) -> tuple[Claim, ...]:
         """News that fit, those told least first; a suspect hears first that it is one."""
@@ -420,10 +461,10 @@
             found.append(own)
             room -= size(own)
         limit = math.ceil(TELL * math.log2(len(self.members) + 2))
-        for name, times in sorted(self.tell.items(), key=lambda item: item[1]):
+        for name in self.news.first(PACKET_WORDS):
             claim = self.me if name == self.me.name else self.members.get(name)
-            if claim is None or times >= limit:
-                del self.tell[name]
+            if claim is None:
+                self.news.drop(name)
                 continue
             if claim in found:
                 continue
@@ -432,7 +473,7 @@
                 break
             found.append(claim)
             room -= need
-            self.tell[name] = times + 1
+            self.news.told(name, limit)
         return tuple(found)
 
     def _to(self, name: str, body: Body) -> None:
@@ -440,7 +481,6 @@
         if claim is not None:
             self._out((claim.host, claim.port), body)
 
-
     def _out(self, to: Address, body: Body) -> None:
         if to != (self.me.host, self.me.port):
             self.outbox.append((to, body))
--- a/linnetstile/peers/wire.py
+++ b/linnetstile/peers/wire.py
@@ -17,6 +17,8 @@
 SEAL_BYTES = 16  # of HMAC-SHA256: forging one takes 2^128 tries
 NAME_BYTES = 64
 
+Address = tuple[str, int]
+
 
 class State(IntEnum):
     """What is held true of a member. Of two words of the same incarnation the higher one stands."""
@@ -84,6 +86,7 @@
     want: bool
     claims: tuple[Claim, ...]
     same: int = 0  # a sum over what the sender knows
+    slices: bytes = b""  # sums over parts of it (peers/roll.py): the answer holds those that differ
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag="r"):
