--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -174,14 +174,18 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             try:
-                self.transport.sweep()
-                self.messages.forget()
-                self.messages.know({known.entry.destination for known in self.directory.by_number.values()})
-                self.journal.tidy(unix_ms())
-                self._keep_learned()
+                self.tidy()
             except Exception:
                 log.exception("tidying failed")  # and is tried again: without it the folder fills
 
+    def tidy(self) -> None:
+        """Once a second, so that it walks over no more than what is in use."""
+        self.transport.sweep()
+        self.messages.forget()
+        self.messages.know({known.entry.destination for known in self.directory.by_number.values()})
+        self.journal.tidy(unix_ms())
+        self._keep_learned()
+
     def _keep_learned(self) -> None:
         """What an earlier process learned stays until this one goes by it."""
         if self.open:
