A failing action drops none behind it; a call given up at once has an outcome

Causes (read, made to happen by tests): core/turns.py let an exception of one action drop the actions behind it, ends and the timer among them; core/attempts.py cancelled a task before its first step, so that no outcome came and the module held the message as out for good (today's decisions never cancel, an embedder's may). Change: each action by itself, with the fault logged; a cancel comes after the first step. Both seen to fail without.

--- a/linnetstile/core/attempts.py
+++ b/linnetstile/core/attempts.py
@@ -51,7 +51,10 @@
     def begin(self, number: int, endpoint: int, until_ms: float) -> None:
         held = self.messages.held[number]
         held.attempts += 1
-        held.cancel = self.tasks.start(self._make(number, held, endpoint, until_ms)).cancel
+        task = self.tasks.start(self._make(number, held, endpoint, until_ms))
+        # Not before its first step: a task that is cancelled before it says nothing, and the module would
+        # wait for its outcome for good.
+        held.cancel = lambda: asyncio.get_running_loop().call_soon(task.cancel)
 
     async def _make(self, number: int, held: Held, endpoint: int, until_ms: float) -> None:
         begun, entry, attempt = self.turns.now(), held.entry, held.attempts - 1
--- a/linnetstile/core/turns.py
+++ b/linnetstile/core/turns.py
@@ -49,8 +49,12 @@
         for action in actions:
             if isinstance(action, api.SetTimer):
                 self._set(action.delay_ms)
-            else:
+                continue
+            try:
                 self.act(action)
+            except Exception:
+                # Nor one that cannot be carried out the ends behind it, and the timer of all later ones.
+                log.exception("%r could not be carried out", action)
 
     def _set(self, delay_ms: float) -> None:
         if self.timer is not None:
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -4,15 +4,21 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from pathlib import Path
 
+import pytest
 
 from linnetstile.core.growing import MOST
+from linnetstile.core.turns import Turns
+from linnetstile.decisions import interface as api
+from linnetstile.decisions.control import Relay
 from linnetstile.http import notices as http_notices
 from linnetstile.http.agent import Agent as AgentLink
 from linnetstile.http.agent import AgentError
 from linnetstile.http.notices import Notices
 
+from .conftest import make_settings
 from .loopback import Agent, Client, message, run, until
 from .test_clients import World
 
@@ -110,3 +116,64 @@
             assert (await world.agent.notices.get())["state"] == "returned"
             assert not world.server.seen
     run(work())
+
+
+class Scripted(Relay):
+    """Says what it is told to."""
+
+    def __init__(self, *acts: api.Action) -> None:
+        super().__init__(make_settings(), 1)
+        self.acts = list(acts)
+
+    def handle(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
+        acts, self.acts = self.acts, []
+        return acts
+
+
+def test_an_action_that_cannot_be_carried_out_costs_neither_the_ends_behind_it_nor_the_timer(
+    caplog: pytest.LogCaptureFixture
+) -> None:
+    """Seen to fail without the guard: all that stood behind it was dropped, and nothing woke the module."""
+    async def work() -> None:
+        done = list[api.Action]()
+
+        def act(action: api.Action) -> None:
+            if isinstance(action, api.Send):
+                raise KeyError(action.id)
+            done.append(action)
+
+        turns = Turns(Scripted(api.Send(1, 2, 3.0), api.Fail(4), api.SetTimer(60_000.0, 0)), 5.0, act)
+        turns.feed(api.TimerFired(0))
+        await until(lambda: turns.timer is not None)
+        assert done == [api.Fail(4)] and "KeyError" in caplog.text
+        turns.stop()
+    with caplog.at_level(logging.ERROR):
+        run(work())
+
+
+def test_a_call_that_is_given_up_in_the_moment_it_is_begun_has_its_outcome(tmp_path: Path) -> None:
+    """Seen to fail where its task was cancelled before its first step: the module never heard of it."""
+    async def work() -> None:
+        world = World(tmp_path)
+        async with world as host, Client(host.ingress.port) as client:
+            world.server.usual = None
+            ended = list[api.Event]()
+            begin, feed = host.host.attempts.begin, host.turns.feed
+
+            def at_once(number: int, endpoint: int, until_ms: float) -> None:
+                begin(number, endpoint, until_ms)
+                cancel = host.held[number].cancel
+                assert cancel is not None
+                cancel()
+
+            def heard(event: api.Event) -> None:
+                ended.append(event)
+                feed(event)
+
+            host.host.attempts.begin = at_once  # type: ignore[method-assign]
+            host.turns.feed = heard  # type: ignore[method-assign]
+            assert await client.ask(message("m")) == 202
+            await until(lambda: any(isinstance(each, api.AttemptEnded) for each in ended))
+            outcome = next(each for each in ended if isinstance(each, api.AttemptEnded))
+            assert outcome.outcome is api.Outcome.CANCELLED
+    run(work())
