An id that comes again waits for the same sync, and keeps the message for whom hears it

Cause (read, made to happen by a test): with records that wait for a sync, a message handed in again on another connection was answered 202 before the sync, and dropped when the first connection went (core/messages.py, take and withdraw): its client had heard, and no end followed. Change: the repeat waits too; each that was told or waits to be told holds a claim, and the last one's loss withdraws. Seen to fail with a repeat that is answered at once, and without the claims.

--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -38,6 +38,7 @@
     entry: Entry
     attempts: int = 0  # sends of this process, as the module counts them
     cancel: Callable[[], object] | None = None  # gives up the call that is out
+    claims: int = 1  # times that somebody was told, or waits to be told, that it is taken on
 
 
 class Messages:
@@ -85,8 +86,10 @@
         self._check(offer)
         if self.offered is not None:
             self.offered(offer)
-        if offer.id in self.journal.entries:
-            return Receipt(True)  # also while it is under way: it is one message, however often it comes
+        if offer.id in self.journal.entries:  # also while it is under way: it is one, however often it comes
+            if (number := self.numbers.get(offer.id)) is not None:
+                self.held[number].claims += 1
+            return Receipt(True, when=self.journal.barrier())
         if self.retiring:
             return Receipt(False, why="this relay is being taken out of service", retry_s=RETRY_S)
         barred = self.bars(offer.dest, offer.class_) if self.bars is not None else ""
@@ -137,6 +140,9 @@
         untried = number is not None and not self.held[number].attempts
         if number is not None:
             held = self.held[number]
+            held.claims -= 1
+            if held.claims > 0:  # Guards whoever handed it in on another connection, and has heard
+                return False
             self.write(lambda: self.journal.withdrawn(held.entry))
             self.let_go(number)
             self.feed(api.Withdrawn(number))
@@ -170,6 +176,7 @@
                     risk_age_ms=None if risk is None else self._age(risk, now),
                     risk=None if risk is None else api.Endpoint(
                         number_of(risk.endpoint), entry.dest, api.Listing.READY, zone=risk.zone)))
+                self.held[self.last_number].claims += 1  # the earlier process said so
 
     def _age(self, risk: Attempt, now: float) -> float:
         """How long ago an attempt of an earlier process was made, the time spent dead included. Guards key
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import logging
+import select
 from pathlib import Path
 
 import pytest
@@ -16,6 +17,7 @@
 from linnetstile.http import notices as http_notices
 from linnetstile.http.agent import Agent as AgentLink
 from linnetstile.http.agent import AgentError
+from linnetstile.http.link import polled
 from linnetstile.http.notices import Notices
 
 from .conftest import make_settings
@@ -177,3 +179,30 @@
             outcome = next(each for each in ended if isinstance(each, api.AttemptEnded))
             assert outcome.outcome is api.Outcome.CANCELLED
     run(work())
+
+
+def test_one_that_comes_again_while_its_first_answer_waits_for_a_sync_is_kept_for_whom_hears_it(
+    tmp_path: Path
+) -> None:
+    """Seen to fail where a repeat was answered at once: it was told that it is taken on before that outlasted
+    a power cut, and when the first connection went, the message went with it."""
+    async def work() -> None:
+        world = World(tmp_path)
+        async with world as host:
+            sync = asyncio.get_running_loop().create_future()
+            host.journal.barrier = lambda: sync  # type: ignore[method-assign]
+            world.server.hold = asyncio.Event()
+            async with Client(host.ingress.port) as first, Client(host.ingress.port) as again:
+                first.writer.write(message("m"))
+                await until(lambda: "m" in host.journal.entries)
+                begun = next(each for each in host.ingress.connections if each.unsent)
+                again.writer.write(message("m"))
+                await until(lambda: sum(len(each.unsent) for each in host.ingress.connections) == 2)
+                first.writer.transport.abort()
+                await until(lambda: polled(begun.transport, select.POLLRDHUP))
+                sync.set_result(None)
+                assert await again.status() == 202
+                assert "m" in host.journal.entries
+                world.server.hold.set()
+                await until(lambda: host.journal.entries["m"].end == "delivered")
+    run(work())
