Tests: one way to start a relay on loopback, in loopback.py

The context manager of tests/test_host.py moves to tests/loopback.py; tests/http/test_discovery.py and the World of tests/test_clients.py, which tests/http/test_endings.py uses, start their relays by it. No assertion changed.

--- a/tests/http/test_discovery.py
+++ b/tests/http/test_discovery.py
@@ -18,7 +18,7 @@
 from linnetstile.http.register import Register
 from linnetstile.store.journal import Entry, Journal
 
-from ..loopback import Agent, Client, Running, Server, answer, host_of, listing, message, run, until
+from ..loopback import Agent, Client, Running, Server, answer, host_of, listing, message, relay, run, until
 
 
 def left_untried(folder: Path, count: int) -> Path:
@@ -52,12 +52,10 @@
         state = left_untried(tmp_path, 3)
         agent, old, new = await old_and_new()
         agent.tell(moved(old, new))
-        host = host_of(state, agent, old)
-        await host.start()
-        await until(lambda: len(new.seen) == 3)
-        assert not old.seen
-        assert agent.seen[0].target.endswith("hold_ms=0")  # it does not wait on the far side
-        await host.close()
+        async with relay(state, agent, old):
+            await until(lambda: len(new.seen) == 3)
+            assert not old.seen
+            assert agent.seen[0].target.endswith("hold_ms=0")  # it does not wait on the far side
     run(work())
 
 
@@ -66,14 +64,13 @@
         state = left_untried(tmp_path, 3)
         agent, old, _ = await old_and_new()
         agent.silent = True
-        host, begun = host_of(state, agent, old), time.monotonic()
-        await host.start()
-        async with Client(host.ingress.port) as client:  # it takes messages on meanwhile
-            assert await client.ask(message("n")) == 202
-        assert not old.seen
-        await until(lambda: len(old.seen) == 4)
-        assert time.monotonic() - begun >= core_host.FIRST_LIST_S
-        await host.close()
+        begun = time.monotonic()
+        async with relay(state, agent, old) as host:
+            async with Client(host.ingress.port) as client:  # it takes messages on meanwhile
+                assert await client.ask(message("n")) == 202
+            assert not old.seen
+            await until(lambda: len(old.seen) == 4)
+            assert time.monotonic() - begun >= core_host.FIRST_LIST_S
     run(work())
 
 
@@ -84,25 +81,23 @@
         state = left_untried(tmp_path, 0)
         agent, old, new = await old_and_new()
         other = await Agent().start()
-        host = host_of(state, agent, old)
-        await host.start()
-        await until(lambda: any("hold_ms=0" not in seen.target for seen in agent.seen))  # a watch is open
-        link = host.register.agent.link
-        assert link is not None
-        body = json.dumps(moved(old, new, generation=90))
-        # The answer is read, and the task that waits for it not yet woken, in the moment of the reload.
-        link.data_received(answer(200, body=body))
-        assert link.whole.done()
-        config = host.host.config
-        host.reload(_at(config, other))
-        await until(lambda: bool(other.seen))
-        assert other.seen[0].target == "/v1/servers" and host.register.version == -1
-        assert {each.address for each in host.directory.by_name.values()} == {old.address}
-        other.tell(listing(new, generation=3))
-        await until(lambda: host.register.version == 3)
-        await until(lambda: any("from=3&" in seen.target for seen in other.seen))
-        assert {each.address for each in host.directory.by_name.values()} == {new.address}
-        await host.close()
+        async with relay(state, agent, old) as host:
+            await until(lambda: any("hold_ms=0" not in seen.target for seen in agent.seen))  # a watch is open
+            link = host.register.agent.link
+            assert link is not None
+            body = json.dumps(moved(old, new, generation=90))
+            # The answer is read, and the task that waits for it not yet woken, in the moment of the reload.
+            link.data_received(answer(200, body=body))
+            assert link.whole.done()
+            config = host.host.config
+            host.reload(_at(config, other))
+            await until(lambda: bool(other.seen))
+            assert other.seen[0].target == "/v1/servers" and host.register.version == -1
+            assert {each.address for each in host.directory.by_name.values()} == {old.address}
+            other.tell(listing(new, generation=3))
+            await until(lambda: host.register.version == 3)
+            await until(lambda: any("from=3&" in seen.target for seen in other.seen))
+            assert {each.address for each in host.directory.by_name.values()} == {new.address}
     run(work())
 
 
@@ -116,19 +111,17 @@
         state = left_untried(tmp_path, 0)
         agent, old, new = await old_and_new()
         other = await Agent().start()
-        host = host_of(state, agent, old)
-        await host.start()
-        if moment == "pause":
-            host.register.asking.pauses.most = host.register.asking.pauses.first = 60_000.0
-            agent.changes.put_nowait(answer(500))
-            await until(lambda: host.register.asking.pauses.fails > 0)
-        else:
-            await until(lambda: any("hold_ms=0" not in seen.target for seen in agent.seen))
-        host.reload(_at(host.host.config, other))
-        await until(lambda: bool(other.seen))
-        other.tell(listing(new, generation=1))
-        await until(lambda: {each.address for each in host.directory.by_name.values()} == {new.address})
-        await host.close()
+        async with relay(state, agent, old) as host:
+            if moment == "pause":
+                host.register.asking.pauses.most = host.register.asking.pauses.first = 60_000.0
+                agent.changes.put_nowait(answer(500))
+                await until(lambda: host.register.asking.pauses.fails > 0)
+            else:
+                await until(lambda: any("hold_ms=0" not in seen.target for seen in agent.seen))
+            host.reload(_at(host.host.config, other))
+            await until(lambda: bool(other.seen))
+            other.tell(listing(new, generation=1))
+            await until(lambda: {each.address for each in host.directory.by_name.values()} == {new.address})
     run(work())
 
 
@@ -137,20 +130,19 @@
     async def work() -> None:
         state = left_untried(tmp_path, 0)
         agent, old, new = await old_and_new()
-        host = host_of(state, agent, old)
-        await host.start()
-        raw = listing(new, generation=2, reset=False)
-        (name,) = host.directory.by_name
-        raw["instances"][0]["instanceId"] = name
-        gone = {"instanceId": name, "lifecycle": "gone"}  # one that cannot be read, but for its life
-        raw["instances"] = [gone, *raw["instances"]]
-        agent.changes.put_nowait(answer(200, body=json.dumps(raw, indent=2 if text == "indented" else None)))
-        await until(lambda: host.register.version == 2)
-        async with Client(host.ingress.port) as client:
-            assert await client.ask(message("n")) == 202
-        await until(lambda: len(new.seen) == 1)
-        assert not old.seen
-        await host.close()
+        async with relay(state, agent, old) as host:
+            raw = listing(new, generation=2, reset=False)
+            (name,) = host.directory.by_name
+            raw["instances"][0]["instanceId"] = name
+            gone = {"instanceId": name, "lifecycle": "gone"}  # one that cannot be read, but for its life
+            raw["instances"] = [gone, *raw["instances"]]
+            body = json.dumps(raw, indent=2 if text == "indented" else None)
+            agent.changes.put_nowait(answer(200, body=body))
+            await until(lambda: host.register.version == 2)
+            async with Client(host.ingress.port) as client:
+                assert await client.ask(message("n")) == 202
+            await until(lambda: len(new.seen) == 1)
+            assert not old.seen
     run(work())
 
 
@@ -158,18 +150,16 @@
     async def work() -> None:
         state = left_untried(tmp_path, 0)
         agent, old, new = await old_and_new()
-        host = host_of(state, agent, old)
-        await host.start()
-        await until(lambda: any("hold_ms=0" not in seen.target for seen in agent.seen))
-        whole = answer(200, body=json.dumps(moved(old, new)))
-        agent.changes.put_nowait(whole[:-40])
-        await until(lambda: bool(agent.writers) and len(agent.seen) >= 2)
-        agent.writers[-1].close()  # the rest never comes
-        await until(lambda: len(agent.seen) >= 4)
-        assert host.register.version == 1 and len(host.directory.by_name) == 1
-        agent.tell(moved(old, new))
-        await until(lambda: host.register.version == 2)
-        await host.close()
+        async with relay(state, agent, old) as host:
+            await until(lambda: any("hold_ms=0" not in seen.target for seen in agent.seen))
+            whole = answer(200, body=json.dumps(moved(old, new)))
+            agent.changes.put_nowait(whole[:-40])
+            await until(lambda: bool(agent.writers) and len(agent.seen) >= 2)
+            agent.writers[-1].close()  # the rest never comes
+            await until(lambda: len(agent.seen) >= 4)
+            assert host.register.version == 1 and len(host.directory.by_name) == 1
+            agent.tell(moved(old, new))
+            await until(lambda: host.register.version == 2)
     run(work())
 
 
@@ -221,11 +211,9 @@
         journal.close()
         agent, old, _ = await old_and_new()
         agent.silent = True
-        host = host_of(state, agent, old)
-        await host.start()
-        assert (await agent.notices.get())["id"] == "k"
-        assert not old.seen
-        await host.close()
+        async with relay(state, agent, old):
+            assert (await agent.notices.get())["id"] == "k"
+            assert not old.seen
     run(work())
 
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -6,7 +6,8 @@
 import json
 import time
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Self
@@ -215,6 +216,16 @@
     return Running(config.load({"RELAY_CONFIG": str(path)}), amqp)
 
 
+@asynccontextmanager
+async def relay(state: Path, agent: Agent, *servers: Server, **more: Any) -> AsyncIterator[Running]:
+    host = host_of(state, agent, *servers, **more)
+    await host.start()
+    try:
+        yield host
+    finally:
+        await host.close()
+
+
 def message(ident: str, class_: str = "safe", body: bytes = b"hello", left: int = 8000, **more: str) -> bytes:
     headers = {
         "Host": "origin.svc", "X-Trace-Id": ident, "X-Qos": class_, "X-Customer": "t",
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -10,7 +10,7 @@
 
 from linnetstile.http import intake as ingress
 
-from .loopback import Agent, Client, Running, Server, host_of, message, run, until
+from .loopback import Agent, Client, Running, Server, message, relay, run, until
 
 GOOD = message("m")
 HEAD = b"POST /safe HTTP/1.1\r\nHost: x\r\n"
@@ -21,18 +21,17 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder, self.agent, self.server = folder, Agent(), Server()
+        self.held = AsyncExitStack()
 
     async def __aenter__(self) -> Running:
         state = self.folder / "state"
         state.mkdir()
         await self.agent.start()
         await self.server.start()
-        self.host = host_of(state, self.agent, self.server)
-        await self.host.start()
-        return self.host
+        return await self.held.enter_async_context(relay(state, self.agent, self.server))
 
     async def __aexit__(self, *_: object) -> None:
-        await self.host.close()
+        await self.held.aclose()
 
 
 async def ended(client: Client) -> bool:
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -6,10 +6,8 @@
 import errno
 import os
 import socket
-from collections.abc import AsyncIterator, Sized
-from contextlib import asynccontextmanager
+from collections.abc import Sized
 from pathlib import Path
-from typing import Any
 
 import pytest
 
@@ -21,7 +19,7 @@
 from linnetstile.store.journal import Entry, Journal
 from linnetstile.http.notices import Notices
 
-from .loopback import Agent, Client, Running, Server, answer, host_of, listing, message, run, until
+from .loopback import Agent, Client, Server, answer, host_of, listing, message, relay, run, until
 
 
 @pytest.fixture
@@ -31,16 +29,6 @@
     return folder
 
 
-@asynccontextmanager
-async def relay(state: Path, agent: Agent, *servers: Server, **more: Any) -> AsyncIterator[Running]:
-    host = host_of(state, agent, *servers, **more)
-    await host.start()
-    try:
-        yield host
-    finally:
-        await host.close()
-
-
 async def pair() -> tuple[Agent, Server]:
     agent, server = Agent(), Server()
     await agent.start()
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -85,8 +85,8 @@
 
 
 def test_the_time_of_a_message_that_is_written_slowly_runs_from_its_first_byte(tmp_path: Path) -> None:
-    """Its time is told as of when its client sent it. Seen to fail where it ran from the last byte: what takes
-    0.4 s to come, as long as a client waits, would have its end later than is owed."""
+    """Its time is told as of when its client sent it. Seen to fail where it ran from the last byte: what
+    takes 0.4 s to come, as long as a client waits, would have its end later than is owed."""
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as client:
             text, loop = message("m", left=5000), asyncio.get_running_loop()
