AMQP intake's tests: messages last as long as a test may take

Seen once beside other load: a time-out in tests/amqp/test_intake. Checked: with messages that last 60 ms in place of 8 s, five of the eight tests wait in vain in just that way, since what ran out of time is returned and not delivered; 8 s of a busy machine are less than the 60 s that a test has. That the one time-out was this can't be shown any more. Change: they last 60 s where the test is not about their time. No assertion changed.

--- a/tests/amqp/test_intake.py
+++ b/tests/amqp/test_intake.py
@@ -19,17 +19,20 @@
 from linnetstile.amqp.settings import AmqpPart, BrokerPart, QueuePart, TargetPart
 from standins.amqp import Broker, Faults, Message, Queue
 
-from ..loopback import Agent, Running, host_of, run, until
+from ..loopback import PATIENCE_S, Agent, Running, host_of, run, until
 from .test_broker import serving
 from .test_delivery import settings
 
 Properties = commands.Basic.Properties
+# As long as a test may take: where a busy machine used up a shorter time, messages were returned for it, and
+# the wait for their delivery was in vain.
+LASTS = str(round(1000 * PATIENCE_S))
 
 
 def put(broker: Broker, ident: str, queue: str = "in", body: bytes = b"hello", **more: Any) -> None:
     """As a client that publishes; a value of None leaves the property out."""
     headers = {"destination": "7", "tenant": "t", "idempotency-key": f"k{ident}", **more.pop("headers", {})}
-    told = {"message_id": ident, "message_type": "keyed", "expiration": "8000", "headers": headers, **more}
+    told = {"message_id": ident, "message_type": "keyed", "expiration": LASTS, "headers": headers, **more}
     told["headers"] = {name: value for name, value in headers.items() if value is not None}
     broker.route(Message("", queue, Properties(**told), body))
 
