What is owed at the end of a stop is paid by the next process: a test of both ways

Windows of a stop that were checked and found closed: a notice that is not taken, and a call that is out, when the drain is over. Seen to fail without each bound of the drain, and without the ends that are passed on at a start.

--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from linnetstile.core import host as core_host
 from linnetstile.core.growing import MOST
 from linnetstile.core.turns import Turns
 from linnetstile.decisions import interface as api
@@ -21,7 +22,7 @@
 from linnetstile.http.notices import Notices
 
 from .conftest import make_settings
-from .loopback import Agent, Client, message, run, until
+from .loopback import Agent, Client, Server, answer, message, relay, run, until
 from .test_clients import World
 
 OWED_S = 0.3  # an end comes no later after its message's time
@@ -206,3 +207,34 @@
                 world.server.hold.set()
                 await until(lambda: host.journal.entries["m"].end == "delivered")
     run(work())
+
+
+@pytest.mark.parametrize("what", ("a notice that is not taken", "a call that is out"))
+def test_what_is_owed_at_the_end_of_a_stop_is_paid_by_the_next_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, what: str
+) -> None:
+    """The process goes when its drain is over, whatever is still undone: SIGKILL comes 0.3 s later."""
+    for name, seconds in (("SERVE_ON_S", 0.02), ("CALLS_END_S", 0.2), ("GONE_S", 0.3)):
+        monkeypatch.setattr(core_host, name, seconds)
+
+    async def work() -> None:
+        state, agent, server = tmp_path / "state", await Agent().start(), await Server().start()
+        state.mkdir()
+        agent.silent, loop = True, asyncio.get_running_loop()
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            server.usual = None if what == "a call that is out" else answer(500)
+            agent.script += [None] * 100
+            assert await client.ask(message("m", "unsafe")) == 202
+            await until(lambda: bool(server.seen))
+            if server.usual is not None:
+                await until(lambda: host.host.unsettled == 1)
+            begun = loop.time()
+            await host.stop()
+            assert loop.time() - begun < core_host.GONE_S + 3.0  # it does not wait for what hangs
+            assert host.journal.entries["m"].owed
+        agent.script.clear()
+        async with relay(state, agent, server) as host:
+            assert (await agent.notices.get())["state"] == "failed"
+            await until(lambda: host.journal.entries["m"].told)
+        assert len(server.seen) == 1
+    run(work())
