--- a/linnetstile/http/front.py
+++ b/linnetstile/http/front.py
@@ -85,9 +85,8 @@
     left = get("x-expires-in-ms", "")
     if not (left.isascii() and left.isdecimal() and len(left) <= 9):
         raise Malformed("left", "whole milliseconds are needed")
-    left_ms = max(0, int(left) - int(1000 * request.age_s))
     return Offer(get("x-trace-id", ""), class_, get("x-customer", ""), _dest(get("x-addressing", "")),
-                 get("idempotency-key"), left_ms, get("x-second-try", ""), bytes(request.body), NAME)
+                 get("idempotency-key"), int(left), get("x-second-try", ""), bytes(request.body), NAME)
 
 
 def _dest(text: str) -> int:
--- a/linnetstile/http/intake.py
+++ b/linnetstile/http/intake.py
@@ -57,7 +57,6 @@
     target: str
     headers: dict[str, str]  # names in lower case
     body: bytearray = field(default_factory=bytearray)
-    age_s: float = 0.0  # since its first byte came
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +124,6 @@
         self.request: Request | None = None
         self.unsent: list[str] = []  # accepted, but the answer is not fully written
         self.first_by = self.heard_by = self.deadline = 0.0
-        self.begun_at = 0.0  # when the first byte of the latest request came
         self.fresh = True  # no request has begun yet
         self.useful = False  # a message has come on it
         self.last = False  # no request after this one
@@ -216,7 +214,7 @@
         if self.idle and data:
             now = asyncio.get_running_loop().time()
             self.deadline = self.first_by if self.fresh else now + REQUEST_S
-            self.fresh, self.begun_at = False, now
+            self.fresh = False
             self.server.begun(self)
         try:
             if self.http is None:
@@ -267,8 +265,6 @@
             # client sends one at a time. It is turned away before its first message is taken on.
             self._end(Reply(400, "one request at a time on a connection, and no more than its length"))
             return
-        # Guards a message's end against a client that writes slowly: its time runs from when it was sent.
-        request.age_s = asyncio.get_running_loop().time() - self.begun_at
         reply = self._handled(request)
         if reply.when is None or reply.when.done():
             self._reply(http, reply)
