Capacity: the directory by interest as its measures tell it; single figures from one run's file

Need: shards are measured by the shard, digests apart, and a real relay's budget is one run. Change: formulas by these names (emulator/capacity/interest.py), and emulator/capacity/facts.py puts a run's numbers into the report.

--- a/emulator/capacity/budgets.py
+++ b/emulator/capacity/budgets.py
@@ -14,6 +14,8 @@
 from .rows import Budget
 
 MB, KB = 1e6, 1e3
+ANSWERS_BYTES_S = 4e6  # of one keeper, as shards/keeping.py bounds it, which needs the extra `fleet`
+MORE_MB = 64.0  # that a relay may take more with keepers, beside 256 MB for all of control
 
 
 def bound(shape: type[msgspec.Struct], name: str) -> float:
@@ -31,6 +33,7 @@
 CORE = Budget("asked: of a core, for control", lambda it: it.control.core)
 MEMORY = Budget("asked: for control", lambda it: it.control.memory_mb * MB)
 BYTES = Budget("asked: for control", lambda it: it.control.kb_s * KB)
+MORE = Budget("asked: more than without keepers", lambda it: MORE_MB * MB)
 FORCE = Budget("asked: in force everywhere", lambda it: it.changes.force_s)
 
 # Assumed.
@@ -42,6 +45,7 @@
 WINDOW = Budget("assumed: one window", lambda it: it.assumed.window_s)
 LEASE = Budget("assumed: accord.bound_s", lambda it: it.assumed.bound_s)
 MACHINE = Budget("assumed: one machine of control", lambda it: it.assumed.machine_memory_mb * MB)
+ANSWERS = Budget("cap: BYTES_S of a keeper", lambda it: ANSWERS_BYTES_S)
 LINK = Budget("assumed: its link", lambda it: it.assumed.link_mb_s * MB)
 SUPERVISOR_CORE = Budget("assumed", lambda it: it.assumed.supervisor_core)
 SUPERVISOR_MEMORY = Budget("assumed", lambda it: it.assumed.supervisor_memory_mb * MB)
--- a/emulator/capacity/control.py
+++ b/emulator/capacity/control.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from . import budgets as b
+from .interest import INTERESTED, digest_bytes, read_core, read_memory
 from .rows import Formula, Kind, Reckoner, Role, Unit, When
-from .steps import ASSIGN, CAP, COUNTING, INTEREST, LAYERS, PARTS
+from .steps import ASSIGN, CAP, COUNTING, INTEREST, LAYERS, PARTS, READING
 from .terms import (
     DAY_S,
     changes_s,
     entry_bytes,
-    in_use,
     members,
     needed,
     of_rack,
@@ -17,10 +17,10 @@
     renewals_s,
 )
 
+HOST = "linnetstile/core/host.py"
 LIST, REGISTER = "linnetstile/core/directory.py", "linnetstile/http/register.py"
 AGENT = "linnetstile/http/agent.py"
 SWIM, HOLDING = "linnetstile/peers/swim.py", "linnetstile/accord/holding.py"
-READING = "linnetstile/shards/reading.py"
 RULES = "linnetstile/accord/rules.py"
 
 
@@ -62,19 +62,6 @@
             + report_core(m))
 
 
-def read_bytes(m: Reckoner, every: bool = False) -> float:
-    return m.part("shards.reader.bytes_s", in_use(m, every))
-
-
-def read_memory(m: Reckoner, every: bool = False) -> float:
-    return m.part("shards.reader.memory_bytes", in_use(m, every))
-
-
-def read_core(m: Reckoner) -> float:
-    """A keeper's work on a change stands for the reader's."""
-    return changes_s(m) * m.part("shards.change.cpu_us", m.size.fleet.relays) / m.size.fleet.relays
-
-
 RELAY_CONTROL = [
     Formula("relay.directory_memory", Role.CONTROL, When.REST, Kind.MEMORY,
             "the whole list, in directory and decisions", Unit.BYTES,
@@ -94,11 +81,11 @@
     Formula("relay.sweep", Role.CONTROL, When.REST, Kind.PROCESSOR,
             "a look at all destinations, once a second",
             Unit.CORE, lambda m: m.at("directory.sweep.cpu_ms", m.size.fleet.destinations),
-            "processor time at so many destinations", "linnetstile/core/host.py", b.CORE, INTEREST),
+            "processor time at so many destinations", HOST, b.CORE, INTEREST),
     Formula("relay.sweep_turn", Role.CONTROL, When.REST, Kind.TIME,
             "a look at all destinations, in one turn of the loop", Unit.SECONDS,
             lambda m: m.at("directory.sweep.cpu_ms", m.size.fleet.destinations),
-            "processor time at so many destinations", "linnetstile/core/host.py", b.TURN, INTEREST),
+            "processor time at so many destinations", HOST, b.TURN, INTEREST),
     Formula("relay.directory_change", Role.CONTROL, When.CHANGES, Kind.PROCESSOR, "one change of the list",
             Unit.SECONDS, lambda m: m.at("directory.change.cpu_ms", m.size.fleet.destinations),
             "processor time at so many destinations", LIST, b.TURN),
@@ -114,25 +101,7 @@
             lambda m: m.assume("storm")
             * m.at("directory.change.cpu_ms", m.size.fleet.destinations),
             "entries x processor time of a change", LIST, b.FORCE, INTEREST),
-    Formula("relay.storm_in_use", Role.CONTROL, When.STORM, Kind.IN,
-            "a storm's part of the destinations in use",
-            Unit.RATE,
-            lambda m: m.assume("storm") * m.assume("in_use") * entry_bytes(m) / m.size.changes.force_s,
-            "entries x share in use x bytes of an entry / time to be in force", READING, b.BYTES, INTEREST),
-    Formula("relay.reader_memory", Role.CONTROL, When.HOUR, Kind.MEMORY, "shards of the destinations in use",
-            Unit.BYTES, lambda m: m.at("shards.reader.memory_bytes", in_use(m)),
-            "memory at so many in use", READING, b.MEMORY),
-    Formula("relay.reader_memory_all", Role.CONTROL, When.HOUR, Kind.MEMORY,
-            "shards where clients spread evenly", Unit.BYTES,
-            lambda m: m.at("shards.reader.memory_bytes", in_use(m, True)),
-            "memory at so many in use", READING, b.MEMORY, ASSIGN),
-    Formula("relay.reader_bytes", Role.CONTROL, When.HOUR, Kind.IN, "shards of the destinations in use",
-            Unit.RATE,
-            lambda m: m.at("shards.reader.bytes_s", in_use(m)),
-            "bytes a second at so many in use", READING, b.BYTES),
-    Formula("relay.reader_bytes_all", Role.CONTROL, When.HOUR, Kind.IN, "shards where clients spread evenly",
-            Unit.RATE, lambda m: m.at("shards.reader.bytes_s", in_use(m, True)),
-            "bytes a second at so many in use", READING, b.BYTES, ASSIGN),
+    *INTERESTED,
     Formula("relay.members", Role.CONTROL, When.REST, Kind.STATE, "members known", Unit.COUNT, members,
             "relays + machines of control", SWIM, b.MEMBERS, CAP),
     Formula("relay.members_memory", Role.CONTROL, When.REST, Kind.MEMORY, "members", Unit.BYTES,
@@ -202,7 +171,7 @@
             "changes + membership + renewals + evidence", SWIM, b.BYTES, LAYERS),
     Formula("relay.control_bytes_shards", Role.CONTROL, When.HOUR, Kind.OUT, "all of control, with keepers",
             Unit.RATE,
-            lambda m: total_bytes(m, read_bytes(m)), "shards in use + membership + renewals + evidence",
+            lambda m: total_bytes(m, digest_bytes(m)), "digests + membership + renewals + evidence",
             READING, b.BYTES, LAYERS),
     Formula("relay.control_processor", Role.CONTROL, When.HOUR, Kind.PROCESSOR, "all of control, whole list",
             Unit.CORE,
--- a/emulator/capacity/keepers.py
+++ b/emulator/capacity/keepers.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 from . import budgets as b
+from .budgets import ANSWERS_BYTES_S
 from .rows import Formula, Kind, Reckoner, Role, Unit, When
 from .steps import ASSIGN
-from .terms import DAY_S, changes_s, entry_bytes, of_rack, of_zone, shards_in_use
+from .terms import DAY_S, changes_s, listeners, of_rack, of_zone, shards_in_use
 
 KEEPING, NODE = "linnetstile/shards/keeping.py", "linnetstile/shards/node.py"
 SOURCE = "linnetstile/shards/source.py"
 
 
 def shard_bytes(m: Reckoner) -> float:
-    """A whole shard, counted as its entries of the list."""
-    return entry_bytes(m) * m.size.fleet.destinations / m.assume("shards")
+    """A whole shard, packed."""
+    return m.assume("packed_bytes") * m.size.fleet.destinations / m.assume("shards")
 
 
 def asked(m: Reckoner, readers: float, every: bool = False) -> float:
@@ -22,17 +23,11 @@
 
 
 def serving_s(m: Reckoner, readers: float, every: bool = False) -> float:
-    return asked(m, readers, every) / (m.assume("link_mb_s") * b.MB)
-
-
-def holders(m: Reckoner) -> float:
-    """Readers that hold one shard."""
-    return m.size.fleet.relays * shards_in_use(m) / m.assume("shards")
+    return asked(m, readers, every) / ANSWERS_BYTES_S
 
 
 def digests(m: Reckoner) -> float:
-    """A reader hears the keepers that it asks."""
-    return (m.size.fleet.relays * m.assume("keepers_a_reader") / m.assume("keepers")) / m.assume("digest_s")
+    return listeners(m) / m.assume("digest_s")
 
 
 KEEPER = [
@@ -50,42 +45,51 @@
     Formula("keeper.list", Role.KEEPER, When.DAY, Kind.IN, "the whole list at its start", Unit.BYTES,
             lambda m: m.at("directory.list.json_bytes", m.size.fleet.destinations),
             "JSON of so many destinations", SOURCE),
-    Formula("keeper.load", Role.KEEPER, When.DAY, Kind.TIME, "reading the whole list at its start",
-            Unit.SECONDS,
-            lambda m: m.at("shards.keeper.load_s", m.size.fleet.destinations),
-            "time at so many destinations", SOURCE, b.FORCE),
-    Formula("keeper.changes", Role.KEEPER, When.CHANGES, Kind.PROCESSOR, "a day's changes to all readers",
-            Unit.CORE, lambda m: changes_s(m) * m.at("shards.change.cpu_us", holders(m)),
-            "changes x processor time at so many readers of a shard", KEEPING, b.PROCESS),
-    Formula("keeper.change_bytes", Role.KEEPER, When.CHANGES, Kind.OUT, "a day's changes to all readers",
-            Unit.RATE,
-            lambda m: changes_s(m) * m.at("shards.change.bytes", holders(m)),
-            "changes x bytes at so many readers of a shard", NODE, b.LINK),
-    Formula("keeper.storm", Role.KEEPER, When.STORM, Kind.OUT, "whole storm within the time to be in force",
-            Unit.RATE,
-            lambda m: m.assume("storm") * m.at("shards.change.bytes",
-            holders(m)) / m.size.changes.force_s,
-            "entries x bytes at so many readers of a shard / time to be in force", NODE, b.LINK),
-    Formula("keeper.storm_processor", Role.KEEPER, When.STORM, Kind.TIME, "processor time of the whole storm",
-            Unit.SECONDS,
-            lambda m: m.assume("storm") * m.at("shards.change.cpu_us", holders(m)),
-            "entries x processor time at so many readers of a shard", KEEPING, b.FORCE),
+    Formula("keeper.load", Role.KEEPER, When.DAY, Kind.PROCESSOR, "reading the whole list at its start",
+            Unit.SECONDS, lambda m: m.at("shards.keeper.load_cpu_ms", m.size.fleet.destinations),
+            "processor time at so many destinations", SOURCE, b.START),
+    Formula("keeper.load_turn", Role.KEEPER, When.DAY, Kind.TIME, "longest turn of that", Unit.SECONDS,
+            lambda m: m.at("shards.keeper.turn_ms", m.size.fleet.destinations),
+            "longest turn at so many destinations", SOURCE, b.TURN),
+    Formula("keeper.digest_bytes", Role.KEEPER, When.REST, Kind.OUT, "digests", Unit.RATE,
+            lambda m: m.at("shards.digests.bytes_s", listeners(m)), "bytes a second to so many readers", NODE,
+            b.LINK),
+    Formula("keeper.digest_processor", Role.KEEPER, When.REST, Kind.PROCESSOR, "digests, without sockets",
+            Unit.CORE, lambda m: m.at("shards.digests.cpu_ms_s", listeners(m)),
+            "processor time for so many readers", NODE, b.PROCESS),
+    Formula("keeper.changes", Role.KEEPER, When.CHANGES, Kind.PROCESSOR, "taking a day's changes in",
+            Unit.CORE,
+            lambda m: changes_s(m) * m.at("shards.change.cpu_us", listeners(m)),
+            "changes x processor time with so many readers", KEEPING, b.PROCESS),
+    Formula("keeper.storm_processor", Role.KEEPER, When.STORM, Kind.TIME, "taking the whole storm in",
+            Unit.SECONDS, lambda m: m.assume("storm") * m.at("shards.change.cpu_us", listeners(m)),
+            "entries x processor time with so many readers", KEEPING, b.FORCE),
+    Formula("keeper.storm", Role.KEEPER, When.STORM, Kind.OUT,
+            "whole storm to its readers within the time to be in force", Unit.RATE,
+            lambda m: m.assume("storm") * listeners(m) * m.at("shards.change.bytes", listeners(m))
+            / m.size.changes.force_s,
+            "entries x readers x bytes of one to each / time to be in force", NODE, b.ANSWERS),
+    Formula("keeper.change_bytes", Role.KEEPER, When.CHANGES, Kind.OUT, "a day's changes to its readers",
+            Unit.RATE, lambda m: changes_s(m) * listeners(m) * m.at("shards.change.bytes", listeners(m)),
+            "changes x readers x bytes of one to each", NODE, b.ANSWERS),
+    Formula("keeper.real_memory", Role.KEEPER, When.REST, Kind.MEMORY, "of a real keeper of all destinations",
+            Unit.BYTES, lambda m: m.fact("shards.budget.keeper.rss_mb") * b.MB, "as run", KEEPING, b.MACHINE),
     Formula("keeper.restarts", Role.KEEPER, When.DAY, Kind.OUT, "shards to relays that begin anew", Unit.RATE,
             lambda m: asked(m, m.size.failures.restarts_a_day) / DAY_S,
-            "restarts x shards in use x bytes of one / keepers", NODE, b.LINK),
+            "restarts x shards in use x bytes of one / keepers", NODE, b.ANSWERS),
     Formula("keeper.machine", Role.KEEPER, When.MACHINE, Kind.TIME, "a machine's relays ask for theirs anew",
             Unit.SECONDS, lambda m: serving_s(m, m.assume("relays_a_machine")),
-            "relays x shards in use x bytes of one / keepers / link", NODE, b.FORCE),
+            "relays x shards in use x bytes of one / keepers / what a keeper answers", NODE, b.START),
     Formula("keeper.rack", Role.KEEPER, When.RACK, Kind.TIME, "a rack's relays ask for theirs anew",
             Unit.SECONDS, lambda m: serving_s(m, of_rack(m)),
-            "relays x shards in use x bytes of one / keepers / link", NODE, b.FORCE),
+            "relays x shards in use x bytes of one / keepers / what a keeper answers", NODE, b.START),
     Formula("keeper.zone", Role.KEEPER, When.ZONE, Kind.TIME, "a zone's relays come back and ask for theirs",
             Unit.SECONDS, lambda m: serving_s(m, of_zone(m)),
-            "relays x shards in use x bytes of one / keepers / link", NODE, b.FORCE),
+            "relays x shards in use x bytes of one / keepers / what a keeper answers", NODE, b.START),
     Formula("keeper.zone_all", Role.KEEPER, When.ZONE, Kind.TIME,
             "a zone's relays come back, clients spread evenly",
             Unit.SECONDS, lambda m: serving_s(m, of_zone(m), True),
-            "relays x shards in use x bytes of one / keepers / link", NODE, b.FORCE, ASSIGN),
+            "relays x shards in use x bytes of one / keepers / what a keeper answers", NODE, b.START, ASSIGN),
     Formula("keeper.apart", Role.KEEPER, When.BACK, Kind.STATE, "changes that one side has missed",
             Unit.COUNT,
             lambda m: changes_s(m) * m.size.failures.regions_apart_s, "changes a second x time apart",
--- a/emulator/capacity/rows.py
+++ b/emulator/capacity/rows.py
@@ -133,6 +133,13 @@
         self.alone.append(self.report.facts[name])
         return self.report.facts[name]
 
+    def worst(self, start: str, end: str) -> float:
+        """The largest of the single figures whose names begin and end so. Raises Unmeasured."""
+        names = [name for name in self.report.facts if name.startswith(start) and name.endswith(end)]
+        if not names:
+            raise Unmeasured(f"{start}*{end}")
+        return self.fact(max(names, key=lambda name: self.report.facts[name]))
+
     def assume(self, name: str) -> float:
         """A field of [assumed], which the row then tells."""
         if name not in self.assumed:
--- a/emulator/capacity/size.py
+++ b/emulator/capacity/size.py
@@ -81,6 +81,7 @@
     keepers_a_reader: Number
     shards: Number
     digest_s: Positive
+    packed_bytes: Positive
     body_bytes: NotNegative
     in_use: Share
     in_use_most: Share
--- a/emulator/capacity/terms.py
+++ b/emulator/capacity/terms.py
@@ -61,6 +61,11 @@
     return fleet.relays * fleet.destinations / fleet.events_s
 
 
+def listeners(m: Reckoner) -> float:
+    """Readers that one keeper has."""
+    return m.size.fleet.relays * m.assume("keepers_a_reader") / m.assume("keepers")
+
+
 def needed(m: Reckoner, seconds: float) -> float:
     """Destinations that one relay calls in so long, where clients spread evenly."""
     return m.size.fleet.destinations * -math.expm1(-seconds / again_s(m))
--- a/tests/emulator/test_capacity.py
+++ b/tests/emulator/test_capacity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import json
 import math
 import tomllib
@@ -14,7 +15,8 @@
 from click.testing import CliRunner, Result
 
 from emulator.capacity.command import BEGIN, END, PageError, between, renewed
-from emulator.capacity import agreement
+from emulator.capacity import agreement, budgets
+from emulator.capacity.facts import flattened, taken
 from emulator.capacity.roles import AS_ELSEWHERE, FORMULAS
 from emulator.capacity.rows import ROOT, Role, Row, When, rows
 from emulator.capacity.size import Size, SizeError, decoded
@@ -146,6 +148,29 @@
     assert row("relay.force", told=told).state == "measured"
 
 
+def test_what_a_real_relay_took_is_told_less_one_without_keepers() -> None:
+    found = {"budget": {
+        "destinations": 360_000, "without": {"core %": 2.0, "bytes/s": 0, "RSS MB": 30.0},
+        "1000 in use": {"plan": {"core %": 3.0, "bytes/s": 1800, "RSS MB": 60.0},
+                        "reader": {"behind": False}},
+    }, "killed": {"force most s": 9.5, "broken": []}, "frozen": {"force most s": 11.0, "answers": {"200": 3}}}
+    told = taken(MADE_UP, "shards", found)
+    assert told.facts["hollow.change_most_s"] == 4.0  # others' stay
+    assert told.facts["shards.budget.1000_in_use.plan.core_percent"] == 3.0
+    assert "shards.budget.1000_in_use.reader.behind" not in told.facts
+    assert row("relay.real_1000_memory", told=told).value == pytest.approx(30e6)
+    assert row("relay.real_1000_plan_processor", told=told).value == pytest.approx(0.01)
+    assert row("relay.real_1000_plan_bytes", told=told).value == 1800
+    worst = row("relay.real_force", told=told)
+    assert (worst.value, worst.state, worst.facts) == (11.0, "measured", ["shards.frozen.force_most_s"])
+    assert row("relay.real_10000_memory", told=told).value is None
+
+
+def test_facts_have_plain_names_and_finite_values() -> None:
+    found = {"b c/s": 1, "d %": {"E": 2.5}, "f": math.inf, "g": True, "h": [1], "i": "2"}
+    assert dict(flattened("a", found)) == {"a.b_c_s": 1.0, "a.d_percent.e": 2.5}
+
+
 def test_what_is_over_budget_comes_first_and_the_worst_at_the_top() -> None:
     found = rows(FORMULAS, small(), MADE_UP)
     factors = [each.factor or 0.0 for each in found if each.over]
@@ -240,8 +265,17 @@
     assert len(set(names)) == len(names)
 
 
+def test_the_keepers_bound_is_that_of_the_keeper() -> None:
+    if not (ROOT / "linnetstile/shards/keeping.py").exists():
+        assert row("keeper.memory").mechanism.startswith("missing")
+        return
+    keeping = importlib.import_module("linnetstile.shards.keeping")
+    assert budgets.ANSWERS_BYTES_S == keeping.BYTES_S
+
+
 def test_the_logs_times_are_those_of_the_log() -> None:
-    log = pytest.importorskip("linnetstile.accord.log")  # the extra `fleet`, which the command does without
+    from linnetstile.accord import log  # needs the extra `fleet`, which the command does without
+
     assert (log.HEARTBEAT_S, log.ELECTION_S[1]) == (agreement.HEARTBEAT_S, agreement.ELECTION_S)
 
 
