--- a/emulator/capacity/agreement.py
+++ b/emulator/capacity/agreement.py
@@ -10,7 +10,7 @@
 from . import budgets as b
 from .rows import Formula, Kind, Reckoner, Role, Unit, When
 from .steps import ASSIGN, CAP, COUNTING, LAYERS, PARTS, PLANNER
-from .terms import DAY_S, changes_s, datagrams_s, members, needed, renewals_s
+from .terms import DAY_S, changes_s, datagrams_s, members, needed, renewals_s, stretch
 
 GRANTING, RULES = "linnetstile/accord/granting.py", "linnetstile/accord/rules.py"
 NODE, LOG = "linnetstile/accord/node.py", "linnetstile/accord/log.py"
@@ -96,15 +96,15 @@
             GRANTING, b.PROCESS, LAYERS),
     Formula("voter.hollow_processor", Role.VOTER, When.REST, Kind.PROCESSOR,
             "of a real voter of the hollow fleet, usual periods", Unit.CORE,
-            lambda m: m.fact("hollow.stretch") * m.at("hollow.voter_cpu_share", m.size.fleet.relays),
+            lambda m: stretch(m) * m.at("hollow.voter_cpu_share", m.size.fleet.relays),
             "as run among so many x stretch, at most", NODE, b.PROCESS, LAYERS),
     Formula("voter.hollow_datagrams", Role.VOTER, When.REST, Kind.IN,
             "datagrams of a real voter of the hollow fleet, usual periods", Unit.EACH_S,
-            lambda m: m.fact("hollow.stretch") * m.at("hollow.voter_datagrams_in_s", m.size.fleet.relays),
+            lambda m: stretch(m) * m.at("hollow.voter_datagrams_in_s", m.size.fleet.relays),
             "as run among so many x stretch", NODE, step=LAYERS),
     Formula("voter.hollow_bytes", Role.VOTER, When.REST, Kind.IN,
             "sent and received by a real voter of the hollow fleet, usual periods", Unit.RATE,
-            lambda m: m.fact("hollow.stretch") * (m.at("hollow.voter_bytes_s", m.size.fleet.relays)
+            lambda m: stretch(m) * (m.at("hollow.voter_bytes_s", m.size.fleet.relays)
                                                   + m.at("hollow.voter_bytes_in_s", m.size.fleet.relays)),
             "as run among so many x stretch", NODE, b.LINK, LAYERS),
     Formula("voter.hollow_memory", Role.VOTER, When.REST, Kind.MEMORY,
--- a/emulator/capacity/control.py
+++ b/emulator/capacity/control.py
@@ -15,6 +15,7 @@
     of_rack,
     of_zone,
     renewals_s,
+    stretch,
 )
 
 HOST = "linnetstile/core/host.py"
@@ -207,19 +208,19 @@
             lambda m: m.fact("hollow.change_most_s"), "as run", HOLDING, b.FORCE),
     Formula("relay.force_usual", Role.CONTROL, When.CHANGES, Kind.TIME,
             "a change, until the last hollow instance acts, usual periods", Unit.SECONDS,
-            lambda m: m.fact("hollow.change_most_s") / m.fact("hollow.stretch"), "as run / stretch", HOLDING,
+            lambda m: m.fact("hollow.change_most_s") / stretch(m), "as run / stretch", HOLDING,
             b.FORCE),
     Formula("relay.force_storm", Role.CONTROL, When.STORM, Kind.TIME,
             "20 changes in a minute, until the last hollow instance acts, periods stretched", Unit.SECONDS,
             lambda m: m.fact("hollow.changes_20_most_s"), "as run", HOLDING, b.FORCE),
     Formula("relay.hollow_bytes", Role.CONTROL, When.REST, Kind.OUT,
             "sent and received by a hollow instance, usual periods", Unit.RATE,
-            lambda m: m.fact("hollow.stretch") * (m.at("hollow.bytes_s", m.size.fleet.relays)
+            lambda m: stretch(m) * (m.at("hollow.bytes_s", m.size.fleet.relays)
                                                   + m.at("hollow.bytes_in_s", m.size.fleet.relays)),
             "as run among so many x stretch", SWIM, b.BYTES, LAYERS),
     Formula("relay.hollow_processor", Role.CONTROL, When.REST, Kind.PROCESSOR,
             "of a hollow instance, usual periods", Unit.CORE,
-            lambda m: m.fact("hollow.stretch") * m.at("hollow.cpu_share", m.size.fleet.relays),
+            lambda m: stretch(m) * m.at("hollow.cpu_share", m.size.fleet.relays),
             "as run among so many x stretch, at most", SWIM, b.CORE, LAYERS),
     Formula("relay.hollow_memory", Role.CONTROL, When.REST, Kind.MEMORY, "of a hollow instance", Unit.BYTES,
             lambda m: m.at("hollow.memory_bytes", m.size.fleet.relays), "as run among so many", SWIM,
@@ -233,7 +234,7 @@
             lambda m: m.fact("hollow.zone_s"), "as run", SWIM),
     Formula("relay.hollow_zone_usual", Role.CONTROL, When.ZONE, Kind.TIME,
             "a zone's hollow instances come back, until all act, usual periods", Unit.SECONDS,
-            lambda m: m.fact("hollow.zone_s") / m.fact("hollow.stretch"), "as run / stretch", SWIM, b.START),
+            lambda m: m.fact("hollow.zone_s") / stretch(m), "as run / stretch", SWIM, b.START),
     Formula("relay.hollow_frozen", Role.CONTROL, When.MACHINE, Kind.TIME,
             "hundreds of hollow instances stand still for 10 s, until all act again, periods stretched",
             Unit.SECONDS, lambda m: m.fact("hollow.frozen_acts_s"), "as run", SWIM),
--- a/emulator/capacity/data_path.py
+++ b/emulator/capacity/data_path.py
@@ -60,8 +60,8 @@
 
 
 def processor_spare(m: Reckoner) -> float:
-    full = m.assume("process_core") / m.at("relay.message.cpu_ms", backlog(m))
-    return full / rate(m) - 1
+    core, cost = m.assume("process_core"), m.at("relay.message.cpu_ms", backlog(m))
+    return core / cost / rate(m) - 1 if cost else math.inf
 
 
 def expired(m: Reckoner, deadline_s: float) -> float:
--- a/emulator/capacity/interest.py
+++ b/emulator/capacity/interest.py
@@ -25,13 +25,13 @@
 def of_budget(m: Reckoner, size: str, when: str, cost: str) -> float:
     """What a real relay beside keepers of all destinations took, less one without keepers."""
     without = m.fact(f"shards.budget.without.{cost}")
-    return m.fact(f"shards.budget.{size}_in_use.{when}.{cost}") - without
+    return max(0.0, m.fact(f"shards.budget.{size}_in_use.{when}.{cost}") - without)
 
 
 def read_core(m: Reckoner) -> float:
     """Of a real relay with 1,000 destinations in use."""
     try:
-        return max(0.0, real_core(m, "1000", "plan"))
+        return real_core(m, "1000", "plan")
     except Unmeasured as error:
         m.lacks.append(str(error))
         return 0.0
--- a/emulator/capacity/keepers.py
+++ b/emulator/capacity/keepers.py
@@ -5,7 +5,7 @@
 from . import budgets as b
 from .budgets import ANSWERS_BYTES_S
 from .rows import Formula, Kind, Reckoner, Role, Unit, When
-from .steps import ASSIGN
+from .steps import ANSWERS, ASSIGN
 from .terms import DAY_S, changes_s, listeners, of_rack, of_zone, shards_in_use
 
 KEEPING, NODE = "linnetstile/shards/keeping.py", "linnetstile/shards/node.py"
@@ -68,24 +68,27 @@
             "whole storm to its readers within the time to be in force", Unit.RATE,
             lambda m: m.assume("storm") * listeners(m) * m.at("shards.change.bytes", listeners(m))
             / m.size.changes.force_s,
-            "entries x readers x bytes of one to each / time to be in force", NODE, b.ANSWERS),
+            "entries x readers x bytes of one to each / time to be in force", NODE, b.ANSWERS, ANSWERS),
     Formula("keeper.change_bytes", Role.KEEPER, When.CHANGES, Kind.OUT, "a day's changes to its readers",
             Unit.RATE, lambda m: changes_s(m) * listeners(m) * m.at("shards.change.bytes", listeners(m)),
-            "changes x readers x bytes of one to each", NODE, b.ANSWERS),
+            "changes x readers x bytes of one to each", NODE, b.ANSWERS, ANSWERS),
     Formula("keeper.real_memory", Role.KEEPER, When.REST, Kind.MEMORY, "of a real keeper of all destinations",
             Unit.BYTES, lambda m: m.fact("shards.budget.keeper.rss_mb") * b.MB, "as run", KEEPING, b.MACHINE),
     Formula("keeper.restarts", Role.KEEPER, When.DAY, Kind.OUT, "shards to relays that begin anew", Unit.RATE,
             lambda m: asked(m, m.size.failures.restarts_a_day) / DAY_S,
-            "restarts x shards in use x bytes of one / keepers", NODE, b.ANSWERS),
+            "restarts x shards in use x bytes of one / keepers", NODE, b.ANSWERS, ANSWERS),
     Formula("keeper.machine", Role.KEEPER, When.MACHINE, Kind.TIME, "a machine's relays ask for theirs anew",
             Unit.SECONDS, lambda m: serving_s(m, m.assume("relays_a_machine")),
-            "relays x shards in use x bytes of one / keepers / what a keeper answers", NODE, b.START),
+            "relays x shards in use x bytes of one / keepers / what a keeper answers", NODE, b.START,
+            ANSWERS),
     Formula("keeper.rack", Role.KEEPER, When.RACK, Kind.TIME, "a rack's relays ask for theirs anew",
             Unit.SECONDS, lambda m: serving_s(m, of_rack(m)),
-            "relays x shards in use x bytes of one / keepers / what a keeper answers", NODE, b.START),
+            "relays x shards in use x bytes of one / keepers / what a keeper answers", NODE, b.START,
+            ANSWERS),
     Formula("keeper.zone", Role.KEEPER, When.ZONE, Kind.TIME, "a zone's relays come back and ask for theirs",
             Unit.SECONDS, lambda m: serving_s(m, of_zone(m)),
-            "relays x shards in use x bytes of one / keepers / what a keeper answers", NODE, b.START),
+            "relays x shards in use x bytes of one / keepers / what a keeper answers", NODE, b.START,
+            ANSWERS),
     Formula("keeper.zone_all", Role.KEEPER, When.ZONE, Kind.TIME,
             "a zone's relays come back, clients spread evenly",
             Unit.SECONDS, lambda m: serving_s(m, of_zone(m), True),
--- a/emulator/capacity/steps.py
+++ b/emulator/capacity/steps.py
@@ -9,6 +9,7 @@
 INTEREST = "directory by interest"
 PARTS = "rules and changes by the destinations in use"
 CAP = "raise the cap"
+ANSWERS = "more of keepers' answers a second"
 ALL = "commands over all machines"
 
 COUNTING = "linnetstile/failover/evidence.py"
--- a/emulator/capacity/tables.py
+++ b/emulator/capacity/tables.py
@@ -269,7 +269,8 @@
                           f"{shown(row.budget, row.unit)}" for row in named)
         rest = f"; and {len(step.rows) - NAMED} more" if len(step.rows) > NAMED else ""
         lines.append(f"{place}. **{step.name}**, {digits(step.factor)} times: {words}{rest}.")
-    bare = [each.row for each in told.rows if each.row.mechanism.startswith(MISSING) and not each.row.over]
+    bare = [each.row for each in told.rows
+            if each.row.mechanism.startswith(MISSING) and not each.row.over and each.row.value is not None]
     if bare:
         lines += ["", "Nothing carries these either, and they have no budget that they break: " + "; ".join(
             f"{row.role}, {row.what} ({shown(row.value, row.unit)}): {row.step or row.mechanism}"
--- a/emulator/capacity/terms.py
+++ b/emulator/capacity/terms.py
@@ -61,6 +61,11 @@
     return fleet.relays * fleet.destinations / fleet.events_s
 
 
+def stretch(m: Reckoner) -> float:
+    """How many times as long as usual the hollow fleet's periods were."""
+    return max(1.0, m.fact("hollow.stretch"))
+
+
 def listeners(m: Reckoner) -> float:
     """Readers that one keeper has."""
     return m.size.fleet.relays * m.assume("keepers_a_reader") / m.assume("keepers")
--- a/tests/emulator/test_capacity.py
+++ b/tests/emulator/test_capacity.py
@@ -21,7 +21,7 @@
 from emulator.capacity.rows import ROOT, Role, Row, When, rows
 from emulator.capacity.size import Size, SizeError, decoded
 from emulator.capacity.slopes import Report, Sample, Slope, fitted
-from emulator.capacity.tables import markdown, steps, tables
+from emulator.capacity.tables import as_json, markdown, steps, tables
 from emulator.commands import main
 
 PLAN = ROOT / "deploy/sizes/two-years.toml"
@@ -148,6 +148,39 @@
     assert row("relay.force", told=told).state == "measured"
 
 
+def whole(size: Size, value: float) -> Report:
+    """Every slope and fact that a formula asks for, at the same cost whatever the size."""
+    told = report()
+    for _ in range(9):  # a formula tells one that it lacks at a time
+        names = tables(size, told).not_measured
+        slopes = [slope(name, "ms", lambda n: value) for name in names]
+        facts = {name.replace("*", "x"): value for name in names}
+        told = msgspec.structs.replace(told, slopes=[*told.slopes, *slopes], facts=told.facts | facts)
+        if not names:
+            return told
+    raise AssertionError(names)
+
+
+ONE = {f"fleet__{name}": 1 for name in ("relays", "destinations", "regions", "zones")} | {
+    f"assumed__{name}": 1 for name in ("relays_a_machine", "storm", "voters", "keepers", "keepers_a_reader",
+                                       "shards", "connections", "headroom")} | {"control__machines": 1}
+NONE = {"fleet__backlog": 0, "fleet__down": 0, "changes__a_day": 0, "assumed__idle_s": 0,
+        "failures__machines_a_day": 0, "failures__restarts_a_day": 0, "failures__regions_apart_s": 0}
+MOST = {"fleet__events_s": 1e15, "fleet__backlog": 1e15, "fleet__relays": 10**9, "fleet__destinations": 10**9,
+        "assumed__headroom": 0.5}
+
+
+@pytest.mark.parametrize("value", [0.0, 1.0, 1e12])
+@pytest.mark.parametrize("changed", [{}, ONE, NONE, ONE | NONE, MOST])
+def test_no_size_that_is_taken_breaks_the_command(changed: dict[str, Any], value: float) -> None:
+    size = small(**changed)
+    told = tables(size, whole(size, value))
+    for each in told.rows:
+        assert each.row.value is not None and not math.isnan(each.row.value) and each.row.value >= 0, each.row
+    assert "not measured" not in {each.row.state for each in told.rows}
+    assert markdown(told) and msgspec.json.decode(as_json(told))
+
+
 def test_what_a_real_relay_took_is_told_less_one_without_keepers() -> None:
     found = {"budget": {
         "destinations": 360_000, "without": {"core %": 2.0, "bytes/s": 0, "RSS MB": 30.0},
@@ -468,6 +501,12 @@
         renewed(page, "x", "page")
 
 
+def test_the_page_tells_what_each_step_means() -> None:
+    page = PAGE.read_text().lower()
+    for step in {formula.step for formula in FORMULAS if formula.step}:
+        assert f"- **{step.lower()}**: " in page, step
+
+
 def test_the_page_holds_what_the_command_prints(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.chdir(ROOT)
     result = run("--size", PLAN.relative_to(ROOT))
