A call whose connection comes up late after an outage is paced anew, once

Cause that was found: a call is paced when it is sent, and goes when its connection is there. Where an outage leaves connections unanswered, the system asks anew after 1 s and 3 s; what was asked for in the outage comes up together with what is paced after the return, and both counted once. Relay.may_write looked at endpoint, wait and time, but not at the pace. Change: in may_write, once for each message: a call that waited over 0.5 s for a connection to a destination that is out, or has come back since, goes back to its queue and is paced as a new one, on the connection that is there by then.

--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -4,6 +4,8 @@
 calls, `fall_multiple` times what it can do then, and 2 x root of N + 2 more are put down to chance. Prints,
 for fleets of 1 to 200 and several ways in which they know of the outage, the worst window of each seed
 against that, and how long after the return the destination is in full use (too little is a failure as well).
+`unheard`: while it is out, connections get no answer, and the system asks anew after 1 s and 3 s; what comes
+up after the return asks `may_write`, as a transport does, and carries its call if that says so.
 
     python -m benchmarks.cold [--seeds 200] [--json]"""
 
@@ -24,12 +26,13 @@
 from linnetstile.decisions.control import Relay
 
 FLEETS = (1, 5, 20, 30, 200)
-WAYS = ("all know", "half know", "restarted", "uneven", "hint high", "silent")
+WAYS = ("all know", "half know", "restarted", "uneven", "hint high", "silent", "unheard")
 RATE, LOAD = 40.0, 0.8  # calls a second that it takes warm, and of them that are asked for
 DOWN_MS, BACK_MS, END_MS = 4_000.0, 11_000.0, 24_000.0
 SAFETY = api.Safety(cold_share=0.18, cold_ms=11_000.0, fall_multiple=2.0, fall_ms=1_500.0)
 HINT = 1.5  # a rough rate may be listed so much too high
 REFUSED_MS, ANSWER_MS = 15.0, 120.0
+SAID_ANEW_MS, CONNECT_MS = (1_000.0, 3_000.0), 5_000.0  # of a connection, and how long a relay waits for it
 CLASS = api.MessageClass("c", api.Effect.SAFE, 3_000.0, 12_000.0)
 
 
@@ -63,6 +66,9 @@
                 learned = self.made[n].learned(now)
                 self.made[n] = self._new(rng)
                 self._handle(now, n, list(learned))
+            elif what == "up":
+                assert isinstance(more, api.Send)
+                self._up(now, n, more)
             elif what != "wake":
                 assert isinstance(more, api.Message | api.AttemptEnded)
                 failed = isinstance(more, api.AttemptEnded) and more.outcome is not api.Outcome.OK
@@ -102,6 +108,15 @@
                 self._call(now, n, act)
 
     def _call(self, now: float, n: int, send: api.Send) -> None:
+        if self.way == "unheard" and DOWN_MS <= now < BACK_MS:
+            until = min(CONNECT_MS, send.give_up_at_ms - now)
+            again = [ms for ms in SAID_ANEW_MS if now + ms >= BACK_MS and ms < until]
+            if again:
+                self.at(now + again[0], "up", n, send)
+            else:
+                self.at(now + until, "event", n, api.AttemptEnded(
+                    send.id, 0, send.endpoint, api.Outcome.CONNECT_FAILED, until))
+            return
         self.calls.append((now, self.knows[n]))
         outcome, took = api.Outcome.OK, ANSWER_MS
         if DOWN_MS <= now < BACK_MS:
@@ -111,6 +126,14 @@
         self.at(now + took, "event", n, api.AttemptEnded(
             send.id, 0, send.endpoint, outcome, took, outcome is api.Outcome.OK))
 
+    def _up(self, now: float, n: int, send: api.Send) -> None:
+        """A connection is there, long after it was asked for."""
+        if self.made[n].may_write(now, send.id):
+            self._call(now, n, send)
+        else:
+            self._handle(now, n, [api.AttemptEnded(
+                send.id, 0, send.endpoint, api.Outcome.NOT_SENT, 0.0, held_back=True)])
+
     # -- what came of it ---------------------------------------------------------------------------------
 
     def worst(self) -> float:
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -21,6 +21,7 @@
 
 LAST = 3.0  # the last try a message can have waits so many times longer: a late answer still saves it
 QUOTA_S, QUOTA_LEAST = 2.0, 4.0  # a tenant's share saved up: seconds of it, and messages at least
+LATE_MS = 500.0  # a connection that takes longer is one that the system had to ask for again
 TRUSTED = 0.25  # blame below which an unsafe message may be risked again
 
 
@@ -154,11 +155,16 @@
 
     def may_write(self, now: float, ident: int) -> bool:
         """Asked right before a call's first byte: connecting took time, in which its endpoint may have
-        drained, its destination told us to wait, or the message's time or key window run out."""
+        drained, its destination told us to wait, or the message's time or key window run out. Connections
+        that were asked for in an outage come up together at its end: a call on one is paced anew, once."""
         held = self.board.held.get(ident)
         if held is None or held.out is None or held.withdrawn:
             return False
         door, until = held.out, min(held.due, window(self.s, held), self.closing_at)
+        late = now - held.out_since > LATE_MS and (door.lane.sick or door.lane.cold_since > held.out_since)
+        if late and not held.late:
+            held.late = True
+            return False
         return self.doors.get(door.entry.id) is door and door.lane.wait_until <= now < until
 
     def _withdraw(self, ident: int) -> None:
@@ -272,12 +278,10 @@
                 if not course.ready or not any(here):
                     continue
                 at = self._opens(gate, lane, course.ready[0][2])
-                if at <= now and whole:
-                    at = self.index.enter(now, course, lane, gate.cost)
-                elif at <= now:
-                    for held in fresh:
-                        if held.course is course:
-                            at = self.index.enter(now, course, lane, gate.cost, held)
+                if at <= now:
+                    new: list[Held | None] = [held for held in fresh if held.course is course]
+                    for held in [None] if whole else new:
+                        at = self.index.enter(now, course, lane, gate.cost, held)
                 elif at > lane.wait_until:  # by a pace, which may change with time
                     at = min(at, self.paces.paced_until(now, lane))
                 again = min(again, at)
--- a/linnetstile/decisions/members.py
+++ b/linnetstile/decisions/members.py
@@ -69,9 +69,7 @@
         """Forgets what was learned of lanes without endpoints, unless something still hangs on it. Not too
         soon: what comes back after an outage is cold only to one that remembers it."""
         lanes = self.lanes.get(dest, {})
-        for key, lane in list(lanes.items()):
-            if lane.doors:
-                continue
+        for key, lane in [(key, lane) for key, lane in lanes.items() if not lane.doors]:
             until = max(lane.wait_until, lane.bare_since + GONE_MS)
             if lane.out or dest in self.board.queues:
                 until = max(until, now + FADE_MS)
@@ -113,10 +111,7 @@
     def learned(self, now: float) -> list[Learned]:
         """Outages, cold returns, told waits. Not of routes apart: their endpoints get other numbers."""
         found = []
-        for dest, lanes in self.lanes.items():
-            lane = lanes.get(-1)
-            if lane is None:
-                continue
+        for dest, lane in [(dest, lanes[-1]) for dest, lanes in self.lanes.items() if -1 in lanes]:
             cold = now - lane.cold_since if now < lane.cold_since + self.s.safety.cold_ms else None
             if lane.sick or cold is not None or now < lane.wait_until:
                 bad = None if lane.bad_since is None else max(0.0, now - lane.bad_since)
--- a/linnetstile/decisions/state.py
+++ b/linnetstile/decisions/state.py
@@ -33,6 +33,7 @@
     first_risk: float | None = None  # send of the first attempt that may have run
     risk: Endpoint | None = None
     withdrawn: bool = False
+    late: bool = False  # it was held back since its connection had come late, and goes on the next
     refusable: bool = True  # it may make room: a refusal would be true, and it was not left untried
     bound: Bound | None = None
     course: Course | None = None  # where it waits
--- a/standins/partner.py
+++ b/standins/partner.py
@@ -3,15 +3,16 @@
     python -m standins.partner --listen 127.0.0.1:0 [--answer-ms 2] [--refuse 0.1] [--error 0.1] [--hang 0.1]
                                [--reset 0.1] [--slots 8 --queue 4] [--seed 1] [--ledger FILE] [--calls FILE]
                                [--rate 60] [--down 10:4,30:2] [--cold 0.18] [--warm-s 11] [--armed]
-                               [--spec FILE]
+                               [--spec FILE] [--unheard]
 
 `--rate` is an agreed one: above it, or above what the partner can do so soon after it was down, calls get
 503. `--down` gives outages, FROM:LENGTH in seconds after it is ready: its connections end, and new ones are
-refused. `--calls` gets a line for each whole call: `UNIX_MS TRACE_ID REPLY MS RULES`, with how long the
-answer takes (`inf`: it never comes) and the relay's X-Rules (`-`: none). `--ledger` gets a line for each
-call that took effect, written before its answer: `UNIX_MS TRACE_ID KEY`; a key that came within the hour
-takes no effect again. Requests are HTTP/1.1 with Content-Length, as the relay sends them; one that is too
-long ends the connection. """
+refused; with `--unheard` they get no answer, as from a machine that is gone, and a client's system asks for
+them anew 1 s and 3 s after its first word. `--calls` gets a line for each whole call: `UNIX_MS TRACE_ID REPLY
+MS RULES`, with how long the answer takes (`inf`: it never comes) and the relay's X-Rules (`-`: none).
+`--ledger` gets a line for each call that took effect, written before its answer: `UNIX_MS TRACE_ID KEY`; a
+key that came within the hour takes no effect again. Requests are HTTP/1.1 with Content-Length, as the relay
+sends them; one that is too long ends the connection. """
 
 from __future__ import annotations
 
@@ -19,6 +20,7 @@
 import random
 import re
 import signal
+import socket
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -40,6 +42,16 @@
           Reply.FULL: b"503 Service Unavailable"}
 
 
+def unheard(listen: tuple[str, int]) -> list[socket.socket]:
+    """A listener whose queue is full, and what fills it: the system drops what else asks for a connection."""
+    full, filler = socket.socket(), socket.socket()
+    full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    full.bind(listen)
+    full.listen(0)
+    filler.connect(full.getsockname())
+    return [full, filler]
+
+
 class Endpoint:
     """The model behind one listener. `clock`: ms, the model's time."""
 
@@ -51,6 +63,7 @@
         self.after: Callable[[float], float] = lambda delay_ms: delay_ms  # how long an answer really takes
         self.open: set[asyncio.Transport] = set()
         self.falls = 0
+        self.unheard = False  # while it is away, connections get no answer; else they are refused
         self.work: set[asyncio.Task[None]] = set()
 
     def _clock(self) -> float:
@@ -99,12 +112,15 @@
         self.server.close()
         for transport in list(self.open):
             transport.abort()
-        task = asyncio.get_running_loop().create_task(self._return(ms))
+        held = unheard(self.listen) if self.unheard else []
+        task = asyncio.get_running_loop().create_task(self._return(ms, held))
         self.work.add(task)
         task.add_done_callback(self.work.discard)
 
-    async def _return(self, ms: float) -> None:
+    async def _return(self, ms: float, held: list[socket.socket]) -> None:
         await asyncio.sleep(ms / 1000)
+        for each in held:
+            each.close()
         self.server = await self._server()
 
 
@@ -184,6 +200,7 @@
     parser.add_argument("--rate", type=float, help="calls a second")
     parser.add_argument("--down", type=spans, default=[], metavar="FROM:LENGTH,...")
     parser.add_argument("--armed", action="store_true", help="outages count from SIGUSR1, not from the start")
+    parser.add_argument("--unheard", action="store_true", help="while it is down, connections get no answer")
     parser.add_argument("--cold", type=float, default=0.18, help="share of the rate right after an outage")
     parser.add_argument("--warm-s", type=float, default=11.0, help="from then until it can do all of it")
     parser.add_argument("--spec", type=Path, help="JSON in place of all these: a partner of an experiment")
@@ -198,6 +215,7 @@
         parser.error(str(error))
     endpoint = Endpoint(Partner(spec, random.Random(args.seed)), address(args.listen), None, args.ledger,
                         args.calls)
+    endpoint.unheard = args.unheard
 
     async def start() -> asyncio.Server:
         server = await endpoint.start()
--- /dev/null
+++ b/tests/http/test_late_connections.py
@@ -0,0 +1,102 @@
+"""Connections that were asked for while a destination was out, and come up together when it is back."""
+
+from __future__ import annotations
+
+import asyncio
+
+from linnetstile.core.seams import Attempt, Result
+from linnetstile.decisions import interface as api
+from linnetstile.decisions.control import LATE_MS
+from linnetstile.http.calls import Calls
+from standins.partner import unheard
+
+from ..conftest import SAFE, Driver, make_settings
+from ..loopback import OK, Server, run
+
+RELAYS = 20
+HELD_BACK = {"outcome": api.Outcome.NOT_SENT, "held_back": True}
+
+
+def sent_while_out(relays: int = RELAYS, seed: int = 1) -> tuple[Driver, int]:
+    """One of so many, which knows of the outage and has just made a call: its connection is asked for."""
+    d = Driver(make_settings(relays=relays), seed=seed)
+    d.listed((11, 1), rate=60.0)
+    first = d.message()
+    d.pass_time(20)
+    d.answer(first, api.Outcome.CONNECT_FAILED)
+    assert d.relay.lanes[1][-1].sick
+    calls = len(d.sent)
+    while len(d.sent) == calls:
+        d.pass_time(5)
+    return d, d.sent[-1][1].id
+
+
+def test_a_late_connection_to_what_was_out_carries_no_call_that_was_paced_before() -> None:
+    d, ident = sent_while_out()
+    send = d.out[ident]
+    assert d.relay.may_write(d.now + LATE_MS, ident)  # in its time it goes
+    d.now += LATE_MS + 1
+    assert not d.relay.may_write(d.now, ident)
+    tries, made = d.relay.board.held[ident].tries, len(d.sent)
+    d.feed(api.AttemptEnded(ident, 0, send.endpoint, **HELD_BACK))  # type: ignore[arg-type]
+    assert d.relay.board.held[ident].tries == tries - 1  # it is no try
+    trickle = d.relay.lanes[1][-1].next_trickle
+    while len(d.sent) == made:
+        d.pass_time(5)
+    at, again = d.sent[-1]
+    assert again.id == ident and at >= trickle  # as a new call, by the pace of what is out
+    assert d.relay.may_write(at + 10 * LATE_MS, ident)  # and where connections always take long it still goes
+
+
+def test_it_is_paced_anew_too_where_another_call_has_found_it_back() -> None:
+    d, ident = sent_while_out()
+    lane = d.relay.lanes[1][-1]
+    d.relay.paces.cold(d.now + 100.0, lane)  # answered meanwhile
+    assert not lane.sick and not d.relay.may_write(d.now + LATE_MS + 1, ident)
+
+
+def test_a_late_connection_to_a_destination_that_was_well_carries_its_call() -> None:
+    d = Driver(make_settings(relays=RELAYS))
+    d.listed((11, 1), rate=60.0)
+    d.warm_up()
+    d.pass_time(1000)  # its pace has room
+    ident = d.message(SAFE)
+    d.pass_time(20)
+    assert d.out[ident] and d.relay.may_write(d.now + 4 * LATE_MS, ident)
+
+
+def test_connections_that_come_up_together_carry_no_call_at_once_and_are_kept_for_the_paced_ones() -> None:
+    """Twenty real connections wait for a system that drops what it is asked, and come up with its return.
+    Without the last look at the pace all of them carry their calls in one moment."""
+
+    async def work() -> None:
+        held = unheard(("127.0.0.1", 0))
+        address = held[0].getsockname()
+        made = [sent_while_out(seed=seed) for seed in range(RELAYS)]
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        calls = [Calls(10_000.0, 8000.0, 8) for _ in made]
+
+        async def call(n: int) -> Result:
+            d, ident = made[n]
+
+            def may() -> bool:
+                return d.relay.may_write(d.now + (loop.time() - begun) * 1000, ident)
+
+            return await calls[n].attempt(
+                Attempt(11, address, f"m{n}", None, b"b", loop.time() + 8.0, may))
+
+        work = [asyncio.ensure_future(call(n)) for n in range(RELAYS)]
+        await asyncio.sleep(0.3)  # the system's first words are lost by now, and said anew after a second
+        for sock in held:
+            sock.close()
+        server = await Server(OK).start(address[1])
+        results = await asyncio.gather(*work)
+        assert loop.time() - begun > LATE_MS / 1000
+        assert [result for result in results if not result.held_back] == [] and server.seen == []
+        assert all(len(each.aged) == 1 for each in calls)  # the next call there needs no new connection
+        for each in calls:
+            each.close()
+        server.server.close()
+
+    run(work())
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -75,8 +75,8 @@
     hold: asyncio.Event | None = None  # answers wait for it
     address: tuple[str, int] = ("", 0)
 
-    async def start(self) -> Self:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> Self:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.address = self.server.sockets[0].getsockname()[:2]
         return self
 
