--- /dev/null
+++ b/linnetstile/shards/ring.py
@@ -0,0 +1,26 @@
+"""Which shard a destination is in, and which keepers a reader asks, in which order. No I/O.
+
+Both by a hash that is the same in every process and version (XXH3, 64 bits). Keepers by rendezvous hashing
+(Thaler, Ravishankar 1998): each reader ranks all keepers by the hash of both names, so that where one goes
+only its own readers move, spread over all others.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable
+
+import xxhash
+
+SHARDS_MOST = 1 << 16  # of 44 destinations each: 2.9 million; a bitmap of 8 KB
+_DESTINATION = struct.Struct("<q")
+
+
+def shard_of(destination: int, shards: int) -> int:
+    """`shards` is a power of two."""
+    return xxhash.xxh3_64_intdigest(_DESTINATION.pack(destination)) & (shards - 1)
+
+
+def ranked(reader: str, keepers: Iterable[str]) -> list[str]:
+    """All keepers, the one to ask first first; the same at each start."""
+    return sorted(keepers, key=lambda keeper: (xxhash.xxh3_64_intdigest(f"{reader}\n{keeper}"), keeper))
