Shards: asks have numbers, and what keepers say carries their clock

A datagram that lay in a frozen reader's buffer would confirm what is long old; so would an answer that comes twice. So Ask.number is repeated by Answer, Busy and Other; Answer and Digest carry the keeper's boot and clock_ms; Answer.since tells from which version on a keeper can tell changes (one that has started later compares by sums). ring.KEEPERS_MOST: 16, so that all can be tried within the bound.

--- a/linnetstile/shards/ring.py
+++ b/linnetstile/shards/ring.py
@@ -13,6 +13,7 @@
 import xxhash
 
 SHARDS_MOST = 1 << 16  # of 44 destinations each: 2.9 million; a bitmap of 8 KB
+KEEPERS_MOST = 16  # so many can be tried, two at a time with a second each, within the bound: reading.Reader
 _DESTINATION = struct.Struct("<q")
 
 
--- a/linnetstile/shards/wire.py
+++ b/linnetstile/shards/wire.py
@@ -4,13 +4,21 @@
 Versions: `(epoch, generation)`, the generation being the source's own, so that all keepers count alike. What a
 keeper says of a shard holds *as of* its version: of two such words the one as of the higher version stands, from
 whichever keeper it comes. Where the source counts anew (another register), the operator raises the epoch.
+
+Times: a datagram may lie in a buffer for as long as its reader is frozen, and an answer may come twice. So each
+ask has a number, which its answer repeats, and what a keeper says carries its process's own clock: since an ask
+went out before its answer was made, a reader can tell how old a digest is at most, whenever it comes.
 """
 
 from __future__ import annotations
 
+import zlib
 from typing import Union
 
 import msgspec
+import xxhash
+
+from ..decisions.interface import Listing
 
 Version = tuple[int, int]  # epoch, generation
 NONE: Version = (0, -1)  # below every version
@@ -47,8 +55,9 @@
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag="a"):
     """All that a reader says to a keeper. It is answered by one `Answer` or `Busy` or `Other`."""
 
+    number: int  # grows with each ask of a reader's process
     layout: Layout
-    version: Version  # all shards of `holds` are as of this or a later one (NONE: compare by sums)
+    version: Version  # all shards of `holds` are as of this or a later one
     holds: bytes  # shards that it holds: a bitmap of layout.shards bits, zlib
     wants: tuple[Want, ...] = ()
     sums: tuple[tuple[int, int], ...] = ()  # (shard, its sum): to compare, a slice at a time
@@ -79,23 +88,30 @@
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag="A"):
     """As of `version` the parts are so. `complete`: nothing else of what the reader holds is newer, so that all
-    of it is as of this version now; else it asks on."""
+    of it is as of this version now; else it asks on. What changed before `since` this keeper can't tell (it has
+    started later): shards that are as of an older version are compared by their sums."""
 
+    number: int
     version: Version
     parts: tuple[Part, ...]
     complete: bool
+    since: Version
     source_age_ms: float  # since the keeper's own source last said that this is all
+    boot: int  # of the keeper's process, by chance: its clock is compared with itself only
+    clock_ms: float
 
 
 class Busy(msgspec.Struct, frozen=True, array_like=True, tag="B"):
     """Too much is asked of this keeper: come again."""
 
+    number: int
     after_ms: float
 
 
 class Other(msgspec.Struct, frozen=True, array_like=True, tag="O"):
     """This keeper's layout, which is not the asker's; or it has no list yet (`loading`)."""
 
+    number: int
     layout: Layout
     loading: bool = False
 
@@ -108,14 +124,50 @@
     set_sum: int  # over the shards that the reader said it holds: both mean the same ones
     sum: int  # over these shards' sums, as of `version`
     source_age_ms: float
+    boot: int
+    clock_ms: float
 
 
 Word = Union[Ask, Answer, Busy, Other, Digest]
 
+LISTINGS = (Listing.READY, Listing.DRAINING, Listing.GONE)  # by `Row.listing`
+READY, DRAINING, GONE = range(3)
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Word] = msgspec.msgpack.Decoder(Word)
 
 
+def row_sum(row: Row) -> int:
+    """A shard's sum is that of its rows, whatever their order, modulo 2 to the 64."""
+    return xxhash.xxh3_64_intdigest(_ENCODER.encode(row))
+
+
+def layout_sum(layout: Layout) -> int:
+    return xxhash.xxh3_64_intdigest(_ENCODER.encode(layout))
+
+
+def shard_mark(shard: int) -> int:
+    """Its share in `Digest.set_sum`."""
+    return xxhash.xxh3_64_intdigest(shard.to_bytes(4, "little"))
+
+
+def packed_bits(bits: int, shards: int) -> bytes:
+    return zlib.compress(bits.to_bytes((shards + 7) // 8, "little"), 1)
+
+
+def read_bits(raw: bytes, shards: int) -> int:
+    """Raises Unreadable."""
+    size = (shards + 7) // 8
+    opened = zlib.decompressobj()
+    try:
+        found = opened.decompress(raw, size + 1)  # a few bytes may claim to be gigabytes
+    except zlib.error as error:
+        raise Unreadable(f"holds: {error}") from error
+    if len(found) != size or not opened.eof:
+        raise Unreadable(f"holds: {len(found)} bytes, must be {size}")
+    return int.from_bytes(found, "little")
+
+
 class Unreadable(ValueError):
     """What came is no word of a keeper's or a reader's; the text says why."""
 
