--- a/linnetstile/shards/wire.py
+++ b/linnetstile/shards/wire.py
@@ -1,13 +1,15 @@
-"""What readers and keepers say to each other: msgpack, as arrays, in frames of the peers' connections and, for
-the digest, in one datagram. What can't be read is counted and passed over; nothing that is held is lost by it.
-
-Versions: `(epoch, generation)`, the generation being the source's own, so that all keepers count alike. What a
-keeper says of a shard holds *as of* its version: of two such words the one as of the higher version stands, from
-whichever keeper it comes. Where the source counts anew (another register), the operator raises the epoch.
-
-Times: a datagram may lie in a buffer for as long as its reader is frozen, and an answer may come twice. So each
-ask has a number, which its answer repeats, and what a keeper says carries its process's own clock: since an ask
-went out before its answer was made, a reader can tell how old a digest is at most, whenever it comes.
+"""What readers and keepers say to each other: msgpack, as arrays, in frames of the peers' connections and,
+for the digest, in one datagram. What can't be read is counted and passed over; nothing that is held is lost
+by it.
+
+Versions: `(epoch, generation)`, the generation being the source's own, so that all keepers count alike.
+What a keeper says of a shard holds *as of* its version: of two such words the one as of the higher version
+stands, from whichever keeper it comes. Where the source counts anew (another register), the operator
+raises the epoch.
+
+Times: a datagram may lie in a buffer for as long as its reader is frozen, and an answer may come twice. So
+each ask has a number, which its answer repeats, and what a keeper says carries its process's own clock: since
+an ask went out before its answer was made, a reader can tell how old a digest is at most, whenever it comes.
 """
 
 from __future__ import annotations
@@ -61,6 +63,8 @@
     holds: bytes  # shards that it holds: a bitmap of layout.shards bits, zlib
     wants: tuple[Want, ...] = ()
     sums: tuple[tuple[int, int], ...] = ()  # (shard, its sum): to compare, a slice at a time
+    ahead: Version = NONE  # shards of `further` are as of this already: of an answer in pieces
+    further: bytes = b""  # as `holds`; empty: none
 
 
 class Whole(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -87,9 +91,10 @@
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag="A"):
-    """As of `version` the parts are so. `complete`: nothing else of what the reader holds is newer, so that all
-    of it is as of this version now; else it asks on. What changed before `since` this keeper can't tell (it has
-    started later): shards that are as of an older version are compared by their sums."""
+    """As of `version` the parts are so. `complete`: nothing else of what the reader holds is newer, so
+    that all of it is as of this version now; else it asks on. What changed before `since` this keeper
+    can't tell (it has started later): shards that are as of an older version are compared by their
+    sums."""
 
     number: int
     version: Version
