--- a/linnetstile/shards/holding.py
+++ b/linnetstile/shards/holding.py
@@ -50,7 +50,7 @@
 class Held:
     """A shard that is here."""
 
-    __slots__ = ("blob", "sum", "as_of", "used", "present", "told", "used_at", "waits")
+    __slots__ = ("blob", "sum", "as_of", "used", "present", "told", "used_at", "waits", "bad")
 
     def __init__(self, now: float) -> None:
         self.blob = b""
@@ -60,6 +60,7 @@
         self.present: set[int] = set()  # of these, such as there are
         self.told: dict[str, int] = {}  # names that the directory has from here, with their rows' sums
         self.used_at = now
+        self.bad: set[int] = set()  # entries that can't be read, by their sums
         self.waits = False  # something in it is not told before it is as of `top`
 
 
@@ -175,10 +176,10 @@
     def tell(self, shard: int, rows: list[Row] | None = None) -> None:
         """What is new of its destinations in use."""
         held = self.held[shard]
-        new = rows is not None
         rows = self._read(held) if rows is None else rows
         first_counts = self.as_of(held) >= self.top
         told, members, lives = {}, [], []
+        bad, held.bad = held.bad, set()
         held.present.clear()
         held.waits = False
         for row in rows:
@@ -199,7 +200,8 @@
                 continue  # two shards of one version have it: a keeper's fault
             if before != mark:
                 if not 0 <= row.listing < GONE or not readable(row):
-                    self.unreadable += new
+                    self.unreadable += mark not in bad
+                    held.bad.add(mark)
                     if not known:
                         continue
                     if 0 <= row.listing < GONE:  # what it says of its life can be read
--- a/linnetstile/shards/reading.py
+++ b/linnetstile/shards/reading.py
@@ -48,6 +48,7 @@
 BEHIND_PAUSE_S = 5.0  # and then for so long
 PAUSE_S, PAUSE_MOST_S = 0.5, 4.0  # after failures: within the bound each keeper is tried again
 RETURN_S = 2.0  # a keeper that is back gets its readers spread over so long
+SLOW_S = 0.3  # an ask that is out for so long is no longer counted on
 SHORT_S = 0.05  # between two asks of one keeper that have more to ask
 WANTS_ASK = 64  # in one ask: past the shards of one answer
 SUMS_ASK = 512  # compared in one ask: 6 KB
@@ -400,7 +401,10 @@
         old = now - self.fresh.confirmed(self.store.base) >= self.refresh_s
         waits = any(shard in self.store.held for shard in self.wants)
         tried = now - self.fresh.tried[keeper.name][0]
-        return (old and tried >= self.refresh_s) or (waits and place < 2 and tried >= PAUSE_S)
+        if old and tried >= self.refresh_s:
+            return all(each.failing or now - each.out.sent_at >= SLOW_S  # else its answer may do
+                       for each in self.keepers.values() if each.out is not None)
+        return waits and place < 2 and tried >= PAUSE_S
 
     def _ask(self, now: float, keeper: Keeper, wants: list[int]) -> None:
         store = self.store
--- /dev/null
+++ b/tests/shards/common.py
@@ -0,0 +1,82 @@
+"""What the tests of the directory by interest have in common."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from linnetstile.shards.keeping import Keeper
+from linnetstile.shards.ring import shard_of
+from linnetstile.shards.wire import (
+    GONE,
+    NONE,
+    SUM_MASK,
+    Answer,
+    Ask,
+    Changes,
+    Layout,
+    Row,
+    Version,
+    Want,
+    Whole,
+    packed_bits,
+    row_sum,
+)
+
+
+def row(name: str, destination: int, listing: int = 0, mark: float = 0.0, port: int = 80) -> Row:
+    """`mark`, its rate, tells by which change it is so."""
+    return Row(name, destination, listing, "host", port, None, "z", mark)
+
+
+def filled(
+    layout: Layout, rows: Iterable[Row], generation: int = 1, now: float = 0.0, seed: int = 1
+) -> Keeper:
+    keeper = Keeper(layout, 1, random.Random(seed))
+    assert load(keeper, rows, generation, now)
+    return keeper
+
+
+def load(keeper: Keeper, rows: Iterable[Row], generation: int, now: float = 0.0, epoch: int = 1) -> bool:
+    begun = keeper.begin(now, (epoch, generation))
+    begun.add(rows)
+    if not begun.end(now):
+        return False
+    while not begun.step():
+        pass
+    return begun.taken
+
+
+def ask(layout: Layout, version: Version = NONE, holds: Iterable[int] = (), wants: Iterable[int] = (),
+        sums: Iterable[tuple[int, int]] = (), due_ms: float = 1000.0, number: int = 1) -> Ask:
+    bits = packed_bits(sum(1 << shard for shard in set(holds)), layout.shards)
+    return Ask(number, layout, version, bits, tuple(Want(shard, due_ms) for shard in wants), tuple(sums))
+
+
+def asked(keeper: Keeper, told: Ask, now: float = 1000.0, reader: str = "n100") -> Answer:
+    answer = keeper.asked(now, reader, told)
+    assert isinstance(answer, Answer), answer
+    return answer
+
+
+def by_shard(rows: dict[str, Row], shards: int) -> list[dict[str, Row]]:
+    found: list[dict[str, Row]] = [{} for _ in range(shards)]
+    for each in rows.values():
+        found[shard_of(each.destination, shards)][each.name] = each
+    return found
+
+
+def sum_of(rows: Iterable[Row]) -> int:
+    return sum(map(row_sum, rows)) & SUM_MASK
+
+
+def followed(shards: dict[int, dict[str, Row]], answer: Answer) -> None:
+    """The plainest reader there is."""
+    for part in answer.parts:
+        if isinstance(part, Whole):
+            shards[part.shard] = {each.name: each for each in part.rows}
+        elif isinstance(part, Changes):
+            for each in part.rows:
+                shards[part.shard].pop(each.name, None)
+                if each.listing != GONE:
+                    shards[part.shard][each.name] = each
--- /dev/null
+++ b/tests/shards/test_keeping.py
@@ -0,0 +1,370 @@
+"""A keeper against the plainest one: a dict of all rows, copied at every version."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from linnetstile.shards import audience, keeping, staging, table
+from linnetstile.shards.keeping import Keeper
+from linnetstile.shards.ring import ranked, shard_of
+from linnetstile.shards.wire import (
+    GONE,
+    NONE,
+    SUM_MASK,
+    Ask,
+    Busy,
+    Changes,
+    Layout,
+    Other,
+    Row,
+    Same,
+    Unreadable,
+    Whole,
+    packed,
+    packed_bits,
+    read,
+    shard_mark,
+)
+
+from .common import ask, asked, by_shard, filled, followed, load, row, sum_of
+
+LAYOUT = Layout(4, (1, 2))
+NAMES = [f"e{i}" for i in range(7)]
+
+ROWS = st.builds(
+    row, st.sampled_from(NAMES), st.integers(0, 9), st.integers(0, 2), st.sampled_from((0.0, 1.0))
+)
+LIVES = st.tuples(st.sampled_from(NAMES), st.integers(0, 2))
+STEP: st.SearchStrategy[Any] = st.one_of(
+    st.tuples(st.just("load"), st.lists(ROWS, max_size=12), st.just([])),
+    st.tuples(st.just("change"), st.lists(ROWS, max_size=4), st.lists(LIVES, max_size=3)),
+    st.tuples(st.just("change"), st.lists(ROWS, max_size=4), st.lists(LIVES, max_size=3)),
+)
+
+
+class Oracle:
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.versions: dict[int, list[dict[str, Row]]] = {}
+
+    def take(self, what: str, rows: list[Row], lives: list[tuple[str, int]], generation: int) -> None:
+        if what == "load":
+            self.rows = {}
+        for each in rows:
+            self.rows.pop(each.name, None)
+            if each.listing != GONE:
+                self.rows[each.name] = each
+        for name, life in lives:
+            if name in self.rows:
+                known = self.rows.pop(name)
+                if life != GONE:
+                    self.rows[name] = msgspec.structs.replace(known, listing=life)
+        self.versions[generation] = by_shard(self.rows, LAYOUT.shards)
+
+
+@pytest.mark.parametrize(("log_shard", "log_rows", "step_rows"), [(64, 50_000, 2_000), (3, 7, 1)])
+@given(steps=st.lists(STEP, max_size=10), data=st.data())
+@settings(max_examples=80, deadline=None)
+def test_whatever_the_source_tells_the_answers_make_the_same(
+    log_shard: int, log_rows: int, step_rows: int, steps: list[Any], data: st.DataObject
+) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(table, "LOG_SHARD", log_shard)
+        patch.setattr(table, "LOG_ROWS", log_rows)
+        patch.setattr(staging, "STEP_ROWS", step_rows)
+        oracle, keeper = Oracle(), Keeper(LAYOUT, 1, random.Random(1))
+        oracle.take("load", [], [], 0)
+        assert load(keeper, [], 0)
+        for generation, (what, rows, lives) in enumerate(steps, 1):
+            holds = data.draw(st.sets(st.integers(0, 3)))
+            keeper.asked(float(generation), "n200", ask(LAYOUT, keeper.version, holds))
+            oracle.take(what, rows, lives, generation)
+            if what == "load":
+                assert load(keeper, rows, generation)
+            else:
+                assert keeper.changed(0.0, generation, rows, lives)
+            check_table(keeper, oracle.versions[generation])
+            check_since(keeper, oracle, data.draw(st.sets(st.integers(0, 3))))
+            check_digest(keeper, oracle.versions[generation], holds, float(generation))
+        assert keeper.table.log_rows == sum(len(log.rows) for log in keeper.table.logs.values()) <= log_rows
+        assert all(len(log.rows) <= log_shard for log in keeper.table.logs.values())
+
+
+def check_table(keeper: Keeper, now: list[dict[str, Row]]) -> None:
+    for shard, rows in enumerate(now):
+        assert {each.name: each for each in keeper.table.rows(shard)} == rows
+        assert keeper.table.sums[shard] == sum_of(rows.values())
+        assert keeper.table.counts[shard] == len(rows)
+        assert keeper.table.destinations[shard] == len({each.destination for each in rows.values()})
+    there = {table.name_mark(name): shard for shard, rows in enumerate(now) for name in rows}
+    assert keeper.table.names == there
+
+
+def check_since(keeper: Keeper, oracle: Oracle, holds: set[int]) -> None:
+    for generation, before in oracle.versions.items():
+        has = {shard: dict(before[shard]) for shard in holds}
+        answer = asked(keeper, ask(LAYOUT, (1, generation), holds))
+        assert answer.complete and answer.version == keeper.version
+        followed(has, answer)
+        current = oracle.versions[keeper.version[1]]
+        assert has == {shard: current[shard] for shard in holds}
+        # What has not changed since is not told.
+        for part in answer.parts:
+            assert keeper.table.changed[part.shard] > generation
+
+
+def check_digest(keeper: Keeper, now: list[dict[str, Row]], holds: set[int], at: float) -> None:
+    told = [digest for name, digest in keeper.digests(at + audience.DIGEST_S) if name == "n200"]
+    for digest in told:
+        assert digest.sum == sum(sum_of(now[shard].values()) for shard in holds) & SUM_MASK
+        assert digest.set_sum == sum(map(shard_mark, holds)) & SUM_MASK
+        assert digest.version == keeper.version
+        assert len(packed(digest)) < 200
+
+
+def test_a_change_is_told_by_its_rows_and_many_by_the_whole() -> None:
+    layout = Layout(1, (1,))
+    keeper = filled(layout, [row(f"e{i}", i) for i in range(200)])
+    keeper.changed(0.0, 2, [row("e1", 1, 1)], [("e2", GONE)])
+    (part,) = asked(keeper, ask(layout, (1, 1), [0])).parts
+    assert isinstance(part, Changes)
+    assert {(each.name, each.listing) for each in part.rows} == {("e1", 1), ("e2", GONE)}
+    many = [row(f"e{i}", i, 1) for i in range(100, 100 + table.LOG_SHARD)]
+    keeper.changed(0.0, 3, [row("e1", 1, 0), *many])
+    (part,) = asked(keeper, ask(layout, (1, 1), [0])).parts
+    assert isinstance(part, Whole) and len(part.rows) == 199  # the log does not reach back
+    keeper.changed(0.0, 4, [row("e1", 1, 1)])
+    (part,) = asked(keeper, ask(layout, (1, 3), [0])).parts
+    assert isinstance(part, Changes) and len(part.rows) == 1
+
+
+def test_what_changed_before_its_start_is_compared_by_sums() -> None:
+    keeper = filled(LAYOUT, [row(f"e{i}", i) for i in range(40)], generation=9)
+    sums = [(shard, keeper.table.sums[shard]) for shard in range(4)]
+    sums[2] = (2, 1)
+    answer = asked(keeper, ask(LAYOUT, (1, 5), range(4)))
+    assert (answer.complete, answer.parts, answer.since) == (False, (), (1, 9))
+    answer = asked(keeper, ask(LAYOUT, (1, 5), range(4), sums=sums[:3]))
+    assert [(type(part), part.shard) for part in answer.parts] == [(Same, 0), (Same, 1), (Whole, 2)]
+    assert not answer.complete
+    assert asked(keeper, ask(LAYOUT, (1, 5), range(4), sums=sums)).complete
+
+
+def test_a_list_that_comes_to_the_same_changes_no_version() -> None:
+    rows = [row(f"e{i}", i) for i in range(40)]
+    keeper = filled(LAYOUT, rows, generation=3)
+    changed = dict(keeper.table.changed)
+    assert load(keeper, reversed(rows), 3)
+    assert keeper.version == (1, 3) and keeper.table.changed == changed and keeper.rewritten == 0
+    assert load(keeper, rows, 4)
+    assert keeper.version == (1, 4) and keeper.table.changed == changed
+    assert asked(keeper, ask(LAYOUT, (1, 3), range(4))).parts == ()
+
+
+def test_a_generation_that_goes_back_is_refused_and_confirms_nothing() -> None:
+    keeper = filled(LAYOUT, [row("e1", 1, mark=1.0)], generation=5, now=10.0)
+    assert not load(keeper, [row("e1", 1)], 4, now=20.0)
+    assert not keeper.changed(20.0, 3, [row("e1", 1)])
+    assert keeper.refused == 2
+    keeper.confirmed(20.0)
+    assert keeper.told(21.0).source_age_s == 11.0
+    assert [each.rate for each in keeper.table.rows(shard_of(1, 4))] == [1.0]
+    assert load(keeper, [row("e1", 1)], 1, epoch=2, now=30.0)  # unless the operator says that it counts anew
+    keeper.confirmed(31.0)
+    assert keeper.version == (2, 1) and keeper.told(31.0).source_age_s == 0.0
+    assert asked(keeper, ask(LAYOUT, (1, 5), range(4))).since == (2, 1)
+
+
+def test_another_list_under_the_same_generation_is_noted() -> None:
+    keeper = filled(LAYOUT, [row("e1", 1)], generation=5)
+    assert load(keeper, [row("e1", 1, 1)], 5)
+    assert keeper.rewritten == 1 and keeper.table.sums[shard_of(1, 4)] == sum_of([row("e1", 1, 1)])
+
+
+def test_until_a_list_is_done_the_old_one_answers_and_one_given_up_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(staging, "STEP_ROWS", 3)
+    rows = [row(f"e{i}", i) for i in range(40)]
+    keeper = filled(LAYOUT, rows)
+    before = list(keeper.table.blobs), dict(keeper.table.names), keeper.version
+    begun = keeper.begin(1.0, (1, 2))
+    begun.add([row(f"e{i}", i + 1, 1) for i in range(30)])
+    assert begun.end(2.0)
+    steps = 1
+    while not begun.step():
+        steps += 1
+        assert (list(keeper.table.blobs), keeper.table.names, keeper.version) == before
+    assert steps > 3 and begun.taken and keeper.version == (1, 2)
+    assert keeper.told(2.0).source_age_s == 1.0  # it is as the source had it when it was asked for
+    assert keeper.told(2.0).endpoints == 30
+    keeper.begin(3.0, (1, 3)).add([row("e1", 1)])
+    assert keeper.version == (1, 2) and keeper.told(2.0).endpoints == 30
+
+
+def test_a_change_beside_a_list_that_is_being_read() -> None:
+    """The list is older than the change: it is refused at its end, and nothing goes back."""
+    keeper = filled(LAYOUT, [row("e1", 1)])
+    begun = keeper.begin(1.0, (1, 2))
+    begun.add([row("e1", 1)])
+    assert begun.end(1.0)
+    assert keeper.changed(1.0, 3, [row("e1", 1, 1)])
+    while not begun.step():
+        pass
+    assert not begun.taken and keeper.version == (1, 3)
+    later = keeper.begin(1.0, (1, 9))
+    later.add([row("e1", 1), row("e2", 2)])
+    assert later.end(1.0)
+    assert keeper.changed(1.0, 4, [row("e3", 3)])  # compared with what is there at the end
+    while not later.step():
+        pass
+    assert later.taken
+    assert {each.name for shard in range(4) for each in keeper.table.rows(shard)} == {"e1", "e2"}
+
+
+def test_another_layout_and_a_keeper_without_a_list() -> None:
+    keeper = Keeper(LAYOUT, 1, random.Random(1))
+    told = keeper.asked(1.0, "n100", ask(LAYOUT))
+    assert isinstance(told, Other) and told.loading
+    load(keeper, [], 1)
+    for other in (Layout(8, (1, 2)), Layout(4, (1, 3))):
+        told = keeper.asked(1.0, "n100", ask(other))
+        assert told == Other(1, LAYOUT) and read(packed(told)) == told
+
+
+@pytest.mark.parametrize("wrong", [
+    Ask(1, LAYOUT, NONE, b"no zlib"),
+    Ask(1, LAYOUT, NONE, packed_bits(0, 1 << 20)),
+    ask(LAYOUT, wants=[4]),
+    ask(LAYOUT, wants=[-1]),
+    ask(LAYOUT, sums=[(9, 0)]),
+])
+def test_an_ask_that_cannot_be_read_changes_nothing(wrong: Ask) -> None:
+    keeper = filled(LAYOUT, [])
+    with pytest.raises(Unreadable):
+        keeper.asked(1.0, "n100", wrong)
+    assert not keeper.audience.readers and keeper.answers == 0
+
+
+def test_answers_are_bounded_and_the_most_needed_comes_first() -> None:
+    layout = Layout(64, (1,))
+    keeper = filled(layout, [row(f"a-name-of-usual-length-{i}", i) for i in range(64 * 44)])
+    told = ask(layout, wants=range(64))
+    told = msgspec.structs.replace(told, wants=tuple(
+        msgspec.structs.replace(want, due_ms=1e4 - 100.0 * want.shard) for want in told.wants))
+    answer = asked(keeper, told)
+    assert len(packed(answer)) <= keeping.ANSWER_BYTES + 4_000
+    assert [part.shard for part in answer.parts] == list(range(63, 63 - len(answer.parts), -1))
+    assert len(answer.parts) > 8
+    # Changes are told beside shards that are wanted; and in pieces, if they are many.
+    keeper.changed(2.0, 2, [row(f"a-name-of-usual-length-{i}", i, 1) for i in range(64 * 44)])
+    has: set[int] = set()
+    for _ in range(20):
+        bits = packed_bits(sum(1 << shard for shard in has), 64)
+        more = msgspec.structs.replace(ask(layout, (1, 1), range(64)), ahead=(1, 2), further=bits)
+        answer = asked(keeper, more)
+        assert len(packed(answer)) <= keeping.ANSWER_BYTES + 4_000
+        assert not has & {part.shard for part in answer.parts}
+        has |= {part.shard for part in answer.parts}
+        if answer.complete:
+            break
+    assert has == set(range(64))
+
+
+def test_a_shard_that_is_larger_than_an_answer_comes_alone() -> None:
+    layout = Layout(2, (1,))
+    keeper = filled(layout, [row(f"e{i}", i) for i in range(4_000)])
+    answer = asked(keeper, ask(layout, wants=[0, 1]))
+    assert len(answer.parts) == 1
+
+
+def test_too_many_asks_are_told_when_to_come_and_urgent_ones_get_through() -> None:
+    keeper = filled(LAYOUT, [row(f"e{i}", i) for i in range(40)])
+    now, answers, after = 50.0, 0, []
+    for number in range(2_000):
+        told = keeper.asked(now, f"n{number}", ask(LAYOUT, holds=[0], wants=[1], due_ms=30_000.0))
+        if isinstance(told, Busy):
+            after.append(told.after_ms)
+        else:
+            answers += 1
+    assert answers <= keeping.ANSWERS_S * keeping.BURST_S
+    assert answers == keeping.ANSWERS_S * (1 - keeping.RESERVED)
+    assert min(after) >= 50.0 and max(after) <= 1.3 * keeping.BUSY_MOST_S * 1e3
+    assert max(after) > 10 * min(after) and len(set(after)) > 1_000  # spread: who comes later waits longer
+    urgent = [keeper.asked(now, f"n{i}", ask(LAYOUT, wants=[1], due_ms=500.0)) for i in range(200)]
+    assert sum(not isinstance(told, Busy) for told in urgent) == 100
+    told = keeper.asked(now + 1.0, "n1", ask(LAYOUT, holds=[0], wants=[1]))
+    assert not isinstance(told, Busy)
+
+
+def test_bytes_a_second_are_bounded() -> None:
+    layout = Layout(64, (1,))
+    keeper = filled(layout, [row(f"a-name-of-usual-length-{i}", i) for i in range(64 * 44)])
+    for step in range(3_000):
+        keeper.asked(step / 300.0, f"n{step % 10}", ask(layout, wants=range(64), due_ms=100.0))
+    assert keeper.busy > 0
+    assert keeper.bytes_out <= keeping.BYTES_S * (10.0 + keeping.BURST_S) + keeping.ANSWER_BYTES
+
+
+def test_digests_go_to_those_that_asked_of_late_spread_and_bounded() -> None:
+    keeper = filled(LAYOUT, [row(f"e{i}", i) for i in range(40)])
+    for number in range(300):
+        keeper.asked(0.0, f"n{number}", ask(LAYOUT, holds=[0]))
+    times: dict[str, list[float]] = {}
+    now = 0.0
+    while now < 30.0:
+        found = keeper.digests(now)
+        assert len(found) <= audience.DIGESTS_CALL
+        for name, _ in found:
+            times.setdefault(name, []).append(now)
+        now = max(now + 0.01, min(keeper.next_at(), now + 1.0))
+    assert len(times) == 300
+    for told in times.values():
+        gaps = [b - a for a, b in zip(told, told[1:], strict=False)]
+        assert all(2.6 <= gap <= 3.4 for gap in gaps) and len(gaps) >= 6
+    now = 10.0 + audience.READER_S
+    for _ in range(20):
+        keeper.digests(now)
+    assert not keeper.audience.readers and not any(keeper.audience.masks)
+
+
+def test_more_readers_than_are_remembered_still_get_answers(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(audience, "READERS_MOST", 3)
+    keeper = filled(LAYOUT, [row(f"e{i}", i) for i in range(40)])
+    for number in range(5):
+        assert asked(keeper, ask(LAYOUT, wants=[1]), reader=f"n{number}").parts
+    assert len(keeper.audience.readers) == 3
+
+
+def test_many_shards_at_once_and_the_digest_is_still_right(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(audience, "SUMS_MOST", 2)
+    keeper = filled(LAYOUT, [row(f"e{i}", i) for i in range(40)])
+    keeper.asked(0.0, "n1", ask(LAYOUT, holds=[0, 1, 2]))
+    keeper.changed(1.0, 2, [row(f"e{i}", i, 1) for i in range(40)])
+    keeper.changed(1.0, 3, [row("e0", 0, 0)])
+    ((_, digest),) = keeper.digests(5.0)
+    assert digest.sum == sum(keeper.table.sums[:3]) & SUM_MASK
+
+
+def test_shards_and_ranks_are_the_same_in_every_process() -> None:
+    assert [shard_of(each, 8192) for each in (0, 1, 2, 360_000)] == SHARDS
+    assert ranked("n7", [f"n{i}" for i in range(1, 9)]) == RANKED
+    # Where one keeper goes, only its own readers move.
+    names = [f"n{i}" for i in range(1, 9)]
+    moved = 0
+    for number in range(1_000):
+        full = ranked(f"n{number}", names)
+        less = ranked(f"n{number}", names[1:])
+        assert [name for name in full if name != "n1"] == less
+        moved += full[0] != less[0]
+    assert 80 < moved < 170
+
+
+SHARDS = [3289, 6446, 579, 2309]
+RANKED = ["n3", "n1", "n7", "n2", "n6", "n4", "n5", "n8"]
--- /dev/null
+++ b/tests/shards/test_reading.py
@@ -0,0 +1,732 @@
+"""A reader: what it asks, what it believes, and by what a first byte may go. And whatever comes in whatever
+order, what the real directory has is never older than what it had."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from linnetstile.core.directory import Directory
+from linnetstile.core.seams import Update
+from linnetstile.decisions.interface import Listing
+from linnetstile.shards import reading
+from linnetstile.shards.keeping import Keeper
+from linnetstile.shards.reading import Reader
+from linnetstile.shards.ring import ranked, shard_of
+from linnetstile.shards.wire import (
+    DRAINING,
+    GONE,
+    Answer,
+    Ask,
+    Busy,
+    Changes,
+    Digest,
+    Layout,
+    Other,
+    Row,
+    Whole,
+    layout_sum,
+    packed,
+    read,
+    read_bits,
+)
+
+from ..conftest import make_settings
+from .common import asked, by_shard, filled, load, row
+
+LAYOUT = Layout(4, (1, 2, 3))
+ONE = Layout(1, (1, 2, 3))
+FIRST, SECOND, THIRD = ranked("n100", ("n1", "n2", "n3"))
+
+
+class World:
+    """A reader, keepers, and the directory; every ask is answered at once unless a test says otherwise."""
+
+    def __init__(self, rows: list[Row], layout: Layout = LAYOUT, now: float = 100.0, **more: Any) -> None:
+        self.layout, self.now = layout, now
+        self.keepers = {
+            f"n{number}": filled(layout, rows, now=now, seed=number) for number in layout.keepers
+        }
+        self.reader = Reader("n100", layout, random.Random(1), **more)
+        self.directory = Directory(make_settings(), ("z",))
+        self.updates: list[Update] = []
+        self.absent: list[int] = []
+        self.in_use: set[int] = set()
+        self.down: set[str] = set()
+        self.served: list[tuple[str, Ask]] = []
+        self.behind: set[str] = set()  # whose source is silent
+
+    def changed(self, generation: int, rows: list[Row], lives: list[tuple[str, int]] | None = None,
+                *names: str) -> None:
+        for name in names or self.keepers:
+            assert self.keepers[name].changed(self.now, generation, rows, lives or [])
+
+    def apply(self) -> None:
+        self.updates += self.reader.updates
+        for update in self.reader.updates:
+            self.directory.apply(update)
+        self.reader.updates.clear()
+        self.absent += self.reader.absent
+        self.reader.absent.clear()
+
+    def turn(self) -> list[tuple[str, Ask]]:
+        """A tick; its asks are left to the caller."""
+        self.reader.tick(self.now, self.in_use.__contains__)
+        self.apply()
+        asks = list(self.reader.asks)
+        self.reader.asks.clear()
+        return asks
+
+    def serve(self, asks: list[tuple[str, Ask]]) -> None:
+        for name, told in asks:
+            self.served.append((name, told))
+            if name in self.down:
+                self.reader.failed(self.now, name)
+            else:
+                sent = read(packed(told))
+                assert isinstance(sent, Ask)
+                word = read(packed(self.keepers[name].asked(self.now, "n100", sent)))
+                assert isinstance(word, (Answer, Busy, Other))
+                self.reader.answered(self.now, name, word)
+            self.apply()
+
+    def settle(self, seconds: float = 0.0, step: float = 0.1, digests: bool = True) -> None:
+        end = self.now + seconds
+        while True:
+            for _ in range(20):
+                asks = self.turn()
+                if not asks:
+                    break
+                self.serve(asks)
+            if self.now >= end:
+                return
+            self.now = min(end, self.now + step)
+            for name, keeper in self.keepers.items():
+                if name not in self.behind:
+                    keeper.confirmed(self.now)
+                if name not in self.down and digests:
+                    for _, digest in keeper.digests(self.now):
+                        self.reader.digest(self.now, name, digest)
+                        self.apply()
+
+    def want(self, *destinations: int, due: float = 10.0) -> None:
+        for destination in destinations:
+            self.reader.want(self.now, destination, self.now + due)
+        self.apply()
+
+    def has(self, name: str) -> Any:
+        known = self.directory.by_name.get(name)
+        return None if known is None else known.entry
+
+
+def in_shard(shard: int, count: int, shards: int = 4) -> list[int]:
+    return [each for each in range(1_000) if shard_of(each, shards) == shard][:count]
+
+
+def test_a_wanted_shard_comes_and_only_the_destinations_in_use_are_told() -> None:
+    a, b, c = in_shard(0, 3)
+    world = World([row("a", a), row("b", b), row("a2", a)])
+    assert not world.reader.here(a)
+    world.want(a, c)
+    assert not world.reader.here(a) and not world.reader.current(world.now, a)
+    world.settle()
+    assert [name for name, _ in world.served] == [FIRST]
+    assert set(world.directory.by_name) == {"a", "a2"} and world.absent == [c]
+    assert world.reader.here(a) and world.reader.knows(a) and world.reader.current(world.now, a)
+    assert not world.reader.here(b) and not world.reader.knows(b)
+    world.want(b)  # its shard is here: at once
+    assert set(world.directory.by_name) == {"a", "a2", "b"} and len(world.served) == 1
+    assert world.reader.here(b) and world.reader.told(world.now).endpoints == 3
+
+
+def test_use_of_a_destination_whose_shard_is_here_tells_it() -> None:
+    a, b = in_shard(0, 2)
+    world = World([row("a", a), row("b", b)])
+    world.want(a)
+    world.settle()
+    world.reader.use(world.now, b)
+    world.apply()
+    assert set(world.directory.by_name) == {"a", "b"}
+
+
+def test_the_earliest_end_is_asked_for_first_and_one_ask_is_out_at_a_keeper() -> None:
+    layout = Layout(512, (1, 2, 3))
+    world = World([row(f"e{i}", i) for i in range(600)], layout)
+    for destination in range(400):
+        world.reader.want(world.now, destination, world.now + 100.0 - destination / 10.0)
+    asks = world.turn()
+    assert [name for name, _ in asks] == [FIRST, SECOND]
+    shards = [want.shard for _, each in asks for want in each.wants]
+    assert len(shards) == len(set(shards)) == 2 * reading.WANTS_ASK
+    due = [want.due_ms for _, each in asks for want in each.wants]
+    assert due == sorted(due) and due[0] <= 60_200.0
+    assert not world.turn()  # two at most, one a keeper
+    world.serve(asks)
+    world.settle(1.0)
+    assert world.reader.told(world.now).waiting == 0 and len(world.directory.by_name) == 400
+
+
+def test_a_keeper_that_fails_is_left_for_the_next_and_asked_again_after_growing_pauses() -> None:
+    world = World([row("a", 1)])
+    world.down = {FIRST, SECOND}
+    world.want(1)
+    world.settle(0.1)
+    assert [name for name, _ in world.served] == [FIRST, SECOND, THIRD]
+    assert world.reader.knows(1)
+    world.settle(60.0)
+    times = sum(name == FIRST for name, _ in world.served)
+    assert 10 <= times <= 40  # whether it is back; 4 s at most between two, by chance 0.7 to 1.3 of that
+    world.down.clear()
+    world.served.clear()
+    world.settle(30.0)
+    assert FIRST in {name for name, _ in world.served}
+    assert world.reader.told(world.now).failures > 20
+
+
+def test_a_change_comes_within_two_digests_and_costs_a_few_rows() -> None:
+    world = World([row("a", 1), row("b", 2)])
+    world.want(1)
+    world.settle(5.0)
+    world.served.clear()
+    bytes_before = world.keepers[FIRST].bytes_out + world.keepers[SECOND].bytes_out
+    world.changed(2, [row("a", 1, port=99)])
+    world.settle(4.0)
+    assert world.directory.by_name["a"].address == ("host", 99)
+    assert world.reader.told(world.now).version == (1, 2)
+    assert world.keepers[FIRST].bytes_out + world.keepers[SECOND].bytes_out - bytes_before < 300
+    world.served.clear()
+    world.changed(3, [row("x", in_shard((shard_of(1, 4) + 1) % 4, 1)[0])])  # in no shard that is here
+    world.settle(4.0)
+    assert world.reader.told(world.now).version == (1, 3) and not world.served
+
+
+# -- older never replaces newer ------------------------------------------------------------------------------
+
+
+def test_an_older_answer_is_refused_and_another_keeper_asked() -> None:
+    """A drained endpoint does not come back from a keeper that has not heard of it."""
+    a, b = in_shard(0, 2)
+    c = in_shard(1, 1)[0]
+    world = World([row("a", a), row("c", c)])
+    world.changed(2, [], [("c", DRAINING)], FIRST)
+    world.want(a)
+    world.settle()
+    assert world.reader.told(world.now).version == (1, 2)
+    world.down = {FIRST}
+    world.want(c)
+    world.settle(3.0)
+    assert not world.reader.here(c) and world.reader.told(world.now).stale_refused > 0
+    assert {SECOND, THIRD} <= {name for name, _ in world.served}
+    world.changed(2, [], [("c", DRAINING)], THIRD)
+    world.settle(6.0)
+    assert world.has("c").listing is Listing.DRAINING
+
+
+def test_an_older_part_after_a_newer_one_is_passed_over() -> None:
+    world = World([row("a", 1)], ONE)
+    world.want(1)
+    (ask_first,) = world.turn()
+    old = asked(world.keepers[SECOND], ask_first[1], world.now)
+    world.changed(2, [row("a", 1, DRAINING)], [], FIRST)
+    world.serve([ask_first])
+    assert world.has("a").listing is Listing.DRAINING
+    world.now += 7.0
+    for name, told in world.turn():
+        world.reader.answered(world.now, name, msgspec.structs.replace(old, number=told.number))
+        world.apply()
+    assert world.has("a").listing is Listing.DRAINING and world.reader.told(world.now).stale_refused > 0
+
+
+def test_after_a_shard_was_given_up_it_is_not_taken_older() -> None:
+    world = World([row("a", 1)], ONE, idle_s=20.0)
+    world.changed(2, [], [("a", DRAINING)], FIRST)
+    world.want(1)
+    world.settle()
+    assert world.has("a").listing is Listing.DRAINING
+    world.settle(30.0)
+    assert world.has("a") is None and world.reader.told(world.now).shards == 0
+    world.down = {FIRST}
+    world.want(1)
+    world.settle(3.0)
+    assert world.has("a") is None and not world.reader.here(1)
+    world.changed(2, [], [("a", DRAINING)], SECOND)
+    world.settle(6.0)
+    assert world.has("a").listing is Listing.DRAINING
+
+
+def test_doubled_and_late_answers_change_nothing() -> None:
+    world = World([row("a", 1)], ONE)
+    world.want(1)
+    (first,) = world.turn()
+    answer = asked(world.keepers[first[0]], first[1], world.now)
+    world.reader.failed(world.now, first[0])
+    world.reader.answered(world.now, first[0], answer)  # came too late
+    assert not world.reader.here(1) and world.reader.unasked == 1
+    world.settle(1.0)
+    before = world.reader.told(world.now)
+    for _ in range(2):
+        world.reader.answered(world.now, first[0], answer)
+        world.reader.answered(world.now, "n55", answer)
+    after = world.reader.told(world.now)
+    assert after.unasked == 5 and after.version == before.version and not world.reader.updates
+
+
+def test_a_name_that_moves_between_shards_stands_where_it_was_told_last() -> None:
+    a, b = in_shard(0, 1)[0], in_shard(1, 1)[0]
+    for first_here, then in ((a, b), (b, a)):
+        world = World([row("x", a, mark=1.0)])
+        world.want(first_here)
+        world.settle()
+        world.changed(2, [row("x", b, mark=2.0)])
+        world.want(then)
+        world.settle(4.0)
+        world.want(b)  # who had asked for it before it came was told that there is none
+        assert (world.has("x").destination, world.has("x").rate) == (b, 2.0)
+        world.settle(4.0)
+        assert world.has("x").destination == b and world.reader.knows(b) and not world.reader.knows(a)
+        assert world.reader.told(world.now).endpoints == 1
+
+
+def test_a_name_that_moved_is_not_told_at_its_old_place_by_a_shard_that_is_behind() -> None:
+    """The shard that it went to is here as of a later version, then given up; the one that it left, older,
+    says nothing for the first time until it has caught up."""
+    a, b = in_shard(0, 1)[0], in_shard(1, 1)[0]
+    other = in_shard(0, 2)[1]
+    world = World([row("x", a, mark=1.0), row("y", other)])
+    world.want(other)
+    world.settle()
+    world.changed(2, [row("x", b, mark=2.0)])
+    world.want(b)
+    (told,) = world.turn()
+    answer = asked(world.keepers[told[0]], told[1], world.now)
+    parts = tuple(part for part in answer.parts if part.shard == shard_of(b, 4))
+    world.reader.answered(world.now, told[0], msgspec.structs.replace(answer, parts=parts, complete=False))
+    world.apply()
+    assert world.has("x").rate == 2.0
+    world.want(a)
+    assert not world.reader.here(a) and world.has("x").rate == 2.0
+    world.settle(1.0)
+    assert world.absent == [a] and world.has("x").rate == 2.0
+
+
+# -- the bound -----------------------------------------------------------------------------------------------
+
+
+def test_a_frozen_reader_asks_before_its_next_first_byte() -> None:
+    world = World([row("a", 1)], ONE)
+    world.want(1)
+    world.settle(4.0)
+    assert world.reader.current(world.now, 1)
+    old = []
+    for step in range(40):  # what its socket holds meanwhile
+        for keeper in world.keepers.values():
+            keeper.confirmed(world.now + step)
+        old += [(name, digest) for name, keeper in world.keepers.items()
+                for _, digest in keeper.digests(world.now + step)]
+    world.now += 40.0
+    world.changed(2, [], [("a", DRAINING)])
+    assert not world.reader.current(world.now, 1)
+    early = [each for each in old if each[1].clock_ms < (world.now - 11.0) * 1e3]
+    assert len(early) > 5
+    for name, digest in early + early:  # dated by their keepers' clocks, when they came is nothing
+        world.reader.digest(world.now, name, digest)
+    assert not world.reader.current(world.now, 1)
+    world.settle()
+    assert world.reader.current(world.now, 1) and world.has("a").listing is Listing.DRAINING
+
+
+def test_digests_alone_keep_it_current_and_three_may_be_lost() -> None:
+    world = World([row("a", 1)], ONE)
+    world.want(1)
+    world.settle(0.5)
+    world.served.clear()
+    world.settle(25.0)
+    assert world.reader.current(world.now, 1) and not world.served
+    world.settle(25.0, digests=False)
+    assert world.reader.current(world.now, 1) and 4 <= len(world.served) <= 10
+
+
+def test_no_keeper_reachable_what_is_known_serves_once_all_were_tried() -> None:
+    world = World([row("a", 1)], ONE)
+    world.want(1)
+    world.settle(1.0)
+    world.down = set(world.keepers)
+    for _ in range(60):
+        world.settle(1.0)
+        assert world.reader.current(world.now, 1)
+    told = world.reader.told(world.now)
+    assert told.age_s > 55.0 and told.shards == 1
+    assert len(world.served) < 120
+    world.now += 30.0  # frozen, and wakes
+    assert not world.reader.current(world.now, 1)
+    world.settle(0.1)
+    tried = {name for name, _ in world.served[-3:]}
+    assert tried == set(world.keepers) or not world.reader.current(world.now, 1)
+    world.settle(6.0)
+    assert world.reader.current(world.now, 1)
+    world.down = {FIRST, SECOND}
+    world.changed(2, [], [("a", DRAINING)])
+    world.settle(9.0)
+    assert world.has("a").listing is Listing.DRAINING
+
+
+def test_a_keeper_that_is_behind_confirms_nothing_younger_than_its_source() -> None:
+    world = World([row("a", 1)], ONE)
+    world.want(1)
+    world.settle(1.0)
+    world.behind = {FIRST}
+    cut_at = world.now
+    world.changed(2, [], [("a", DRAINING)], SECOND, THIRD)
+    while world.has("a").listing is Listing.READY:
+        assert world.now - cut_at < 12.0 or not world.reader.current(world.now, 1)
+        world.settle(0.5)
+    assert world.now - cut_at < 12.0
+    world.settle(5.0)
+    assert world.reader.current(world.now, 1)
+
+
+def test_all_behind_serve_what_is_known_and_give_what_is_wanted() -> None:
+    world = World([row("a", 1), row("b", 2)])
+    world.want(1)
+    world.settle(1.0)
+    world.behind = set(world.keepers)
+    world.settle(40.0)
+    assert world.reader.current(world.now, 1) and world.reader.told(world.now).age_s > 30.0
+    world.want(2)
+    world.settle(5.0)
+    assert world.reader.knows(2)
+
+
+def test_a_keeper_that_is_behind_is_asked_last_for_what_is_not_here() -> None:
+    a, b = in_shard(0, 1)[0], in_shard(1, 1)[0]
+    world = World([row("a", a), row("b", b)])
+    world.behind = {FIRST}
+    world.settle(15.0)
+    world.want(a)
+    world.settle(0.2)
+    assert [name for name, _ in world.served][:2] == [FIRST, SECOND]  # its first answer told its age
+    assert world.reader.knows(a)
+    world.served.clear()
+    world.want(b)
+    world.settle(0.2)
+    assert world.served[0][0] == SECOND
+
+
+# -- giving up -----------------------------------------------------------------------------------------------
+
+
+def test_idle_destinations_and_shards_are_given_up_and_used_ones_stay() -> None:
+    a, b = in_shard(0, 2)
+    c = in_shard(1, 1)[0]
+    world = World([row("a", a), row("b", b), row("c", c)], idle_s=20.0)
+    world.in_use = {c}
+    world.want(a, b, c)
+    world.settle()
+    for _ in range(6):
+        world.settle(5.0)
+        world.reader.use(world.now, a)
+    assert set(world.directory.by_name) == {"a", "c"} and world.reader.told(world.now).shards == 2
+    world.in_use.clear()
+    world.settle(30.0)
+    assert not world.directory.by_name and world.reader.told(world.now).shards == 0
+    assert (world.reader.store.sum, world.reader.store.set_sum, world.reader.store.bits) == (0, 0, 0)
+    world.want(a)
+    world.settle()
+    assert set(world.directory.by_name) == {"a"}
+
+
+# -- what can't be believed ----------------------------------------------------------------------------------
+
+
+def test_another_layout_is_told_and_refused() -> None:
+    world = World([row("a", 1)], ONE)
+    world.want(1)
+    (told,) = world.turn()
+    world.reader.answered(world.now, told[0], Other(told[1].number, Layout(2, (1,))))
+    assert world.reader.told(world.now).other_layout == 1
+    asks = world.turn()
+    assert asks[0][0] == SECOND
+    world.serve(asks)
+    world.settle(3.0)
+    digest = Digest(layout_sum(Layout(2, (1,))), (9, 9), 0, 0, 0.0, 1, 1.0)
+    world.reader.digest(world.now, FIRST, digest)
+    assert world.reader.told(world.now).other_layout == 2
+    assert world.reader.told(world.now).version == (1, 1)
+
+
+def test_a_keeper_that_is_loading_or_busy_is_asked_again_later() -> None:
+    world = World([row("a", 1)], ONE)
+    world.want(1)
+    (first,) = world.turn()
+    world.reader.answered(world.now, first[0], Other(first[1].number, ONE, loading=True))
+    (second,) = world.turn()
+    assert (first[0], second[0]) == (FIRST, SECOND)
+    world.reader.answered(world.now, second[0], Busy(second[1].number, 2_000.0))
+    world.settle()
+    assert world.reader.knows(1) and [name for name, _ in world.served] == [THIRD]
+
+
+@pytest.mark.parametrize("after_ms", [float("nan"), float("inf"), -5.0, 1e300])
+def test_busy_for_no_time_that_makes_sense(after_ms: float) -> None:
+    world = World([row("a", 1)], ONE)
+    world.down = {SECOND, THIRD}
+    world.want(1)
+    (first,) = world.turn()
+    world.reader.answered(world.now, first[0], Busy(first[1].number, after_ms))
+    world.settle(8.0)
+    assert world.reader.knows(1)
+
+
+@pytest.mark.parametrize("wrong", [
+    {"port": 0}, {"port": 65536}, {"port": -1}, {"host": ""}, {"host": "h" * 254}, {"rate": -1.0},
+    {"rate": float("inf")}, {"rate": float("nan")}, {"name": ""}, {"listing": 7},
+])
+def test_an_entry_that_cannot_be_read_is_passed_over(wrong: dict[str, Any]) -> None:
+    bad = msgspec.structs.replace(row("bad", 1), **wrong)
+    world = World([row("a", 1), bad], ONE)
+    world.want(1)
+    world.settle(4.0)
+    assert set(world.directory.by_name) == {"a"}
+    assert world.reader.told(world.now).unreadable == 1
+    assert world.reader.told(world.now).version == (1, 1)  # the sums are alike
+
+
+@pytest.mark.parametrize(("listing", "stands"), [(0, Listing.READY), (1, Listing.DRAINING)])
+def test_what_it_says_of_its_life_counts(listing: int, stands: Listing) -> None:
+    world = World([row("a", 1, 1 - listing, port=8080)], ONE)
+    world.want(1)
+    world.settle(1.0)
+    world.changed(2, [row("a", 1, listing, port=0)])
+    world.settle(4.0)
+    known = world.directory.by_name["a"]
+    assert known.entry.listing is stands and known.address == ("host", 8080)
+    world.changed(3, [], [("a", GONE)])
+    world.settle(4.0)
+    assert not world.directory.by_name
+
+
+def test_rows_of_another_shard_and_shards_that_there_are_not() -> None:
+    a, b = in_shard(0, 1)[0], in_shard(1, 1)[0]
+    world = World([row("a", a)])
+    world.want(a)
+    (told,) = world.turn()
+    answer = asked(world.keepers[told[0]], told[1], world.now)
+    parts = (Whole(0, (row("a", a), row("wrong", b))), Whole(999, (row("y", 5),)), Whole(-1, ()),
+             Changes(2, (row("z", 5),)))
+    world.reader.answered(world.now, told[0], msgspec.structs.replace(answer, parts=parts))
+    world.apply()
+    assert set(world.directory.by_name) == {"a"} and world.reader.told(world.now).shards == 1
+
+
+def test_two_things_under_one_version_are_found_by_their_sums() -> None:
+    world = World([row("a", 1), row("b", 2)], ONE)
+    world.want(1, 2)
+    world.settle(1.0)
+    for keeper in world.keepers.values():
+        assert load(keeper, [row("a", 1, DRAINING), row("b", 2)], 1)
+    world.settle(5.0)
+    assert world.has("a").listing is Listing.DRAINING
+
+
+def test_keepers_that_start_anew_are_compared_with_by_sums() -> None:
+    rows = [row(f"e{i}", i) for i in range(2_000)]
+    layout = Layout(1024, (1, 2, 3))
+    world = World(rows, layout)
+    world.want(*range(2_000))
+    world.settle(8.0)
+    here = world.reader.told(world.now).shards
+    world.updates.clear()
+    changed = {i: row(f"e{i}", i, DRAINING) for i in range(0, 2_000, 500)}
+    for name in world.keepers:
+        world.keepers[name] = Keeper(layout, 1, random.Random(name))
+        assert load(world.keepers[name], [changed.get(i, each) for i, each in enumerate(rows)], 5, world.now)
+    world.settle(15.0)
+    assert world.reader.told(world.now).version == (1, 5) and world.reader.told(world.now).shards == here
+    assert {each.name for update in world.updates for each in update.members} == {f"e{i}" for i in changed}
+    assert sum(keeper.bytes_out for keeper in world.keepers.values()) < 40_000
+
+
+def test_an_epoch_that_is_raised_takes_over() -> None:
+    world = World([row("a", 1, mark=9.0)], ONE)
+    world.changed(50, [row("b", 2)])
+    world.want(1)
+    world.settle(1.0)
+    assert world.reader.told(world.now).version == (1, 50)
+    for keeper in world.keepers.values():
+        assert load(keeper, [row("a", 1, DRAINING)], 3, world.now, epoch=2)
+    world.settle(5.0)
+    assert world.reader.told(world.now).version == (2, 3) and world.has("a").listing is Listing.DRAINING
+
+
+def test_its_own_traffic_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(reading, "BYTES_S", 20_000.0)
+    monkeypatch.setattr(reading, "BYTES_BURST", 50_000.0)
+    layout = Layout(64, (1, 2, 3))
+    world = World([row(f"a-name-of-usual-length-{i}", i) for i in range(64 * 44)], layout)
+    world.reader.tokens = 0.0
+    world.want(*range(200))
+    world.settle(2.0)
+    assert world.reader.told(world.now).bytes_in <= 2 * 20_000 + 50_000 + 2 * 48_000
+    world.settle(20.0)
+    assert world.reader.told(world.now).waiting == 0
+
+
+def test_next_at_is_soon_where_something_waits() -> None:
+    world = World([row("a", 1)], ONE)
+    world.settle()
+    assert world.now < world.reader.next_at() <= world.now + 1.0
+    world.reader.want(world.now, 1, world.now + 1.0)
+    assert world.reader.next_at() <= world.now
+    world.settle()
+    assert world.now < world.reader.next_at() <= world.now + 1.0
+
+
+def test_bits_that_are_sent_are_those_that_are_held() -> None:
+    world = World([row(f"e{i}", i) for i in range(20)])
+    world.want(*in_shard(0, 1), *in_shard(2, 1))
+    world.settle()
+    world.now += 7.0
+    (told,) = world.turn()
+    assert read_bits(told[1].holds, 4) == 0b101 and told[1].version == (1, 1)
+
+
+# -- whatever comes ------------------------------------------------------------------------------------------
+
+NAMES = [f"e{i}" for i in range(4)]
+OPS = st.lists(st.tuples(st.sampled_from("ccckkkaaatttdddDDDwwgfi"), st.integers(0, 11)), max_size=60)
+
+
+class Drawn:
+    """Keepers that hear of changes at their own time; asks, answers and digests that wait to be delivered, in
+    any order, more than once or never."""
+
+    def __init__(self) -> None:
+        self.layout = Layout(2, (1, 2))
+        self.now = 100.0
+        self.rng = random.Random(7)
+        self.log: list[Row] = []  # generation g is self.log[g - 2]
+        self.rows: list[dict[str, Row]] = [{}, {name: row(name, i, mark=1.0) for i, name in enumerate(NAMES)}]
+        first = list(self.rows[1].values())
+        self.keepers = {f"n{i}": filled(self.layout, first, now=self.now, seed=i) for i in (1, 2)}
+        self.reader = Reader("n100", self.layout, random.Random(3), idle_s=10.0)
+        self.directory = Directory(make_settings(), ("z",))
+        self.asks: list[tuple[str, Ask]] = []
+        self.answers: list[tuple[str, Any]] = []
+        self.digests: list[tuple[str, Digest]] = []
+        self.marks: dict[str, int] = {}
+        self.evidence = 0
+
+    def change(self, pick: int) -> None:
+        generation = len(self.rows)
+        name = NAMES[pick % 4]
+        known = self.rows[-1].get(name)
+        listing = (0, DRAINING, GONE)[pick // 4] if known else 0
+        place = known.destination if known and listing else pick % 5
+        new = row(name, place, listing, mark=float(generation))
+        after = {each: kept for each, kept in self.rows[-1].items() if each != name}
+        if listing != GONE:
+            after[name] = new
+        self.rows.append(after)
+        self.log.append(new)
+
+    def learn(self, name: str) -> None:
+        keeper = self.keepers[name]
+        generation = keeper.version[1] + 1
+        if generation < len(self.rows):
+            assert keeper.changed(self.now, generation, [self.log[generation - 2]])
+        else:
+            keeper.confirmed(self.now)
+
+    def after(self) -> None:
+        self.reader.tick(self.now, lambda destination: False)
+        self.asks += self.reader.asks
+        self.reader.asks.clear()
+        self.reader.absent.clear()
+        for update in self.reader.updates:
+            evidence = self.evidence
+            for member in update.members:
+                mark = int(member.rate)
+                assert mark >= self.marks.get(member.name, 0), "older than it was"
+                if member.name not in self.directory.by_name:
+                    replaced = [g for g in range(mark + 1, len(self.rows))
+                                if self.log[g - 2].name == member.name]
+                    assert not replaced or replaced[0] > evidence, "came back"
+                self.marks[member.name] = mark
+                self.evidence = max(self.evidence, mark)
+            self.directory.apply(update)
+        self.reader.updates.clear()
+
+    def do(self, op: str, pick: int) -> None:
+        name = f"n{1 + pick % 2}"
+        self.now += 0.05
+        if op == "c":
+            self.change(pick)
+        elif op == "k":
+            self.learn(name)
+        elif op == "a" and self.asks:
+            keeper, told = self.asks[pick % len(self.asks)]
+            self.answers.append((keeper, self.keepers[keeper].asked(self.now, "n100", told)))
+        elif op == "t" and self.answers:
+            keeper, word = self.answers[-1 - pick % len(self.answers)]
+            self.reader.answered(self.now, keeper, word)
+        elif op == "d":
+            for _, digest in self.keepers[name].digests(self.now):
+                self.digests.append((name, digest))
+            self.now += 0.5
+        elif op == "D" and self.digests:
+            keeper, digest = self.digests[-1 - pick % len(self.digests)]
+            self.reader.digest(self.now, keeper, digest)
+        elif op == "w":
+            self.reader.want(self.now, pick % 5, self.now + 5.0)
+        elif op == "g":
+            self.reader.use(self.now, pick % 5)
+        elif op == "f":
+            self.reader.failed(self.now, name)
+        elif op == "i":
+            self.now += 4.0
+        self.after()
+
+    def quiet(self) -> None:
+        """All is delivered from now on: it comes to what there is."""
+        for _ in range(400):
+            self.now += 0.1
+            for name in self.keepers:
+                self.learn(name)
+                for _, digest in self.keepers[name].digests(self.now):
+                    self.reader.digest(self.now, name, digest)
+                if self.reader.keepers[name].out is not None and self.asks and self.asks[-1][0] != name:
+                    self.reader.failed(self.now, name)
+            for destination in range(5):
+                self.reader.use(self.now, destination)
+                if not self.reader.here(destination):
+                    self.reader.want(self.now, destination, self.now + 5.0)
+            self.after()
+            while self.asks:
+                keeper, told = self.asks.pop()
+                self.reader.answered(self.now, keeper, self.keepers[keeper].asked(self.now, "n100", told))
+                self.after()
+
+
+@given(ops=OPS)
+@settings(max_examples=250, deadline=None)
+def test_whatever_comes_in_whatever_order_nothing_gets_older(ops: list[tuple[str, int]]) -> None:
+    drawn = Drawn()
+    for op, pick in [("w", 0), ("w", 1), *ops]:
+        drawn.do(op, pick)
+    drawn.quiet()
+    has = {name: (known.entry.destination, known.entry.rate, known.entry.listing)
+           for name, known in drawn.directory.by_name.items()}
+    is_ = {name: (each.destination, each.rate, (Listing.READY, Listing.DRAINING)[each.listing])
+           for name, each in drawn.rows[-1].items()}
+    assert has == is_
+    shards = by_shard(drawn.rows[-1], 2)
+    for shard, held in drawn.reader.store.held.items():
+        assert len(drawn.reader.store._read(held)) == len(shards[shard])
+    assert drawn.reader.told(drawn.now).endpoints == len(has)
+
+
--- /dev/null
+++ b/tests/shards/test_schedules.py
@@ -0,0 +1,70 @@
+"""Seeded schedules in virtual time: benchmarks/shards_schedules.py plays thousands, these are some dozens."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks.shards_schedules import BOUND_S, Found, Plan, World, played
+from linnetstile.shards import keeping
+
+
+def sound(found: Found) -> None:
+    assert not found.bad, found
+    assert found.late_s <= BOUND_S
+    assert found.calls > 100
+
+
+@pytest.mark.parametrize("seed", range(1, 25))
+def test_twelve_readers_and_three_keepers(seed: int) -> None:
+    sound(played(Plan(seed, readers=12, keepers=3, destinations=120, shards=16, seconds=45.0, faults=9)))
+
+
+@pytest.mark.parametrize("seed", range(101, 109))
+def test_two_keepers_with_hardly_any_digests(seed: int) -> None:
+    sound(played(Plan(seed, readers=8, keepers=2, destinations=60, shards=8, seconds=60.0, faults=8, loss=0.9)))
+
+
+@pytest.mark.parametrize("seed", (201, 202))
+def test_two_hundred_readers_and_eight_keepers_that_restart_together(seed: int) -> None:
+    found = played(Plan(seed, readers=200, seconds=40.0, all_restart=True, call_s=2.0))
+    sound(found)
+    assert found.answers > 500
+
+
+def test_a_return_is_not_run_over_and_the_most_needed_come_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    """All keepers are away, 150 readers come to need 60 shards each, then one keeper returns alone, with a
+    quarter of the bytes a second, so that they press on it as 600 would."""
+    monkeypatch.setattr(keeping, "BYTES_S", 1e6)
+    plan = Plan(7, readers=150, keepers=1, destinations=6_000, shards=128, used=1, seconds=60.0, faults=0,
+                call_s=1e9, change_s=1e9, all_restart=False, loss=0.0)
+    world = World(plan)
+    world.keepers["n1"].stop()
+    waits: dict[bool, list[float]] = {True: [], False: []}
+    wanted: list[tuple[str, int, bool]] = []
+
+    def need() -> None:
+        for place, side in enumerate(world.readers.values()):
+            for each in side.rng.sample(range(6_000), 60):
+                urgent = place % 10 == 0
+                wanted.append((side.name, each, urgent))
+                side.reader.want(world.now, each, world.now + (21.0 if urgent else 300.0))
+            side.drain()
+
+    def look() -> None:
+        for one in list(wanted):
+            if world.readers[one[0]].reader.here(one[1]):
+                wanted.remove(one)
+                waits[one[2]].append(world.now - 20.0)
+        world.at(world.now + 0.1, look)
+
+    world.at(5.0, need)
+    world.at(20.0, lambda: world.keepers["n1"].start(world.now))
+    world.at(20.05, look)
+    found = world.play()
+    assert not found.bad, found
+    assert not wanted
+    assert found.busy > 0
+    assert world.keepers["n1"].keeper.bytes_out <= 1e6 * (max(map(max, waits.values())) + 2.0)
+    assert found.answers_s <= keeping.ANSWERS_S * (1 + keeping.BURST_S)
+    median = {kind: sorted(each)[len(each) // 2] for kind, each in waits.items()}
+    assert median[True] < median[False] and max(waits[True]) < 10.0
