Shards: two keepers and a reader in every order to a stated depth

Invariants: nothing in the real directory gets older, no call by an older entry later than 12 s after a keeper that could be reached had the newer one, all comes right in the end.

--- a/linnetstile/shards/reading.py
+++ b/linnetstile/shards/reading.py
@@ -135,7 +135,8 @@
 
     @property
     def updates(self) -> list[Update]:
-        """For the directory; the caller takes them out. Also after `want` and `use`: a destination whose
+        """For the directory; the caller takes them out after whatever it has called here, before any call is
+        made: `current` speaks of what is in them. Also after `want` and `use`: a destination whose
         shard is here, but was in no use, is told then."""
         return self.store.updates
 
--- /dev/null
+++ b/tests/shards/model.py
@@ -0,0 +1,304 @@
+"""Two keepers, one reader and one or two shards, explored in every order to a depth.
+
+The program's own Keeper and Reader, and the real directory. Versions 1 to 3; a keeper hears of the next one
+when it is its turn. Asks, answers and digests lie in a pool: each may be delivered now, later, twice or never.
+The reader may wait 5 s (what it asked and was not told has failed), or be frozen for 13 s with all that it has
+out. Chance is taken out, so that the same state is found to be the same.
+
+    python -m tests.shards.model [--depth N]
+"""
+
+from __future__ import annotations
+
+import argparse
+import pickle
+import random
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+from linnetstile.core.directory import Directory
+from linnetstile.shards.keeping import Keeper
+from linnetstile.shards.reading import Reader
+from linnetstile.shards.ring import shard_of
+from linnetstile.shards.wire import DRAINING, Answer, Ask, Busy, Digest, Layout, Other, Row
+
+from ..conftest import make_settings
+from .common import load, row
+
+BOUND_S = 12.0
+WAIT_S, FREEZE_S = 5.0, 13.0
+TWICE = 2  # deliveries of one answer or digest
+POOLED = 2  # digests of one keeper that wait
+A, B = 0, next(each for each in range(9) if shard_of(each, 2) != shard_of(0, 2))
+ONE = {1: [row("x", A, 0, 1.0)], 2: [row("x", A, DRAINING, 2.0)], 3: [row("x", A, 0, 3.0, port=81)]}
+MOVE = {1: [row("x", A, 0, 1.0)], 2: [row("x", B, 0, 2.0)], 3: [row("x", B, DRAINING, 3.0)]}
+LATEST = 3
+
+Action = tuple[Any, ...]
+
+
+class Middle(random.Random):
+    """No chance at all."""
+
+    def __init__(self, number: int) -> None:
+        super().__init__(number)
+        self.number = number
+
+    def __reduce__(self) -> Any:
+        return Middle, (self.number,)  # not the generator's 2.5 KB
+
+    def getrandbits(self, bits: int) -> int:
+        return self.number
+
+    def random(self) -> float:
+        return 0.5
+
+    def uniform(self, a: float, b: float) -> float:
+        return (a + b) / 2
+
+
+class Model:
+    def __init__(self, rows: dict[int, list[Row]], shards: int, destinations: Sequence[int]) -> None:
+        self.rows, self.destinations, self.now = rows, destinations, 100.0
+        layout = Layout(shards, (1, 2))
+        self.keepers: dict[str, Keeper] = {}
+        self.learned = {name: {1: self.now} for name in ("n1", "n2")}
+        self.failed_at = dict.fromkeys(("n1", "n2"), 0.0)
+        for boot, name in enumerate(self.learned):
+            self.keepers[name] = Keeper(layout, 1, Middle(boot))
+            load(self.keepers[name], rows[1], 1, self.now)
+        self.reader = Reader("n100", layout, Middle(9), idle_s=25.0)
+        self.directory = Directory(make_settings(), ("z",))
+        self.asks: list[tuple[str, Ask]] = []
+        self.answers: list[tuple[int, str, Answer | Busy | Other]] = []  # (times delivered, keeper, ...)
+        self.digests: list[tuple[int, str, Digest]] = []
+        self.mark = 0  # the latest that the directory had
+        self.wrong = ""
+        self.want()
+        self.tick()
+
+    def want(self) -> None:
+        for destination in self.destinations:
+            self.reader.use(self.now, destination)
+            if not self.reader.here(destination):
+                self.reader.want(self.now, destination, self.now + 60.0)
+
+    # -- what may happen -------------------------------------------------------------------------------------
+
+    def actions(self) -> Iterator[Action]:
+        for name, keeper in self.keepers.items():
+            if keeper.version[1] < LATEST:
+                yield "learn", name
+            if sum(each[1] == name for each in self.digests) < POOLED and keeper.audience.readers:
+                yield "digest", name
+            if self.reader.keepers[name].out is not None:
+                yield "fail", name
+        for place, _ in enumerate(self.asks):
+            yield "ask", place
+        for place, (times, _, _) in enumerate(self.answers):
+            if times < TWICE:
+                yield "answer", place
+        for place, (times, _, _) in enumerate(self.digests):
+            if times < TWICE:
+                yield "tell", place
+        yield ("wait",)
+        yield ("freeze",)
+
+    def do(self, action: Action) -> None:
+        getattr(self, f"do_{action[0]}")(*action[1:])
+        self.drain()
+        self.check()  # before a tick: a process that wakes calls first
+        self.tick()
+        self.check()
+
+    def do_learn(self, name: str) -> None:
+        keeper = self.keepers[name]
+        generation = keeper.version[1] + 1
+        self.confirm()
+        keeper.changed(self.now, generation, self.rows[generation])
+        self.learned[name][generation] = self.now
+
+    def confirm(self) -> None:
+        """Keepers that have all that any has are told so by the source."""
+        latest = max(keeper.version for keeper in self.keepers.values())
+        for keeper in self.keepers.values():
+            if keeper.version == latest:
+                keeper.confirmed(self.now)
+
+    def do_digest(self, name: str) -> None:
+        self.confirm()
+        keeper = self.keepers[name]
+        keeper.audience.due = [(self.now, slot) for _, slot in keeper.audience.due]
+        self.now += 0.001  # a keeper's digests are told apart by its clock
+        self.digests += [(0, name, digest) for _, digest in keeper.digests(self.now)]
+
+    def do_tell(self, place: int) -> None:
+        times, name, digest = self.digests[place]
+        self.digests[place] = (times + 1, name, digest)
+        self.reader.digest(self.now, name, digest)
+
+    def do_ask(self, place: int) -> None:
+        self.confirm()
+        name, ask = self.asks.pop(place)
+        self.answers.append((0, name, self.keepers[name].asked(self.now, "n100", ask)))
+
+    def do_answer(self, place: int) -> None:
+        times, name, word = self.answers[place]
+        self.answers[place] = (times + 1, name, word)
+        self.reader.answered(self.now, name, word)
+
+    def do_fail(self, name: str) -> None:
+        out = self.reader.keepers[name].out
+        assert out is not None
+        self.failed_at[name] = max(self.failed_at[name], out.sent_at)
+        self.reader.failed(self.now, name)
+
+    def do_wait(self) -> None:
+        self.now += 1.0
+        for name, keeper in self.reader.keepers.items():
+            if keeper.out is not None:
+                self.do_fail(name)
+        self.now += WAIT_S - 1.0
+
+    def do_freeze(self) -> None:
+        self.now += FREEZE_S
+
+    def tick(self) -> None:
+        self.confirm()
+        self.reader.tick(self.now, lambda destination: False)
+        self.drain()
+
+    def drain(self) -> None:
+        """As the node does, after whatever it tells the reader."""
+        self.asks += self.reader.asks
+        self.reader.asks.clear()
+        self.reader.absent.clear()
+        for update in self.reader.updates:
+            for member in update.members:
+                if int(member.rate) < self.mark:
+                    self.wrong = self.wrong or f"{member} after one of {self.mark}"
+                self.mark = max(self.mark, int(member.rate))
+            self.directory.apply(update)
+        self.reader.updates.clear()
+
+    # -- what must hold --------------------------------------------------------------------------------------
+
+    def check(self) -> None:
+        for destination in self.destinations:
+            if not self.reader.here(destination) or not self.reader.current(self.now, destination):
+                continue
+            for known in self.directory.by_name.values():
+                if known.entry.destination == destination and known.ready:
+                    self.late(int(known.entry.rate) + 1)
+
+    def late(self, replaced: int) -> None:
+        for name, learned in self.learned.items():
+            since = learned.get(replaced)
+            if since is not None and self.now - max(since, self.failed_at[name]) > BOUND_S:
+                self.wrong = self.wrong or f"a call {self.now - since:.1f} s after {name} had {replaced}"
+
+    def fair(self) -> str:
+        """From here on all is delivered in order: what is wanted comes, and is what there is."""
+        for _ in range(8):
+            for name in self.keepers:
+                while self.keepers[name].version[1] < LATEST:
+                    self.do_learn(name)
+                if self.reader.keepers[name].out is not None and name not in {each for each, _ in self.asks}:
+                    self.do_fail(name)
+            self.want()
+            self.tick()
+            while self.asks:
+                self.do_ask(0)
+                self.answers[-1] = (TWICE, *self.answers[-1][1:])
+                self.reader.answered(self.now, self.answers[-1][1], self.answers[-1][2])
+                self.tick()
+            self.check()
+            self.now += 2.0
+        has = {(known.name, known.entry.destination, known.entry.rate)
+               for known in self.directory.by_name.values()}
+        is_ = {(each.name, each.destination, each.rate) for each in self.rows[LATEST]
+               if each.destination in self.destinations}
+        if has != is_:
+            return f"has {has}, is {is_}"
+        if not all(self.reader.current(self.now, destination) for destination in self.destinations
+                   if self.reader.here(destination)):
+            return "not current"
+        return self.wrong
+
+    def key(self) -> bytes:
+        """What the state is, without what only counts."""
+        reader, store = self.reader, self.reader.store
+        return pickle.dumps((
+            round(self.now, 3),
+            [(keeper.version, sorted(keeper.audience.readers), keeper.confirmed_at, keeper.tokens_at)
+             for keeper in self.keepers.values()],
+            self.learned, self.failed_at, self.mark, self.asks, sorted(map(repr, self.answers)),
+            sorted(map(repr, self.digests)),
+            [(shard, held.blob, held.as_of, sorted(held.used.items()), sorted(held.told), held.used_at)
+             for shard, held in sorted(store.held.items())],
+            store.base, store.top, sorted(store.names.items()), sorted(reader.wants), sorted(reader.compare),
+            [(keeper.out and (keeper.out.number, keeper.out.sent_at), keeper.paused_until, keeper.failing,
+              keeper.behind_until, keeper.news) for keeper in reader.keepers.values()],
+            reader.fresh.versions, reader.fresh.times, sorted(reader.fresh.tried.items()),
+            sorted((name, clock.offset, clock.last_ms) for name, clock in reader.fresh.clocks.items()),
+        ))
+
+
+def explore(rows: dict[int, list[Row]], shards: int, destinations: Sequence[int], depth: int,
+            before: Sequence[Action] = (), fair_every: int = 1) -> tuple[int, str]:
+    """Every order of up to so many happenings after those of `before`: how many states, and the first that is
+    wrong with its way. From each `fair_every`th all comes right in the end."""
+    first = Model(rows, shards, destinations)
+    for action in before:
+        first.do(action)
+    level: list[tuple[bytes, tuple[Action, ...]]] = [(pickle.dumps(first, -1), ())]
+    seen = {first.key()}
+    for _ in range(depth):
+        following = []
+        for raw, way in level:
+            for action in list(pickle.loads(raw).actions()):
+                model: Model = pickle.loads(raw)
+                model.do(action)
+                told = (*way, action)
+                if model.wrong:
+                    return len(seen), f"{model.wrong}: {told}"
+                key = model.key()
+                if key in seen:
+                    continue
+                seen.add(key)
+                after = pickle.dumps(model, -1)
+                wrong = model.fair() if len(seen) % fair_every == 0 else ""
+                if wrong:
+                    return len(seen), f"in the end {wrong}: {told}"
+                following.append((after, told))
+        level = following
+    return len(seen), ""
+
+
+HELD: tuple[Action, ...] = (("ask", 0), ("answer", 0))  # the reader has it as of version 1
+STARTS: dict[str, tuple[dict[int, list[Row]], int, Sequence[int], tuple[Action, ...]]] = {
+    "one shard, wanted": (ONE, 1, (A,), ()),
+    "one shard, held": (ONE, 1, (A,), HELD),
+    "a move, wanted": (MOVE, 2, (A, B), ()),
+    "a move, held": (MOVE, 2, (A, B), HELD),
+    "a move, one shard held": (MOVE, 2, (A,), HELD),
+    "one shard, held, one keeper ahead": (ONE, 1, (A,), (*HELD, ("learn", "n1"), ("learn", "n1"))),
+    "one shard, held, the other ahead": (ONE, 1, (A,), (*HELD, ("learn", "n2"), ("learn", "n2"))),
+    "one shard, held, one ahead and told": (
+        ONE, 1, (A,), (*HELD, ("learn", "n1"), ("digest", "n1"), ("tell", 0), ("ask", 0), ("answer", 1))
+    ),
+}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--depth", type=int, default=5)
+    parser.add_argument("--fair-every", type=int, default=10)
+    told = parser.parse_args()
+    for name, (rows, shards, destinations, before) in STARTS.items():
+        states, wrong = explore(rows, shards, destinations, told.depth, before, told.fair_every)
+        print(f"{name}, depth {told.depth}: {states} states, {wrong or 'nothing wrong'}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
