Shards: both keepers tell digests, wants in a heap, what an older keeper says makes nothing younger

Seen: taking 8,192 shards cost a reader 0.7 ms each, 128 cost 0.18 each: each answer walked all wants; now a heap by due, and only shards that are here and late are looked at. A keeper whose source lags without knowing (a file that is copied late) says that it is up to date: its word is no longer believed once a later version is known, and the reader hears both of its keepers. The first list writes no logs. Capacity: shards.keeper, shards.change, shards.reader, shards.digests.

--- /dev/null
+++ b/benchmarks/capacity/shards.py
@@ -0,0 +1,182 @@
+"""What the directory by interest costs a keeper and a reader: their decisions, without sockets.
+
+Rows are as a register has them, one endpoint a destination; shards are 8,192 whatever the size, as the plan's
+operator has them. Readers hold what 1,000 destinations in use make of that: 940 shards, drawn for each.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+import time
+from collections.abc import Iterator, Mapping
+
+from linnetstile.fleet.report import rss_mb
+from linnetstile.shards.audience import DIGEST_S
+from linnetstile.shards.keeping import Keeper
+from linnetstile.shards.reading import Reader
+from linnetstile.shards.ring import shard_of
+from linnetstile.shards.wire import Answer, Ask, Layout, Row, packed, packed_bits
+
+from .form import Measure
+
+SHARDS, DESTINATIONS, HELD = 8_192, 360_000, 940
+LAYOUT = Layout(SHARDS, tuple(range(1, 9)))
+PIECE = 2_000  # rows that the source hands over in one turn
+CHANGES = 200  # the mean counts
+DIGEST_SECONDS = 30
+
+
+def rows(size: int) -> Iterator[list[Row]]:
+    for first in range(0, size, PIECE):
+        yield [
+            Row(f"s-{number:08x}", number, 0, f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}",
+                8080, "k", "z", 8.3)
+            for number in range(first, min(size, first + PIECE))
+        ]
+
+
+def loaded(size: int) -> tuple[Keeper, list[float]]:
+    """And how long each turn of the load took, in ms."""
+    keeper, turns = Keeper(LAYOUT, 1, random.Random(1)), []
+    load = keeper.begin(0.0, (1, 1))
+    for piece in rows(size):
+        began = time.perf_counter()
+        load.add(piece)
+        turns.append((time.perf_counter() - began) * 1e3)
+    assert load.end(0.0)
+    done = False
+    while not done:
+        began = time.perf_counter()
+        done = load.step()
+        turns.append((time.perf_counter() - began) * 1e3)
+    assert load.taken
+    return keeper, turns
+
+
+def keeper(size: int) -> Mapping[str, float]:
+    gc.collect()
+    before, began = rss_mb(), time.process_time()
+    kept, turns = loaded(size)
+    took = time.process_time() - began
+    gc.collect()
+    made = time.process_time()
+    for _ in rows(size):
+        pass
+    made = time.process_time() - made  # of that, what making the rows took
+    assert kept.told(0.0).endpoints == size
+    return {
+        "memory_bytes": (rss_mb() - before) * 1e6,
+        "load_cpu_ms": (took - made) * 1e3,
+        "turn_ms": max(turns),
+    }
+
+
+def audience(kept: Keeper, readers: int) -> list[bytes]:
+    """So many readers that have asked; what each holds."""
+    rng, found = random.Random(2), []
+    for number in range(readers):
+        held = sum(1 << shard for shard in rng.sample(range(SHARDS), HELD))
+        found.append(packed_bits(held, SHARDS))
+        answer = kept.asked(float(number), f"n{number + 100}", Ask(1, LAYOUT, kept.version, found[-1]))
+        assert isinstance(answer, Answer)
+    return found
+
+
+def change(readers: int) -> Mapping[str, float]:
+    kept, _ = loaded(90_000)
+    holds = audience(kept, readers)
+    now, rng, told = float(readers), random.Random(3), 0
+    numbers = [rng.randrange(90_000) for _ in range(CHANGES)]
+    began = time.process_time()
+    for place, number in enumerate(numbers):
+        assert kept.changed(now, 2 + place, [Row(f"s-{number:08x}", number, 1, "h", 8080, "k", "z", 8.3)])
+    took = time.process_time() - began
+    asked = 0
+    for raw in holds[:50]:  # all changes at once: bytes of each that the reader holds
+        ask = Ask(2, LAYOUT, (1, 1), raw)
+        answer = kept.asked(now + 100.0, "n100", ask)
+        assert isinstance(answer, Answer)
+        told += len(packed(answer)) + len(packed(ask))
+        asked += 1
+    return {"cpu_us": took / CHANGES * 1e6, "bytes": told / asked / CHANGES}
+
+
+def reader(shards: int) -> Mapping[str, float]:
+    kept, _ = loaded(DESTINATIONS)
+    gc.collect()
+    before = rss_mb()
+    read = Reader("n100", LAYOUT, random.Random(4))
+    wanted: set[int] = set()
+    chosen: list[int] = []
+    for destination in range(DESTINATIONS):
+        shard = shard_of(destination, SHARDS)
+        if shard not in wanted:
+            wanted.add(shard)
+            chosen.append(destination)
+            if len(chosen) == shards:
+                break
+    now, took = 0.0, 0.0
+    for destination in chosen:
+        read.want(now, destination, now + 600.0)
+    while read.told(now).waiting:
+        now += 0.05
+        kept.confirmed(now)
+        began = time.process_time()
+        read.tick(now, lambda destination: False)
+        asks = list(read.asks)
+        read.asks.clear()
+        took += time.process_time() - began
+        for name, ask in asks:
+            word = kept.asked(now, "n100", ask)
+            began = time.process_time()
+            read.answered(now, name, word)
+            read.updates.clear()
+            took += time.process_time() - began
+    assert read.told(now).shards == shards
+    gc.collect()
+    return {"memory_bytes": (rss_mb() - before) * 1e6, "cpu_ms": took * 1e3}
+
+
+def digests(readers: int) -> Mapping[str, float]:
+    kept, _ = loaded(90_000)
+    audience(kept, readers)
+    now, size, took = float(readers), 0, 0.0
+    for reader_ in kept.audience.readers.values():
+        reader_.asked_at = now
+    rng = random.Random(5)
+    kept.audience.due = sorted((now + DIGEST_S * rng.random(), slot) for slot in range(readers))
+    end = now + DIGEST_SECONDS
+    while now < end:
+        began = time.process_time()
+        found = kept.digests(now)
+        raw = [packed(digest) for _, digest in found]
+        took += time.process_time() - began
+        size += sum(map(len, raw))
+        now = min(max(now + 0.001, kept.next_at()), now + 0.05)
+    return {"cpu_ms_s": took * 1e3 / DIGEST_SECONDS, "bytes_s": size / DIGEST_SECONDS}
+
+
+MEASURES = (
+    Measure(
+        "shards.keeper", "destination", (11_250, 22_500, 45_000, 90_000), 360_000,
+        {"memory_bytes": "bytes", "load_cpu_ms": "ms", "turn_ms": "ms"}, keeper,
+        "linnetstile/shards/table.py",
+        "8,192 shards; a whole list in pieces of 2,000 rows, its longest turn",
+    ),
+    Measure(
+        "shards.change", "reader", (200, 400, 800, 1_600), 3_500, {"cpu_us": "us", "bytes": "bytes"}, change,
+        "linnetstile/shards/audience.py",
+        "one change at a keeper of 90,000 destinations, readers of 940 of 8,192 shards each; bytes: of an "
+        "ask and its answer, for each change",
+    ),
+    Measure(
+        "shards.reader", "shard", (128, 256, 512, 1_024, 2_048), 8_192,
+        {"memory_bytes": "bytes", "cpu_ms": "ms"}, reader, "linnetstile/shards/holding.py",
+        "shards of 44 endpoints; one destination in use in each; without the directory and the decisions",
+    ),
+    Measure(
+        "shards.digests", "reader", (200, 400, 800, 1_600), 3_500, {"cpu_ms_s": "ms/s", "bytes_s": "bytes/s"},
+        digests, "linnetstile/shards/audience.py", "a digest each 3 s, without sockets",
+    ),
+)
--- a/linnetstile/shards/freshness.py
+++ b/linnetstile/shards/freshness.py
@@ -54,11 +54,13 @@
         clock.last_ms = clock_ms
         return min(now, clock.offset + clock_ms / 1e3)
 
-    def says(self, keeper: str, at: float, version: Version, age_s: float) -> None:
-        """As of `at` the keeper was at this version, and its source had told it so much earlier."""
+    def says(self, keeper: str, at: float, version: Version, age_s: float, credible: bool = True) -> None:
+        """As of `at` the keeper was at this version, and its source had told it so much earlier. Not
+        credible: there was a later one before, so that its source lags, whatever it says of its age."""
         if at >= self.tried[keeper][0]:
             self.tried[keeper] = (at, version)
-        self._fact(version, at - age_s)
+        if credible:
+            self._fact(version, at - age_s)
 
     def failed(self, keeper: str, at: float) -> None:
         """An ask that went out then has had no answer."""
--- a/linnetstile/shards/keeping.py
+++ b/linnetstile/shards/keeping.py
@@ -141,10 +141,8 @@
                 else:
                     self.table.names[mark] = shard
         if staged.edits or anew or generation > self.table.generation:
-            self.audience.grown(self.table.take(generation, staged.edits))
-        if anew:
-            self.epoch = epoch
-            self.table.begin_anew(generation)
+            self.audience.grown(self.table.take(generation, staged.edits, anew))
+        self.epoch = epoch
         self.doubted = False
         if isinstance(staged, Load):
             self.confirmed_at = max(self.confirmed_at, staged.begun)
--- a/linnetstile/shards/reading.py
+++ b/linnetstile/shards/reading.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 from collections.abc import Callable, Iterable
 from math import isfinite
@@ -43,7 +44,8 @@
 OUT_MOST = 2  # asks at once, of different keepers: one that hangs does not stop the other
 ROOM_S = 1.0  # of the bound: a call's first byte after the check, and clocks that run apart by 30 ms a minute
 REFRESH = 2.0  # digests' time without a word, after which a keeper is asked: one may be lost
-KEEP_S = 30.0  # at least so often the first keeper is asked, which forgets its readers after 60 s
+KEEP_S = 30.0  # at least so often the first two keepers are asked, which forget readers after 60 s: both tell
+# digests, so that one whose source lags without knowing (a file that is copied late) is found out
 BEHIND_S = 10.0  # a keeper whose source is silent for so long is asked last
 BEHIND_PAUSE_S = 5.0  # and then for so long
 PAUSE_S, PAUSE_MOST_S = 0.5, 4.0  # after failures: within the bound each keeper is tried again
@@ -124,6 +126,8 @@
         self.fresh = Freshness(names, bound_s - ROOM_S)
         self.store = Holdings(layout.shards, idle_s)
         self.wants: dict[int, Wanted] = {}
+        self.queue: list[tuple[float, int]] = []  # (due, shard) of those to ask for, a heap
+        self.late: set[int] = set()  # of these: such as are here, and not as they have to be
         self.compare: dict[int, None] = {}  # shards to compare by their sums, in order
         self.suspected_at = BEFORE
         self.asks: list[tuple[str, Ask]] = []
@@ -151,6 +155,11 @@
                 self.absent += self.store.use(now, (destination,), shard)
                 return
             wanted = self.wants[shard] = Wanted(due)
+            heapq.heappush(self.queue, (due, shard))
+            if shard in self.store.held:
+                self.late.add(shard)
+        elif due < wanted.due and wanted.keeper is None:
+            heapq.heappush(self.queue, (due, shard))
         wanted.due = min(wanted.due, due)
         wanted.destinations.add(destination)
         self.due = min(self.due, now)
@@ -231,6 +240,7 @@
             wanted = self.wants.get(shard)
             if wanted is not None and wanted.keeper == keeper.name:
                 wanted.keeper = None
+                heapq.heappush(self.queue, (wanted.due, shard))
         return out
 
     def _fails(self, now: float, keeper: Keeper, out: Out) -> None:
@@ -244,8 +254,8 @@
         keeper.pauses.reset()
         age = max(0.0, answer.source_age_ms / 1e3) if isfinite(answer.source_age_ms) else 1e9
         self.fresh.answered(keeper.name, out.sent_at, answer.boot, answer.clock_ms)
-        self.fresh.says(keeper.name, out.sent_at, answer.version, age)
         store = self.store
+        self.fresh.says(keeper.name, out.sent_at, answer.version, age, answer.version >= store.base)
         if age > BEHIND_S or answer.version < store.base:
             keeper.behind_until = now + BEHIND_PAUSE_S
         taken = sum([self._part(now, keeper, out, answer.version, part) for part in answer.parts])
@@ -282,6 +292,7 @@
             if keeper.behind_until > now and self._others(now, keeper):
                 return False
             self._got(now, store.add(now, shard, part.rows, version))
+            self.late.add(shard)
         elif version < store.as_of(held):
             self.stale_refused += 1
             return False
@@ -310,8 +321,8 @@
 
     def _arrived(self, now: float) -> None:
         """Messages go on whose shards are here now."""
-        found = [shard for shard in self.wants if shard in self.store.held and self._complete(now, shard)]
-        for shard in found:
+        for shard in [shard for shard in self.late if self._complete(now, shard)]:
+            self.late.discard(shard)
             wanted = self.wants.pop(shard)
             self.absent += self.store.use(now, wanted.destinations, shard)
 
@@ -328,7 +339,7 @@
         if at is None:
             return  # of another process, which was not asked yet, or overtaken: the next ask dates it
         age = max(0.0, digest.source_age_ms / 1e3) if isfinite(digest.source_age_ms) else 1e9
-        self.fresh.says(keeper, at, digest.version, age)
+        self.fresh.says(keeper, at, digest.version, age, digest.version >= store.base)
         if age > BEHIND_S:
             told.behind_until = now + BEHIND_PAUSE_S
         if digest.version < store.base:
@@ -371,24 +382,29 @@
                 return
             if keeper.out is not None:
                 continue
-            wants = self._open() if place < 2 or order[1].failing else []
-            if not self._reason(now, keeper, place, bool(wants)):
+            wants = (place < 2 or order[1].failing) and self._wants_open()
+            if not self._reason(now, keeper, place, wants):
                 continue
             if keeper.paused_until > now:
                 self.due = min(self.due, keeper.paused_until)
                 continue
-            self._ask(now, keeper, wants)
-
-    def _open(self) -> list[int]:
-        """Shards to ask for, earliest end first."""
-        if self.tokens <= 0.0:
-            return []
-        found = [
-            (wanted.due, shard)
-            for shard, wanted in self.wants.items()
-            if wanted.keeper is None and shard not in self.store.held
-        ]
-        return [shard for _, shard in sorted(found)[:WANTS_ASK]]
+            self._ask(now, keeper, self._taken() if wants else [])
+
+    def _wants_open(self) -> bool:
+        """Whether there are shards to ask for. What the heap has of others is dropped."""
+        while self.queue:
+            wanted = self.wants.get(self.queue[0][1])
+            if wanted is not None and wanted.keeper is None and self.queue[0][1] not in self.store.held:
+                return self.tokens > 0.0
+            heapq.heappop(self.queue)
+        return False
+
+    def _taken(self) -> list[int]:
+        """Some of them, earliest end first."""
+        found: dict[int, None] = {}
+        while len(found) < WANTS_ASK and self._wants_open():
+            found[heapq.heappop(self.queue)[1]] = None
+        return list(found)
 
     def _reason(self, now: float, keeper: Keeper, place: int, wants: bool) -> bool:
         if wants or keeper.news:
@@ -397,15 +413,16 @@
             return False
         if keeper.rank < 2 and keeper.failing:
             return True  # when its pause is over: whether it is back
-        if place == 0 and (now - keeper.asked_at >= KEEP_S or self.compare):
+        if place == 0 and self.compare:
             return True
+        if place < 2 and now - keeper.asked_at >= KEEP_S:
+            return not any(each.out is not None for each in self.keepers.values())
         old = now - self.fresh.confirmed(self.store.base) >= self.refresh_s
-        waits = any(shard in self.store.held for shard in self.wants)
         tried = now - self.fresh.tried[keeper.name][0]
         if old and tried >= self.refresh_s:
             return all(each.failing or now - each.out.sent_at >= SLOW_S  # else its answer may do
                        for each in self.keepers.values() if each.out is not None)
-        return waits and place < 2 and tried >= PAUSE_S
+        return bool(self.late) and place < 2 and tried >= PAUSE_S
 
     def _ask(self, now: float, keeper: Keeper, wants: list[int]) -> None:
         store = self.store
--- a/linnetstile/shards/table.py
+++ b/linnetstile/shards/table.py
@@ -124,13 +124,27 @@
         there = len({row.destination for row in rows.values()})
         return Edit(_ENCODER.encode(list(rows.values())), len(rows), there, total & SUM_MASK, new)
 
-    def take(self, generation: int, edits: dict[int, Edit]) -> list[tuple[int, int]]:
-        """All at once: which shards' sums have grown by how much."""
+    def take(self, generation: int, edits: dict[int, Edit], anew: bool = False) -> list[tuple[int, int]]:
+        """All at once: which shards' sums have grown by how much. `anew`: what changed before is not known,
+        or counted otherwise."""
         grown = []
         for shard, edit in edits.items():
             grown.append((shard, (edit.sum - self.sums[shard]) & SUM_MASK))
             self.blobs[shard], self.sums[shard] = edit.blob, edit.sum
             self.counts[shard], self.destinations[shard] = edit.count, edit.destinations
+        if anew:
+            self.changed.clear()
+            self.logs.clear()
+            self.log_rows = 0
+            self.start = generation
+        else:
+            self._log(generation, edits)
+        self.generation = generation
+        self.serial += 1
+        return grown
+
+    def _log(self, generation: int, edits: dict[int, Edit]) -> None:
+        for shard, edit in edits.items():
             self.changed[shard] = generation
             self.changed.move_to_end(shard)
             log = self.logs.get(shard)
@@ -142,14 +156,3 @@
             self.logs.move_to_end(shard)
         while self.log_rows > LOG_ROWS:
             self.log_rows -= len(self.logs.popitem(last=False)[1].rows)
-        self.generation = generation
-        self.serial += 1
-        return grown
-
-    def begin_anew(self, generation: int) -> None:
-        """What changed before is not known, or counted otherwise."""
-        self.changed.clear()
-        self.logs.clear()
-        self.log_rows = 0
-        self.generation = self.start = generation
-        self.serial += 1
