--- a/linnetstile/shards/freshness.py
+++ b/linnetstile/shards/freshness.py
@@ -24,10 +24,10 @@
 class Clock:
     """A keeper's, as of its latest answer."""
 
-    __slots__ = ("boot", "offset", "last_ms")
+    __slots__ = ("boot", "offset")
 
-    def __init__(self, boot: int, offset: float, last_ms: float) -> None:
-        self.boot, self.offset, self.last_ms = boot, offset, last_ms
+    def __init__(self, boot: int, offset: float) -> None:
+        self.boot, self.offset = boot, offset
 
 
 class Freshness:
@@ -42,16 +42,13 @@
 
     def answered(self, keeper: str, sent_at: float, boot: int, clock_ms: float) -> None:
         """An ask went out before its answer was made: that dates the keeper's clock, not too late."""
-        clock = self.clocks.get(keeper)
-        last_ms = clock.last_ms if clock is not None and clock.boot == boot else BEFORE
-        self.clocks[keeper] = Clock(boot, sent_at - clock_ms / 1e3, last_ms)
+        self.clocks[keeper] = Clock(boot, sent_at - clock_ms / 1e3)
 
     def dated(self, now: float, keeper: str, boot: int, clock_ms: float) -> float | None:
-        """When this digest was sent at the earliest; None: another process's, or older than the latest."""
+        """When this digest was sent at the earliest; None: another process's than was asked."""
         clock = self.clocks.get(keeper)
-        if clock is None or clock.boot != boot or clock_ms <= clock.last_ms:
+        if clock is None or clock.boot != boot:
             return None
-        clock.last_ms = clock_ms
         return min(now, clock.offset + clock_ms / 1e3)
 
     def says(self, keeper: str, at: float, version: Version, age_s: float, credible: bool = True) -> None:
--- a/linnetstile/shards/reading.py
+++ b/linnetstile/shards/reading.py
@@ -217,6 +217,7 @@
         self.due = min(self.due, now)
         if isinstance(word, Busy):
             self.busy += 1
+            told.news = True  # whatever it was asked for is still to be asked
             after = word.after_ms / 1e3
             told.paused_until = now + (min(max(after, SHORT_S), PAUSE_MOST_S) if isfinite(after) else PAUSE_S)
         elif isinstance(word, Other):
@@ -337,7 +338,7 @@
         store = self.store
         at = self.fresh.dated(now, keeper, digest.boot, digest.clock_ms)
         if at is None:
-            return  # of another process, which was not asked yet, or overtaken: the next ask dates it
+            return  # of another process, which was not asked yet: the next ask dates it
         age = max(0.0, digest.source_age_ms / 1e3) if isfinite(digest.source_age_ms) else 1e9
         self.fresh.says(keeper, at, digest.version, age, digest.version >= store.base)
         if age > BEHIND_S:
--- a/tests/shards/model.py
+++ b/tests/shards/model.py
@@ -240,7 +240,7 @@
             [(keeper.out and (keeper.out.number, keeper.out.sent_at), keeper.paused_until, keeper.failing,
               keeper.behind_until, keeper.news) for keeper in reader.keepers.values()],
             reader.fresh.versions, reader.fresh.times, sorted(reader.fresh.tried.items()),
-            sorted((name, clock.offset, clock.last_ms) for name, clock in reader.fresh.clocks.items()),
+            sorted((name, clock.offset) for name, clock in reader.fresh.clocks.items()),
         ))
 
 
--- a/tests/shards/test_keeping.py
+++ b/tests/shards/test_keeping.py
@@ -325,6 +325,8 @@
             times.setdefault(name, []).append(now)
         now = max(now + 0.01, min(keeper.next_at(), now + 1.0))
     assert len(times) == 300
+    first = sorted(told[0] for told in times.values())
+    assert first[75] > 0.4 and first[225] < 2.6  # those that came at once are not told at once
     for told in times.values():
         gaps = [b - a for a, b in zip(told, told[1:], strict=False)]
         assert all(2.6 <= gap <= 3.4 for gap in gaps) and len(gaps) >= 6
--- a/tests/shards/test_reading.py
+++ b/tests/shards/test_reading.py
@@ -854,3 +854,127 @@
     world.apply()
     assert world.has("p").rate == 9.0  # not from b, which is as of 8
     assert world.has("q").listing is Listing.DRAINING  # but what was told of it goes on
+
+
+def partly(world: World, version: tuple[int, int], *parts: Any) -> None:
+    """The next ask is answered by this much, and more is to come."""
+    told = world.turn()[0]
+    world.reader.answered(world.now, told[0], answer_to(told, version, parts, False, world.now))
+    world.apply()
+    world.now += 0.6
+
+
+def test_a_name_that_was_taken_over_does_not_come_back_from_the_shard_that_it_left() -> None:
+    """x went from b to a destination that is in no use, in the shard of a; b's shard hears of other things
+    first."""
+    (a, unused), b = in_shard(0, 2), in_shard(1, 1)[0]
+    world = World([row("x", b, mark=1.0), row("y", b)])
+    world.want(b)
+    world.settle(1.0)
+    world.want(a)
+    partly(world, (1, 9), Whole(0, (row("x", unused, mark=9.0),)))
+    assert world.has("x") is None  # it is elsewhere by now
+    partly(world, (1, 8), Changes(1, (row("y", b, DRAINING, mark=8.0),)))
+    assert world.has("y").rate == 8.0 and world.has("x") is None
+
+
+def test_a_name_is_told_from_where_it_went_though_the_shard_that_it_left_has_not_heard() -> None:
+    a, b = in_shard(0, 1)[0], in_shard(1, 1)[0]
+    world = World([row("x", b, mark=1.0)])
+    world.want(b)
+    world.settle(1.0)
+    world.want(a)
+    partly(world, (1, 9), Whole(0, (row("x", a, mark=9.0),)))
+    assert (world.has("x").destination, world.has("x").rate) == (a, 9.0)
+    partly(world, (1, 8), Changes(1, (row("x", b, GONE, mark=1.0),)))
+    assert world.has("x").destination == a
+
+
+def test_a_shard_in_an_answer_that_comes_in_pieces_sets_the_floor_for_others() -> None:
+    a, b, c = (in_shard(shard, 1)[0] for shard in (0, 1, 2))
+    world = World([row("y", b)])
+    world.want(b)
+    world.settle(1.0)
+    world.want(a)
+    partly(world, (1, 9), Whole(0, (row("x", a),)))
+    world.want(c)
+    partly(world, (1, 8), Whole(2, (row("z", c),)))
+    assert not world.reader.here(c) and world.has("z") is None
+
+
+def test_an_ask_that_was_out_while_it_was_frozen_does_not_count_as_tried() -> None:
+    world = World([row("a", 1)], Layout(1, (1,)))
+    world.want(1)
+    world.settle(1.0)
+    world.now += 7.0
+    (told,) = world.turn()
+    world.now += 30.0
+    world.reader.failed(world.now, told[0])  # its time ran out while this process stood
+    assert not world.reader.current(world.now, 1)
+    world.down = {"n1"}
+    world.settle(2.0)
+    assert world.reader.current(world.now, 1)
+
+
+def test_what_a_keeper_is_known_to_have_newer_holds_calls_back_until_it_came_or_it_fails() -> None:
+    """Its source is silent, and it has no time for us: but it can be reached, and has said what it has."""
+    world = World([row("a", 1)], Layout(1, (1,)))
+    world.want(1)
+    world.settle(1.0)
+    world.changed(2, [row("a", 1, DRAINING)])
+    keeper, began = world.keepers["n1"], world.now
+    while world.now < began + 20.0:
+        for _, digest in keeper.digests(world.now):
+            world.reader.digest(world.now, "n1", digest)
+        for name, told in world.turn():
+            world.reader.answered(world.now, name, Busy(told.number, 500.0))
+        world.now += 0.1
+        assert world.reader.current(world.now, 1) == (world.now < began + 12.0) or world.now < began + 12.0
+    world.down = {"n1"}
+    world.settle(3.0)
+    assert world.reader.current(world.now, 1)
+
+
+def test_an_answer_to_an_earlier_ask_is_not_taken_for_that_to_the_one_that_is_out() -> None:
+    """It would date what it says by an ask that went out after it was said."""
+    world = World([row("a", 1)], Layout(1, (1,)))
+    world.want(1)
+    world.settle(1.0)
+    world.now += 7.0
+    (told,) = world.turn()
+    late = asked(world.keepers["n1"], told[1], world.now)
+    world.reader.failed(world.now, "n1")
+    world.now += 20.0
+    world.changed(2, [row("a", 1, DRAINING)])
+    assert world.turn()
+    world.now += 20.0
+    world.reader.answered(world.now, "n1", late)
+    assert world.reader.unasked == 1 and not world.reader.current(world.now, 1)
+
+
+def test_readers_that_lose_their_keepers_together_do_not_come_back_together() -> None:
+    readers = []
+    for number in range(60):
+        reader = Reader(f"n{100 + number}", LAYOUT, random.Random(number))
+        reader.want(100.0, 1, 200.0)
+        readers.append(reader)
+    asked_at: list[float] = []
+    for step in range(300):
+        now = 100.0 + step / 10.0
+        for reader in readers:
+            reader.tick(now, lambda destination: False)
+            for name, _ in reader.asks:
+                reader.failed(now, name)
+                asked_at.append(now)
+            reader.asks.clear()
+    late = [at for at in asked_at if at > 115.0]
+    assert len(late) > 60 * 3
+    assert max(map(late.count, set(late))) < len(late) / 15  # of 150 steps
+    now = 140.0
+    for reader in readers:
+        reader.reachable(now, [])
+        for keeper in reader.keepers.values():
+            keeper.paused_until = now + 60.0
+        reader.reachable(now, reader.keepers)
+    back = sorted(min(keeper.paused_until for keeper in reader.keepers.values()) - now for reader in readers)
+    assert back[-1] <= reading.RETURN_S and back[15] > 0.1 and back[45] > 0.4
