--- a/linnetstile/cli/status.py
+++ b/linnetstile/cli/status.py
@@ -105,6 +105,22 @@
     return table
 
 
+def shards_table(reports: Sequence[Report]) -> Table:
+    """Of a directory by interest: what each instance knows, and how old that is."""
+    table = Table("instance", "role", "state", title="directory by interest")
+    for it in reports:
+        for role, told in (it.shards or {}).items():
+            said = ", ".join(f"{name} {shown_value(value)}" for name, value in told.items())
+            table.add_row(str(it.instance), role, said)
+    return table
+
+
+def shown_value(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    return ".".join(map(str, value)) if isinstance(value, list | tuple) else str(value)
+
+
 def fleet_table(fleet: FleetReport) -> Table:
     table = Table(
         "instance",
@@ -173,6 +189,7 @@
 def shown(reports: Sequence[Report], fleet: FleetReport | None, silent: Sequence[str]) -> Group:
     parts: list[Table | str] = [] if fleet is None else [fleet_table(fleet)]
     parts += [instances_table(reports), destinations_table(reports)] if reports else []
+    parts += [shards_table(reports)] if any(it.shards for it in reports) else []
     return Group(*parts, *(f"silent: {text}" for text in silent))
 
 
--- a/linnetstile/core/attempts.py
+++ b/linnetstile/core/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 
@@ -11,12 +12,14 @@
 from ..store.journal import Entry
 from .directory import Directory, Known
 from .messages import Held, Messages, unix_ms
-from .seams import Attempt, Call, Permits, Result, Transport
+from .seams import Attempt, Call, Interest, Permits, Result, Transport
 from .tasks import Tasks
 from .turns import Turns
 
 log = logging.getLogger(__name__)
 
+CURRENT_S = 1.0  # a call waits so long for what is known to be confirmed: past an answer, under most aims
+
 
 class Permit:
     """One call's, by rules on which the instances agree: taken once, and looked at again before the last
@@ -47,6 +50,7 @@
         self.relay, self.turns, self.messages = relay, turns, messages
         self.directory, self.transport, self.tasks = directory, transport, tasks
         self.permits: Permits | None = None
+        self.interest: Interest | None = None  # None: all destinations are known
 
     def begin(self, number: int, endpoint: int, until_ms: float) -> None:
         held = self.messages.held[number]
@@ -59,6 +63,9 @@
         known = self.directory.by_number.get(endpoint)
         result = Result(api.Outcome.NOT_SENT, held_back=True)
         try:
+            if self.interest is not None:
+                await self._confirmed(self.interest, entry.dest, until_ms)
+                known = self.directory.by_number.get(endpoint)  # it may have moved meanwhile
             if known is not None and self.permits is not None:
                 permit = Permit(self.permits, self._call(entry, known))
             gate = None if known is None else self._gate(number, entry, known, permit)
@@ -79,6 +86,23 @@
             number, attempt, endpoint, result.outcome, self.turns.now() - begun, result.over, result.wait_ms,
             result.no_slot, result.report, result.held_back))
 
+    async def _confirmed(self, interest: Interest, dest: int, until_ms: float) -> None:
+        """Before a connection is looked for. Without a wait here a call that the gate holds back would be
+        made again and again."""
+        interest.use(dest)
+        at = min(until_ms / 1000, self.turns.now() / 1000 + CURRENT_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(at):
+                while not interest.current(dest):
+                    await interest.renewed()
+
+    def _stands(self, known: Known) -> bool:
+        """Whether it may be called where it was known to be."""
+        if self.interest is None:
+            return True
+        now = self.directory.by_number.get(known.entry.id)
+        return now is not None and now.key == known.key and self.interest.current(known.entry.destination)
+
     async def _safe(self, gate: Callable[[], bool], until_ms: float) -> bool:
         """Where a record has to outlast a power cut before it counts, it is written before the connection is
         looked for; elsewhere right before the first byte."""
@@ -107,7 +131,7 @@
 
         def may_write() -> bool:
             nonlocal noted
-            if not self.relay.may_write(self.turns.now(), number):
+            if not self.relay.may_write(self.turns.now(), number) or not self._stands(known):
                 return False
             if permit is not None and not permit.given():
                 return False
--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -8,6 +8,7 @@
 from ..decisions import interface as api
 from ..config import Config
 from ..decisions.control import Relay
+from ..decisions.members import START
 from ..logs import Note
 from ..membership.merge import Merge
 from ..store.journal import Journal
@@ -16,7 +17,8 @@
 from .attempts import Attempts
 from .directory import Directory
 from .messages import Messages, unix_ms
-from .seams import End, Intake, Membership, Permits, Transport, Update
+from .recall import Recall
+from .seams import End, Intake, Interest, Membership, Permits, Transport, Update
 from .tasks import Tasks
 from .turns import Turns
 
@@ -55,6 +57,25 @@
         self.open = False
         self.closed = False
         self.permits: Permits | None = None
+        self.interest: Interest | None = None  # None: all destinations are known
+        self.recall = Recall()
+
+    def by_interest(self, interest: Interest, source: Membership) -> None:
+        """Before `start`: from now on destinations are known as they are needed, by this source alone."""
+        self.interest = self.messages.interest = self.attempts.interest = interest
+        self.sources, self.merge = [source], None
+        self.relay.members.marked = {}
+        self.relay.endings.unknown = START  # it isn't known yet: as fast as one whose rate isn't listed
+
+    def in_use(self, destination: int) -> bool:
+        """Whether a message for it is held, a call is out, or something was learned that still counts."""
+        now = self.turns.now()
+        return (destination in self.messages.bound_for or self.relay.members.keeps(now, destination)
+                or self.recall.has(now, destination))
+
+    def forget(self, destinations: tuple[int, ...]) -> None:
+        """Their endpoints are told as gone, and are not: nobody needs to know them any more."""
+        self.turns.feed(api.Forgotten(destinations))
 
     def rule(self, permits: Permits) -> None:
         """Rules on which the instances agree hold from now on."""
@@ -88,8 +109,10 @@
 
     async def start(self, known: Update | None = None) -> None:
         """With the members as they were last known, if any; from its end on messages are taken."""
-        self._take(known or Update(whole=False))
-        self.messages.know({entry.dest for entry in self.messages.left})
+        self._take(known if known and self.interest is None else Update(whole=False))
+        if self.interest is None:
+            self.messages.know({entry.dest for entry in self.messages.left})
+        self.messages.ask_for_left()
         self.messages.pass_on_ends()
         self._watch()
         # A shared register counts as having told what it answered, and may be busy with a whole fleet's
@@ -176,7 +199,9 @@
             try:
                 self.transport.sweep()
                 self.messages.forget()
-                self.messages.know({known.entry.destination for known in self.directory.by_number.values()})
+                if self.interest is None:
+                    here = self.directory.by_number.values()
+                    self.messages.know({known.entry.destination for known in here})
                 self.journal.tidy(unix_ms())
                 self._keep_learned()
             except Exception:
@@ -185,7 +210,8 @@
     def _keep_learned(self) -> None:
         """What an earlier process learned stays until this one goes by it."""
         if self.open:
-            self.learned.save(unix_ms(), self.relay.learned(self.turns.now()))
+            now = self.turns.now()
+            self.learned.save(unix_ms(), self.relay.learned(now) + self.recall.kept(now))
 
     # -- what the decisions say --------------------------------------------------------------------------
 
@@ -232,7 +258,11 @@
             self.open = True
             self.retell()
             for lane in self.learned.load(unix_ms()):
-                self.turns.feed(lane)
+                if self.interest is None or self.interest.here(lane.destination):
+                    self.turns.feed(lane)
+                else:
+                    self.recall.keep(self.turns.now(), lane)
+                    self.interest.want(lane.destination, float("inf"))
             self.messages.resume(self.directory.number)
 
     def _take(self, update: Update) -> None:
@@ -251,3 +281,5 @@
                 self.transport.changed(key, listed)
         if self.open:
             self.turns.feed(self._ruled(event))
+            for lane in self.recall.come(self.turns.now(), event.entries):
+                self.turns.feed(lane)
--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -14,7 +14,7 @@
 from ..decisions.endings import CROWDED
 from ..logs import Note
 from ..store.journal import Attempt, Entry, Journal, JournalError
-from .seams import End, Malformed, Offer, Receipt
+from .seams import End, Interest, Malformed, Offer, Receipt
 
 log = logging.getLogger(__name__)
 
@@ -65,6 +65,8 @@
         self.tally: Counter[str] = Counter()  # of this process: messages by how they ended
         self.retiring = False  # takes nothing new, for good
         self.bars: Callable[[int, str], str] | None = None  # why none is taken for a destination and class
+        self.interest: Interest | None = None  # None: all destinations are known
+        self.bound_for: dict[int, set[int]] = {}  # with interest: what is held, by destination
 
     # -- the desk ----------------------------------------------------------------------------------------
 
@@ -126,7 +128,7 @@
             raise Malformed("tenant", f"{offer.tenant!r} is not known")
         if not 0 <= offer.left_ms <= LEFT_MS:
             raise Malformed("left", f"0 to {LEFT_MS} ms are needed")
-        if offer.dest not in self.dests:
+        if offer.dest not in self.dests and self._nowhere(offer.dest):
             raise Malformed("dest", f"destination {offer.dest} is not known")
         if len(offer.body) > BODY_BYTES:
             raise Malformed("body", f"holds {BODY_BYTES} bytes at most")
@@ -163,6 +165,8 @@
                 continue
             if entry.class_ not in self.classes:
                 self.end(entry, "failed")  # the settings no longer know its class
+            elif self.interest is not None and self._nowhere(entry.dest):
+                self.end(entry, "failed")  # taken before its shard came, and in none
             else:
                 risk = entry.risk
                 self._hold(entry, self._message(
@@ -185,6 +189,9 @@
         self.held[message.id] = Held(entry)
         self.numbers[entry.id] = message.id
         self.feed(message)
+        if self.interest is not None:
+            self.bound_for.setdefault(entry.dest, set()).add(message.id)
+            self._interested(self.interest, entry)
 
     def _message(self, it: Offer | Entry, left_ms: float, **resumed: Any) -> api.Message:
         """As the decisions hear of it, under the next number."""
@@ -208,6 +215,10 @@
         if held is not None:
             self.numbers.pop(held.entry.id, None)
             held.entry.body = b""
+            if (bound := self.bound_for.get(held.entry.dest)) is not None:
+                bound.discard(number)
+                if not bound:
+                    del self.bound_for[held.entry.dest]
 
     def end(self, entry: Entry, state: str, after_ms: float = 0.0) -> None:
         self.tally[state] += 1
@@ -253,9 +264,36 @@
 
     def know(self, listed: set[int]) -> None:
         """One whose endpoints are all being replaced is still known."""
-        self.dests.update(dict.fromkeys(listed, self.now() + DEST_MS))
+        until = self.now() + DEST_MS
+        for dest in listed:  # each goes to the end: `forget` looks at those that are due alone
+            self.dests.pop(dest, None)
+            self.dests[dest] = until
 
     def forget(self) -> None:
         """One long gone is forgotten."""
         now = self.now()
-        self.dests = {dest: until for dest, until in self.dests.items() if until > now}
+        while self.dests and next(iter(self.dests.values())) <= now:  # the earliest first
+            del self.dests[next(iter(self.dests))]
+
+    def _nowhere(self, dest: int) -> bool:
+        """Whether it may be said that there is none. Only by what has come."""
+        return self.interest is None or self.interest.here(dest) and not self.interest.knows(dest)
+
+    def _interested(self, interest: Interest, entry: Entry) -> None:
+        if interest.here(entry.dest):
+            interest.use(entry.dest)
+        else:
+            interest.want(entry.dest, (self.now() + entry.due - unix_ms()) / 1000)
+
+    def ask_for_left(self) -> None:
+        """What an earlier process left is to go as soon as it can: the earliest end first."""
+        for entry in self.left:
+            if self.interest is not None:
+                self._interested(self.interest, entry)
+
+    def absent(self, dest: int) -> None:
+        """What there is of it has come, and there is none: what was taken before that ends at once."""
+        for number in list(self.bound_for.get(dest, ())):
+            if self.held[number].cancel is None:  # a call that is out has its outcome first
+                self.over(number, "failed")
+                self.feed(api.Withdrawn(number))
--- /dev/null
+++ b/linnetstile/core/recall.py
@@ -0,0 +1,46 @@
+"""What an earlier process learned of destinations that are not known here yet: kept until they come. No I/O; the
+clock is passed in, in ms."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from ..decisions.interface import Endpoint, Learned
+from ..decisions.members import GONE_MS
+
+
+class Recall:
+    """No more than the file holds that they are from; each for GONE_MS, as lanes without endpoints are."""
+
+    def __init__(self) -> None:
+        self.lanes: dict[int, tuple[float, Learned]] = {}  # and since when
+
+    def keep(self, now: float, lane: Learned) -> None:
+        self.lanes[lane.destination] = now, lane
+
+    def has(self, now: float, destination: int) -> bool:
+        kept = self.lanes.get(destination)
+        return kept is not None and now < kept[0] + GONE_MS
+
+    def come(self, now: float, entries: Iterable[Endpoint]) -> list[Learned]:
+        """What is to be told of those that have come."""
+        if not self.lanes:
+            return []
+        here = dict.fromkeys(entry.destination for entry in entries)
+        return [aged(lane, now - at) for dest in here if (at := self._at(now, dest)) is not None
+                for lane in [self.lanes.pop(dest)[1]]]
+
+    def _at(self, now: float, destination: int) -> float | None:
+        return self.lanes[destination][0] if self.has(now, destination) else None
+
+    def kept(self, now: float) -> list[Learned]:
+        """As it is to be written for the next process."""
+        self.lanes = {dest: kept for dest, kept in self.lanes.items() if now < kept[0] + GONE_MS}
+        return [aged(lane, now - at) for at, lane in self.lanes.values()]
+
+
+def aged(lane: Learned, ms: float) -> Learned:
+    return replace(lane, wait_ms=max(0.0, lane.wait_ms - ms),
+                   bad_ms=None if lane.bad_ms is None else lane.bad_ms + ms,
+                   cold_ms=None if lane.cold_ms is None else lane.cold_ms + ms)
--- a/linnetstile/core/seams.py
+++ b/linnetstile/core/seams.py
@@ -152,6 +152,32 @@
         """An endpoint as the decisions are to see it."""
 
 
+# -- interest ----------------------------------------------------------------------------------------------
+
+
+class Interest(Protocol):
+    """Which destinations are known, where a relay does not know all of them. Times on the loop's clock, in
+    seconds."""
+
+    def here(self, destination: int) -> bool:
+        """Whether what there is of it has come: only then does it say whether there is one."""
+
+    def knows(self, destination: int) -> bool:
+        """Whether there is one, by what has come."""
+
+    def want(self, destination: int, due: float) -> None:
+        """A message waits for it, until then at the most, and what there is of it has not come."""
+
+    def use(self, destination: int) -> None:
+        """A message for it was taken, or a call to it is made."""
+
+    def current(self, destination: int) -> bool:
+        """Whether a first byte may go out by what is known of it."""
+
+    async def renewed(self) -> None:
+        """Returns as soon as `current` may have changed."""
+
+
 # -- transport ---------------------------------------------------------------------------------------------
 
 Key = tuple[int, Address]  # an endpoint's number and where it is: another may come to its address
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -12,8 +12,8 @@
 from .endings import CROWDED, LOOKS, Endings
 from .index import Index
 from .interface import (
-    FOREVER, NEVER, Action, AttemptEnded, Closing, Effect, EndpointList, Event, Fleet, Learned, Message,
-    Outcome, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
+    FOREVER, NEVER, Action, AttemptEnded, Closing, Effect, EndpointList, Event, Fleet, Forgotten, Learned,
+    Message, Outcome, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
 )
 from .members import Members
 from .paces import DEVIATIONS, FADE_MS, LEAST_MS, RETRY_MAX_MS, RETRY_MS, Paces, doubt, overdue_ms, suspect
@@ -79,6 +79,8 @@
                     self.board.due.update(dict.fromkeys(self.board.queues, True))
                 case Fleet():
                     self.members.resized(event)
+                case Forgotten():
+                    self.members.forget(event.destinations)
         if self.members.asks(now_ms):
             acts.append(WatchList())
         self.endings.close_late(now_ms, acts)
@@ -177,6 +179,8 @@
         door.out -= 1
         door.lane.out.pop(event.id, None)
         self.board.look(held.msg.destination)
+        if event.outcome is not Outcome.OK:
+            self.members.mark(held.msg.destination)
         if not event.outcome.proves_no_effect and held.first_risk is None:
             held.first_risk, held.risk = held.out_since, door.entry
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED) and held.key:
--- a/linnetstile/decisions/endings.py
+++ b/linnetstile/decisions/endings.py
@@ -17,6 +17,7 @@
 LOOKS = 128  # queues looked at in one turn: the others come in the next, so that no turn is long
 REFUSALS, CLOSES = 64, 128  # messages refused to make room, and closed, in one turn: for the same reason
 EARLY, BROKEN = 0.7, 1.5  # what was taken on and is ended sooner in its life loses so much of its worth more
+SLOWEST = 0.01  # calls a second at a destination without any endpoint, for all that is known
 POOR, ROLLING = 8, 2  # queues compared for each: those known as poorest, and some in turn, as worth falls
 
 
@@ -27,6 +28,7 @@
         self.ends: list[tuple[float, int]] = []  # heap: when a message can no longer be delivered
         self.poor: list[tuple[float, float, int]] = []  # heap: queues by what is worth least in them
         self.crowded = False  # more than one turn may refuse
+        self.unknown = SLOWEST  # calls a second where nothing is known of a destination
 
     def expect(self, now: float, held: Held) -> None:
         """Sets when a message is closed that has not been delivered by then."""
@@ -110,4 +112,4 @@
     def speed(self, now: float, dest: int) -> float:
         """Calls a second that this relay may expect to place at a destination."""
         lanes = self.members.lanes.get(dest, {}).values()
-        return sum(self.paces.pace(now, lane, suspect(lane, now))[0] for lane in lanes) or 0.01
+        return sum(self.paces.pace(now, lane, suspect(lane, now))[0] for lane in lanes) or self.unknown
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -260,6 +260,14 @@
     id: int
 
 
+@dataclass(frozen=True, slots=True)
+class Forgotten:
+    """Endpoints of these destinations were told as gone only because nobody needs to know them any more:
+    that says nothing of how they are."""
+
+    destinations: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     token: int
@@ -288,7 +296,8 @@
             _need(value is None or value >= 0, f"learned.{field}", "must not be negative")
 
 
-Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Closing, Learned, Fleet]
+Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Closing, Learned, Fleet,
+              Forgotten]
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/decisions/members.py
+++ b/linnetstile/decisions/members.py
@@ -24,6 +24,8 @@
         self.doors: dict[int, Door] = {}
         self.ask_at = 0.0 if paces.s.ask_for_list else FOREVER
         self.ask_fails = 0
+        # Destinations of which something may have been learned: without it `learned` looks at all lanes.
+        self.marked: dict[int, None] | None = None
 
     @property
     def s(self) -> Settings:
@@ -101,6 +103,7 @@
         if door is None:
             if not lane.doors and lane.bad_since is not None:  # replaced late: the new endpoint is cold
                 self.paces.cold(now, lane)
+                self.mark(dest)
             self.doors[entry.id] = lane.doors[entry.id] = Door(entry, lane)
             self.board.look(dest)
         else:
@@ -113,16 +116,35 @@
     def learned(self, now: float) -> list[Learned]:
         """Outages, cold returns, told waits. Not of routes apart: their endpoints get other numbers."""
         found = []
-        for dest, lanes in self.lanes.items():
-            lane = lanes.get(-1)
-            if lane is None:
-                continue
-            cold = now - lane.cold_since if now < lane.cold_since + self.s.safety.cold_ms else None
-            if lane.sick or cold is not None or now < lane.wait_until:
+        for dest in list(self.lanes if self.marked is None else self.marked):
+            lane = self.lanes.get(dest, {}).get(-1)
+            if lane is not None and self._tells(now, lane):
+                cold = now - lane.cold_since if now < lane.cold_since + self.s.safety.cold_ms else None
                 bad = None if lane.bad_since is None else max(0.0, now - lane.bad_since)
                 found.append(Learned(dest, max(0.0, lane.wait_until - now), lane.sick, bad, cold))
+            elif self.marked is not None:
+                del self.marked[dest]
         return found
 
+    def _tells(self, now: float, lane: Lane) -> bool:
+        """Whether something was learned of it that still counts."""
+        return lane.sick or now < lane.cold_since + self.s.safety.cold_ms or now < lane.wait_until
+
+    def mark(self, dest: int) -> None:
+        if self.marked is not None:
+            self.marked[dest] = None
+
+    def keeps(self, now: float, dest: int) -> bool:
+        """Whether a call is out there, or something was learned that still counts."""
+        return any(lane.out or self._tells(now, lane) for lane in self.lanes.get(dest, {}).values())
+
+    def forget(self, destinations: tuple[int, ...]) -> None:
+        """Guards those that come back later against being taken for cold: they were not down, but unknown."""
+        for dest in destinations:
+            lanes = self.lanes.get(dest, {})
+            if dest not in self.board.queues and not any(it.doors or it.out for it in lanes.values()):
+                self.lanes.pop(dest, None)
+
     def resized(self, fleet: Fleet) -> None:
         """There are more instances or fewer, or the shared clock was set: slots lie elsewhere from now on."""
         self.paces.s = replace(self.s, relays=fleet.size, fleet=fleet if self.s.fleet is not None else None)
@@ -136,6 +158,7 @@
         lane = self.lanes.get(event.destination, {}).get(-1)
         if lane is None or lane.out or lane.answers:  # gone, or this process knows better by now
             return
+        self.mark(event.destination)
         lane.wait_until = max(lane.wait_until, now + event.wait_ms if event.wait_ms > 0 else NEVER)
         lane.bad_since = None if event.bad_ms is None else now - event.bad_ms
         if event.out:
--- a/linnetstile/fleet/common.py
+++ b/linnetstile/fleet/common.py
@@ -19,6 +19,7 @@
     from ..accord.control import ControlSocket
     from ..accord.node import Accord
     from ..failover.node import Failover
+    from ..shards.node import Shards
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +45,9 @@
         self.control: ControlSocket | None = None
         self.failover: Failover | None = None
         self.closing: asyncio.Task[None] | None = None
+        self.shards: Shards | None = None
+        if told.shards.on:
+            self._keep(told, number, config, host)
         if told.accord.on:
             self._agree(told, number, config, host)
 
@@ -79,6 +83,14 @@
         if folder is not None:
             self.control = ControlSocket(folder / f"{number}.rules", self.accord.asked)
 
+    def _keep(self, told: Operator, number: int, config: Config, host: Host) -> None:
+        try:
+            from ..shards.node import Shards  # only where it is on
+        except ImportError as error:
+            raise ConfigError(f"shards: needs the extra 'fleet' ({error})") from error
+        self.shards = Shards(told.shards, self.peers, host, number, config)
+        host.by_interest(self.shards, self.shards)
+
     def _plan(self, told: Operator, config: Config, host: Host) -> None:
         from ..failover.node import Failover  # only where it is on
 
@@ -95,6 +107,8 @@
             await self.peers.start()
         except OSError as error:
             raise ConfigError(f"peers.listen: {error.strerror or error}") from error
+        if self.shards is not None:
+            self.shards.start()
         if self.accord is not None:
             self.accord.start()
         if self.failover is not None:
--- a/linnetstile/fleet/instance.py
+++ b/linnetstile/fleet/instance.py
@@ -83,9 +83,9 @@
         self.status = None if folder is None else StatusSocket(folder / f"{number}.sock", self.report)
 
     def report(self) -> report.Report:
-        return report.of(
-            self.host, self.number, self.state, self.began, self.lag.told(), self.told.status.destinations
-        )
+        shards = None if self.common is None or self.common.shards is None else self.common.shards.told()
+        return report.of(self.host, self.number, self.state, self.began, self.lag.told(),
+                         self.told.status.destinations, shards)
 
     async def serving(self) -> None:
         self.state = "serving"
--- a/linnetstile/fleet/operator.py
+++ b/linnetstile/fleet/operator.py
@@ -23,6 +23,7 @@
 from ..decisions.interface import Fleet, Settings
 from ..failover.settings import FailoverPart
 from ..peers.settings import PeersPart
+from ..shards.settings import ShardsPart
 
 VARIABLE, NUMBER = "RELAY_OPERATOR", "RELAY_INSTANCE"
 INSTANCES = "RELAY_INSTANCES"  # goes before fleet.instances
@@ -113,6 +114,7 @@
     peers: PeersPart = PeersPart()
     accord: AccordPart = AccordPart()
     failover: FailoverPart = FailoverPart()
+    shards: ShardsPart = ShardsPart()
 
     def __post_init__(self) -> None:
         if self.accord.on and not self.peers.on:
@@ -125,6 +127,7 @@
                              f"{self.fleet.instances}")
         if self.failover.on and not self.accord.on:
             raise ValueError("failover.zones: needs accord.voters: a plan is a version of the agreed rules")
+        self._keep()
         if self.record.file and self.fleet.instances > 1 and "{n}" not in self.record.file:
             raise ValueError(f"record.file: {self.record.file!r} needs {{n}}: each instance has its own")
         last = self.supervisor.port + self.fleet.instances - 1
@@ -134,6 +137,25 @@
                 f"{last}: {65536 - self.fleet.instances} at most"
             )
 
+    def _keep(self) -> None:
+        """What [shards] needs of the other parts."""
+        if not self.shards.on:
+            return
+        if not self.peers.on:
+            raise ValueError("shards.keepers: needs peers.listen: relays ask keepers as their peers")
+        if not self.peers.secret_file and not self.peers.listen.startswith("127."):
+            raise ValueError("peers.secret_file: is needed with shards.keepers, unless peers.listen is a "
+                             "loopback address: what a keeper says of endpoints is believed")
+        if max(self.shards.keepers) >= self.fleet.instances:
+            raise ValueError(f"shards.keepers: {max(self.shards.keepers)} is not among fleet.instances = "
+                             f"{self.fleet.instances}")
+        if self.failover.on:
+            raise ValueError("shards.keepers: not together with failover.zones: a plan needs every relay to "
+                             "know all destinations")
+        if self.amqp.brokers:
+            raise ValueError("shards.keepers: not together with amqp.brokers: endpoints of brokers are in no "
+                             "keeper's list")
+
 
 def read(path: Path, env: Mapping[str, str] = os.environ) -> Operator:
     """Raises OperatorError with all faults of the file, a line each."""
--- a/linnetstile/fleet/report.py
+++ b/linnetstile/fleet/report.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -67,6 +68,7 @@
     lag: Lag
     destinations: list[Destination]
     more: int  # destinations that are not told
+    shards: dict[str, Any] | None = None  # of a directory by interest: its reader's state, and its keeper's
     kind: str = "instance"
     version: int = VERSION
 
@@ -102,7 +104,8 @@
     return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE / 1e6
 
 
-def of(host: Host, number: int, state: str, began: float, lag: Lag, most: int) -> Report:
+def of(host: Host, number: int, state: str, began: float, lag: Lag, most: int,
+       shards: dict[str, Any] | None = None) -> Report:
     """`began`: Unix time in s; `most` destinations are told one by one."""
     now, messages, settings = host.turns.now(), host.messages, host.relay.s
     counts = Counter(entry.class_ for entry in messages.owed())
@@ -132,6 +135,7 @@
         lag=lag,
         destinations=[_destination(host, dest, key, lane, waiting(dest), now) for dest, key, lane in told],
         more=len(lanes) - len(told),
+        shards=shards,
     )
 
 
--- /dev/null
+++ b/linnetstile/shards/node.py
@@ -0,0 +1,256 @@
+"""The directory by interest on the loop: what `Keeper` and `Reader` decide is carried out over the peers'
+connections, the host hears what its reader has learned, and a keeper has its source."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import secrets
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ..config import Config
+from ..core.host import Host
+from ..core.seams import Told, Update
+from ..core.tasks import Tasks
+from ..decisions.interface import Listing
+from ..logs import Note
+from ..peers.node import Node
+from ..peers.wire import Claim
+from .keeping import Keeper
+from .reading import Reader
+from .settings import ShardsPart
+from .source import FileSource, RegisterSource
+from .wire import Answer, Ask, Busy, Digest, Layout, Other, Unreadable, Word, packed, read
+
+log = logging.getLogger(__name__)
+
+KIND = "shards"  # of frames and datagrams on the peers' node
+ASK_S = 1.0  # an ask has its answer within it, or another keeper is asked
+LEAST_S = 0.005  # between two turns: what is wanted meanwhile goes in one ask
+MOST_S = 1.0  # a turn comes at the latest after it: what is due by a clock that was set is not missed for long
+AGAIN_S = 1.0  # after a turn that failed
+
+
+class Shards:
+    """The host's `Interest`, and its one source of members."""
+
+    def __init__(self, part: ShardsPart, peers: Node, host: Host, number: int, config: Config) -> None:
+        self.peers, self.host, self.me = peers, host, peers.swim.me.name
+        rng = random.Random(secrets.randbits(64))
+        self.layout = Layout(part.count, tuple(sorted(part.keepers)))
+        self.keepers = frozenset(f"n{keeper}" for keeper in part.keepers)
+        self.reader = Reader(self.me, self.layout, rng, part.bound_s, part.idle_s)
+        self.keeper: Keeper | None = None
+        self.source: RegisterSource | FileSource | None = None
+        if number in part.keepers:
+            self.keeper = Keeper(self.layout, part.epoch, rng)
+            self.source = FileSource(self.keeper, part.epoch, Path(part.file)) if part.file else (
+                RegisterSource(self.keeper, part.epoch, config.discovery, len(part.keepers), config.seed,
+                               config.settings.ask_for_list))
+        self.tasks = Tasks()
+        self.counts: Counter[str] = Counter()
+        self.listener: Told = host.listed
+        self.timer: asyncio.TimerHandle | None = None
+        self.running = False
+        self.news = asyncio.Event()
+        peers.frames[KIND] = self._asked
+        peers.datagrams[KIND] = self._said
+        peers.changed.append(self._member_changed)
+
+    def start(self) -> None:
+        """Once the peers' node has started."""
+        self.running = True
+        self._reach()
+        if self.source is not None:
+            self.tasks.start(self.source.run())
+        self._turn()
+
+    async def stop(self) -> None:
+        self.running = False
+        if self.timer is not None:
+            self.timer.cancel()
+        await self.tasks.cancel()
+
+    @staticmethod
+    def now() -> float:
+        return asyncio.get_running_loop().time()
+
+    # -- for the core ----------------------------------------------------------------------------------------
+
+    def here(self, destination: int) -> bool:
+        return self.reader.here(destination)
+
+    def knows(self, destination: int) -> bool:
+        return self.reader.knows(destination)
+
+    def want(self, destination: int, due: float) -> None:
+        self.reader.want(self.now(), destination, due)
+        self._due(self.now() + LEAST_S)
+
+    def use(self, destination: int) -> None:
+        self.reader.use(self.now(), destination)
+
+    def current(self, destination: int) -> bool:
+        return self.reader.current(self.now(), destination)
+
+    async def renewed(self) -> None:
+        self._due(self.now() + LEAST_S)  # what has to be asked is asked now: one that was frozen is late
+        await self.news.wait()
+
+    async def run(self, told: Told) -> None:
+        """As a source: tells for as long as it runs. What is told meanwhile is told at `host.listed` too."""
+        self.listener = told
+        await asyncio.get_running_loop().create_future()
+
+    def reload(self, config: Config) -> None:
+        if isinstance(self.source, RegisterSource):
+            self.source.reload(config.discovery)
+
+    def close(self) -> None:
+        self.running = False
+        if self.timer is not None:
+            self.timer.cancel()
+        for task in list(self.tasks.running):
+            task.cancel()
+
+    # -- turns -----------------------------------------------------------------------------------------------
+
+    def _due(self, at: float) -> None:
+        if not self.running:
+            return
+        if self.timer is not None and not self.timer.cancelled():
+            if self.timer.when() <= at:
+                return
+            self.timer.cancel()
+        self.timer = asyncio.get_running_loop().call_at(at, self._turn)
+
+    def _turn(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = None
+        now = self.now()
+        try:
+            self.reader.tick(now, self.host.in_use)
+            if self.keeper is not None:
+                for name, digest in self.keeper.digests(now):
+                    if name == self.me:
+                        self.reader.digest(now, name, digest)
+                    else:
+                        self.peers.say(name, KIND, packed(digest))
+            self._carry_out()
+            next_at = min([self.reader.next_at()] + [self.keeper.next_at()] * (self.keeper is not None))
+        except Exception:
+            log.exception("a turn of the directory failed")  # and the next one comes
+            next_at = now + AGAIN_S
+        self._due(min(max(next_at, now + LEAST_S), now + MOST_S))
+
+    def _carry_out(self) -> None:
+        """What the reader has decided."""
+        asks, self.reader.asks = self.reader.asks, []
+        for keeper, ask in asks:
+            self.tasks.start(self._ask(keeper, ask))
+        updates, self.reader.updates = self.reader.updates, []
+        for update in updates:
+            self.listener(update)
+            self._given_up(update)
+        absent, self.reader.absent = self.reader.absent, []
+        for destination in absent:
+            self.host.messages.absent(destination)
+
+    def _given_up(self, update: Update) -> None:
+        """What is told as gone with its whole shard is not down: nobody needs it."""
+        gone = {member.destination for member in update.members if member.listing is Listing.GONE}
+        if given := tuple(sorted(dest for dest in gone if not self.reader.here(dest))):
+            self.host.forget(given)
+
+    def _renew(self) -> None:
+        """`current` may have changed."""
+        self._carry_out()
+        self._due(self.now() + LEAST_S)
+        news, self.news = self.news, asyncio.Event()
+        news.set()
+
+    # -- words -----------------------------------------------------------------------------------------------
+
+    async def _ask(self, keeper: str, ask: Ask) -> None:
+        word: Answer | Busy | Other | None = None
+        try:
+            if keeper == self.me and self.keeper is not None:
+                word = self.keeper.asked(self.now(), self.me, ask)
+            else:
+                came = read(await self.peers.ask(keeper, KIND, packed(ask), ASK_S))
+                if not isinstance(came, Answer | Busy | Other):
+                    raise Unreadable(f"{type(came).__name__} is no answer")
+                word = came
+        except ValueError as error:
+            self._unreadable(keeper, error)
+        except OSError:
+            self.counts["unanswered"] += 1
+        except Exception:
+            log.exception("an ask of %s failed", keeper)
+        try:
+            if word is None:
+                self.reader.failed(self.now(), keeper)
+            else:
+                self.reader.answered(self.now(), keeper, word)
+        except Exception:
+            log.exception("an answer of %s could not be taken", keeper)
+        self._renew()
+
+    def _asked(self, sender: str, raw: bytes) -> bytes:
+        """A frame; ValueError for what is no ask: the peers' node ends its connection."""
+        try:
+            ask = read(raw)
+            if not isinstance(ask, Ask):
+                raise Unreadable(f"{type(ask).__name__} is no ask")
+        except ValueError as error:
+            self._unreadable(sender, error)
+            raise
+        if self.keeper is None:
+            return packed(Other(ask.number, self.layout))
+        answer: Word = self.keeper.asked(self.now(), sender, ask)
+        self._due(max(self.keeper.next_at(), self.now() + LEAST_S))
+        return packed(answer)
+
+    def _said(self, sender: str, raw: bytes) -> None:
+        """A datagram."""
+        try:
+            digest = read(raw)
+            if not isinstance(digest, Digest):
+                raise Unreadable(f"{type(digest).__name__} is no digest")
+        except ValueError as error:
+            self._unreadable(sender, error)
+            return
+        if sender in self.keepers:
+            self.reader.digest(self.now(), sender, digest)
+            self._renew()
+
+    def _unreadable(self, sender: str, error: Exception) -> None:
+        self.counts["unreadable"] += 1
+        if self.counts["unreadable"].bit_count() == 1:  # the first, second, fourth ...: it may go on
+            log.warning(Note("a word on the directory is passed over", sender=sender, why=error,
+                             so_far=self.counts["unreadable"]))
+
+    def _member_changed(self, claim: Claim) -> None:
+        if claim.name in self.keepers and self.running:
+            self._reach()
+
+    def _reach(self) -> None:
+        members = self.peers.swim.members
+        self.reader.reachable(self.now(), [name for name in sorted(self.keepers) if name == self.me or
+                                           name in members and not members[name].gone])
+        self._due(self.now() + LEAST_S)
+
+    # -- for people ------------------------------------------------------------------------------------------
+
+    def told(self) -> dict[str, Any]:
+        told = {"reader": msgspec.to_builtins(self.reader.told(self.now())) | dict(self.counts)}
+        if self.keeper is not None and self.source is not None:
+            told["keeper"] = msgspec.to_builtins(self.keeper.told()) | {
+                "source_failures": self.source.failures, "entries_passed_over": self.source.passed.count}
+        return told
--- a/tests/accord/test_town.py
+++ b/tests/accord/test_town.py
@@ -297,7 +297,8 @@
 
     code = (
         "import sys, linnetstile.process, linnetstile.assembly\n"
-        "own = ('linnetstile.accord', 'linnetstile.peers', 'linnetstile.failover', 'pysyncobj', 'scipy')\n"
+        "own = ('linnetstile.accord', 'linnetstile.peers', 'linnetstile.failover', 'linnetstile.shards',\n"
+        "       'pysyncobj', 'scipy', 'xxhash')\n"
         "print([m for m in sys.modules if m.startswith(own)])"
     )
     assert (
