--- a/linnetstile/core/recall.py
+++ b/linnetstile/core/recall.py
@@ -1,5 +1,5 @@
-"""What an earlier process learned of destinations that are not known here yet: kept until they come. No I/O; the
-clock is passed in, in ms."""
+"""What an earlier process learned of destinations that are not known here yet: kept until they come. No I/O;
+the clock is passed in, in ms."""
 
 from __future__ import annotations
 
--- a/linnetstile/shards/node.py
+++ b/linnetstile/shards/node.py
@@ -32,7 +32,7 @@
 KIND = "shards"  # of frames and datagrams on the peers' node
 ASK_S = 1.0  # an ask has its answer within it, or another keeper is asked
 LEAST_S = 0.005  # between two turns: what is wanted meanwhile goes in one ask
-MOST_S = 1.0  # a turn comes at the latest after it: what is due by a clock that was set is not missed for long
+MOST_S = 1.0  # a turn comes at the latest after it, whatever is due
 AGAIN_S = 1.0  # after a turn that failed
 
 
@@ -94,6 +94,8 @@
 
     def use(self, destination: int) -> None:
         self.reader.use(self.now(), destination)
+        if self.reader.updates or self.reader.next_at() <= self.now():
+            self._due(self.now() + LEAST_S)
 
     def current(self, destination: int) -> bool:
         return self.reader.current(self.now(), destination)
@@ -154,19 +156,23 @@
         asks, self.reader.asks = self.reader.asks, []
         for keeper, ask in asks:
             self.tasks.start(self._ask(keeper, ask))
-        updates, self.reader.updates = self.reader.updates, []
+        updates = list(self.reader.updates)
+        self.reader.updates.clear()
         for update in updates:
+            gone = self._gone(update)
             self.listener(update)
-            self._given_up(update)
+            # What is told as gone because nobody needs it is not down.
+            if given := tuple(sorted(dest for dest in gone if not self.reader.here(dest))):
+                self.host.forget(given)
         absent, self.reader.absent = self.reader.absent, []
         for destination in absent:
             self.host.messages.absent(destination)
 
-    def _given_up(self, update: Update) -> None:
-        """What is told as gone with its whole shard is not down: nobody needs it."""
-        gone = {member.destination for member in update.members if member.listing is Listing.GONE}
-        if given := tuple(sorted(dest for dest in gone if not self.reader.here(dest))):
-            self.host.forget(given)
+    def _gone(self, update: Update) -> set[int]:
+        """Destinations of which it tells an endpoint as gone."""
+        names = [name for name, listing in update.lives if listing is Listing.GONE]
+        known = (self.host.directory.by_name.get(name) for name in names)
+        return {each.entry.destination for each in known if each is not None}
 
     def _renew(self) -> None:
         """`current` may have changed."""
@@ -181,6 +187,7 @@
         word: Answer | Busy | Other | None = None
         try:
             if keeper == self.me and self.keeper is not None:
+                await asyncio.sleep(0)  # in a turn of its own
                 word = self.keeper.asked(self.now(), self.me, ask)
             else:
                 came = read(await self.peers.ask(keeper, KIND, packed(ask), ASK_S))
@@ -251,6 +258,6 @@
     def told(self) -> dict[str, Any]:
         told = {"reader": msgspec.to_builtins(self.reader.told(self.now())) | dict(self.counts)}
         if self.keeper is not None and self.source is not None:
-            told["keeper"] = msgspec.to_builtins(self.keeper.told()) | {
+            told["keeper"] = msgspec.to_builtins(self.keeper.told(self.now())) | {
                 "source_failures": self.source.failures, "entries_passed_over": self.source.passed.count}
         return told
--- a/linnetstile/shards/source.py
+++ b/linnetstile/shards/source.py
@@ -1,5 +1,5 @@
-"""Where a keeper has its list from: the register, by a watch, or a file. Read in pieces, as it comes, so that no
-list however long takes one long turn of the loop; what is cut, too long or no list changes nothing."""
+"""Where a keeper has its list from: the register, by a watch, or a file. Read in pieces, as it comes, so that
+no list however long takes one long turn of the loop; what is cut, too long or no list changes nothing."""
 
 from __future__ import annotations
 
@@ -9,12 +9,13 @@
 import logging
 import os
 import random
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Iterable
 from json.decoder import JSONDecodeError
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 import h11
+import msgspec
 
 from ..config import Address
 from ..core.seams import Member
@@ -23,7 +24,9 @@
 from ..logs import Note
 from ..membership.asking import Asking
 from . import wire
-from .wire import Row, Version
+from .keeping import Keeper
+from .staging import Change, Load
+from .wire import Row
 
 log = logging.getLogger(__name__)
 
@@ -31,10 +34,12 @@
 ITEM_BYTES = 64 << 10  # of one entry, or of what stands beside the entries: a usual one has 150
 PIECE_BYTES = 16 << 10  # read at once: some hundred entries
 ENTRIES_A_TURN = 256  # taken up at once: some milliseconds
-CHANGES_MOST = 500  # in one answer, taken in one turn; more: the whole list is asked for, which is taken in pieces
+CHANGES_MOST = 2_000  # in one answer, sorted in one turn; more: the whole list is asked for
 SILENCE_S = 3.0  # a source that says nothing more for so long is given up
 WHOLE_S = 120.0  # one list takes no longer
-HOLD_MS = 3000.0  # a watch, at most: so old a confirmation may be, and a pause and an answer on top
+# A watch, at most. What it tells counts as of when it was asked, as the answer may have lain unread while this
+# process stood still: so old a confirmation is at once, and twice that when the next one comes.
+HOLD_MS = 2000.0
 LOOK_S = 1.0  # a file is looked at so often
 HEAD_BYTES = 16 << 10
 SPACE = " \t\r\n"
@@ -45,24 +50,12 @@
     """What the source says can't be used; the text says why."""
 
 
-class TooManyChanges(Exception):
-    """More than are taken in one turn."""
-
-
-class Load(Protocol):
-    def add(self, rows: Iterable[Row]) -> None: ...
-    def end(self, now: float) -> bool: ...
-    def step(self) -> bool: ...
+class Refused(SourceError):
+    """It is older than what is known."""
 
 
-class Keeping(Protocol):
-    """As far as a source needs to know a keeper."""
-
-    def begin(self, now: float, version: Version) -> Load: ...
-    def changed(
-        self, now: float, generation: int, rows: Iterable[Row], lives: Iterable[tuple[str, int]]
-    ) -> None: ...
-    def confirmed(self, now: float) -> None: ...
+class TooManyChanges(Exception):
+    """More than are taken in one turn."""
 
 
 def row(member: Member) -> Row:
@@ -209,15 +202,16 @@
 class Taking:
     """One list on its way from the source to the keeper."""
 
-    def __init__(self, keeper: Keeping, epoch: int, passed: Passed, now: Callable[[], float],
+    def __init__(self, keeper: Keeper, epoch: int, passed: Passed, asked_at: float,
                  least: int | None) -> None:
-        """`least`: the generation that was asked from; None: all was asked for."""
-        self.keeper, self.epoch, self.passed, self.now, self.least = keeper, epoch, passed, now, least
+        """`asked_at`: on the loop's clock; `least`: the generation from which on changes were asked for, None:
+        all was asked for."""
+        self.keeper, self.epoch, self.passed, self.asked_at = keeper, epoch, passed, asked_at
+        self.least = least
         self.split = Splitter()
-        self.load: Load | None = None
+        self.staged: Load | Change | None = None
         self.late: list[Any] = []  # entries of a list that tells its generation behind them
-        self.rows: list[Row] = []
-        self.lives: list[tuple[str, int]] = []
+        self.count = 0
         self.longest = 0  # entries taken up in one turn, at most
 
     async def take(self, pieces: AsyncIterator[bytes]) -> int:
@@ -230,21 +224,22 @@
         generation, whole = self._head()
         while self.late:
             late, self.late = self.late[:ENTRIES_A_TURN], self.late[ENTRIES_A_TURN:]
-            self._add(late, whole, generation)
+            self._add(late)
             await asyncio.sleep(0)
+        if whole or self.count or generation != self.least:
+            await self._finish(self._staged(), generation)
         if not whole:
-            self._change(generation)
-            return generation
-        load = self.load or self.keeper.begin(self.now(), (self.epoch, generation))
-        if not load.end(self.now()):
-            raise SourceError(f"generation {generation} of epoch {self.epoch} is older than what is known: "
-                              "where the source counts anew, shards.epoch has to be raised")
-        while not load.step():
-            await asyncio.sleep(0)
-        if self.lives:  # what can't be read of them stands, but for their life
-            self.keeper.changed(self.now(), generation, [], self.lives)
+            self.keeper.confirmed(self.asked_at)
         return generation
 
+    async def _finish(self, staged: Load | Change, generation: int) -> None:
+        taken = staged.end(self.asked_at)
+        while taken and not staged.step():
+            await asyncio.sleep(0)
+        if not taken or not staged.taken:
+            raise Refused(f"generation {generation} of epoch {self.epoch} is older than what is known: where "
+                          "the source counts anew, shards.epoch has to be raised")
+
     def _head(self) -> tuple[int, bool]:
         try:
             return int(self.split.head["generation"]), bool(self.split.head["reset"])
@@ -254,35 +249,34 @@
     def _some(self, items: list[Any]) -> bool:
         """Whether there may be more."""
         self.longest = max(self.longest, len(items))
+        self.count += len(items)
         if "generation" not in self.split.head or "reset" not in self.split.head:
             self.late += items
         elif items:
-            generation, whole = self._head()
-            late, self.late = self.late, []
-            self._add(late + items, whole, generation)
+            self._add(items)
         return len(items) == ENTRIES_A_TURN
 
-    def _add(self, items: list[Any], whole: bool, generation: int) -> None:
-        if not whole and self.least is None:
-            raise SourceError("changes came where the whole list was asked for")
+    def _staged(self) -> Load | Change:
+        generation, whole = self._head()
+        if self.staged is None and whole:
+            self.staged = self.keeper.begin(self.asked_at, (self.epoch, generation))
+        elif self.staged is None:
+            if self.least is None:
+                raise SourceError("changes came where the whole list was asked for")
+            self.staged = self.keeper.change(self.asked_at, generation)
+        return self.staged
+
+    def _add(self, items: list[Any]) -> None:
+        staged = self._staged()
         rows, lives = self.passed.rows(items)
-        self.lives += lives
-        if whole:
-            if self.load is None:
-                self.load = self.keeper.begin(self.now(), (self.epoch, generation))
-            self.load.add(rows)
-            return
-        self.rows += rows
-        if len(self.rows) + len(self.lives) > CHANGES_MOST:
+        if isinstance(staged, Load):  # what can't be read of them stands, but for their life
+            known = ((self.keeper.known(name), listing) for name, listing in lives)
+            staged.add(rows + [msgspec.structs.replace(row, listing=listing)
+                               for row, listing in known if row is not None])
+        elif self.count > CHANGES_MOST:
             raise TooManyChanges
-
-    def _change(self, generation: int) -> None:
-        if self.least is None:
-            raise SourceError("changes came where the whole list was asked for")
-        if self.rows or self.lives or generation != self.least:
-            names = {each.name: each for each in self.rows}  # of one that comes twice the later holds
-            self.keeper.changed(self.now(), generation, list(names.values()), self.lives)
-        self.keeper.confirmed(self.now())
+        else:
+            staged.add(rows, lives)
 
 
 async def answer(at: Address, target: str, patience_s: float) -> AsyncIterator[bytes]:
@@ -319,7 +313,7 @@
 class Source:
     """What both kinds have in common: what fails is told, and changes nothing."""
 
-    def __init__(self, keeper: Keeping, epoch: int) -> None:
+    def __init__(self, keeper: Keeper, epoch: int) -> None:
         self.keeper, self.epoch, self.passed = keeper, epoch, Passed()
         self.generation: int | None = None
         self.failures = 0
@@ -329,8 +323,8 @@
     def now() -> float:
         return asyncio.get_running_loop().time()
 
-    async def _taken(self, pieces: AsyncIterator[bytes]) -> None:
-        taking = Taking(self.keeper, self.epoch, self.passed, self.now, self.generation)
+    async def _taken(self, pieces: AsyncIterator[bytes], asked_at: float) -> None:
+        taking = Taking(self.keeper, self.epoch, self.passed, asked_at, self.generation)
         try:
             async with asyncio.timeout(WHOLE_S):
                 self.generation = await taking.take(pieces)
@@ -345,7 +339,7 @@
 class RegisterSource(Source):
     """The register: its list whole, then what changes."""
 
-    def __init__(self, keeper: Keeping, epoch: int, at: Address, keepers: int, seed: int,
+    def __init__(self, keeper: Keeper, epoch: int, at: Address, keepers: int, seed: int,
                  shared: bool) -> None:
         super().__init__(keeper, epoch)
         self.at, self.asking = at, Asking(keepers, random.Random(seed), shared)
@@ -366,6 +360,8 @@
                 self.generation = None  # all of it then, which is taken in pieces
             except (OSError, SourceError) as error:
                 self._failed(repr(error))
+                if isinstance(error, Refused):
+                    self.generation = None  # it counts anew: all of it, and as soon as that may be taken
                 await asyncio.sleep(self.asking.failed(refused=isinstance(error, SourceError)) / 1000)
             except Exception:
                 log.exception("the list could not be taken")
@@ -376,13 +372,13 @@
         if self.generation is not None:
             hold_ms = round(min(HOLD_MS, self.asking.hold()))
             target += f"?from={self.generation}&hold_ms={hold_ms}"
-        await self._taken(answer(self.at, target, self.asking.patience(hold_ms) / 1000))
+        await self._taken(answer(self.at, target, self.asking.patience(hold_ms) / 1000), self.now())
 
 
 class FileSource(Source):
     """A file with the whole list; replaced (or written anew) with a higher generation where it changes."""
 
-    def __init__(self, keeper: Keeping, epoch: int, path: Path) -> None:
+    def __init__(self, keeper: Keeper, epoch: int, path: Path) -> None:
         super().__init__(keeper, epoch)
         self.path = path
         self.read: tuple[int, int, int] | None = None  # what it was when it was read last
@@ -401,16 +397,17 @@
 
     async def look(self) -> None:
         """Reads it if it has changed since; where the latest can't be used, what is known gets old."""
+        now = self.now()
         stat = await asyncio.to_thread(os.stat, self.path)
         mark = stat.st_mtime_ns, stat.st_size, stat.st_ino
         if mark == self.read:
             if self.good:
-                self.keeper.confirmed(self.now())
+                self.keeper.confirmed(now)
             return
         self.read, self.good = mark, False
         try:
             before, self.generation = self.generation, None
-            await self._taken(self._pieces())
+            await self._taken(self._pieces(), now)
             self.good = True
         except SourceError:
             self.generation = before
