--- a/linnetstile/shards/keeping.py
+++ b/linnetstile/shards/keeping.py
@@ -18,7 +18,7 @@
 
 from .audience import DIGESTS_CALL, Audience
 from .staging import Change, Load, Staging
-from .table import Table
+from .table import Table, name_mark
 from .wire import (
     NONE,
     Answer,
@@ -116,6 +116,12 @@
         if self.loaded and not self.doubted:
             self.confirmed_at = max(self.confirmed_at, now)
 
+    def known(self, name: str) -> Row | None:
+        """As it is told here, of a source that can't be read of it now."""
+        shard = self.table.names.get(name_mark(name))
+        rows = [] if shard is None else self.table.rows(shard)
+        return next((row for row in rows if row.name == name), None)
+
     def _allowed(self, version: Version) -> bool:
         if version >= (self.version if self.loaded else (self.epoch, 0)):
             return True
--- a/linnetstile/shards/node.py
+++ b/linnetstile/shards/node.py
@@ -145,7 +145,9 @@
                     else:
                         self.peers.say(name, KIND, packed(digest))
             self._carry_out()
-            next_at = min([self.reader.next_at()] + [self.keeper.next_at()] * (self.keeper is not None))
+            next_at = self.reader.next_at()
+            if self.keeper is not None:
+                next_at = min(next_at, self.keeper.next_at())
         except Exception:
             log.exception("a turn of the directory failed")  # and the next one comes
             next_at = now + AGAIN_S
--- a/linnetstile/shards/source.py
+++ b/linnetstile/shards/source.py
@@ -37,8 +37,8 @@
 CHANGES_MOST = 2_000  # in one answer, sorted in one turn; more: the whole list is asked for
 SILENCE_S = 3.0  # a source that says nothing more for so long is given up
 WHOLE_S = 120.0  # one list takes no longer
-# A watch, at most. What it tells counts as of when it was asked, as the answer may have lain unread while this
-# process stood still: so old a confirmation is at once, and twice that when the next one comes.
+# A watch, at most. What it tells counts as of when it was asked, as the answer may have lain unread while
+# this process stood still: so old a confirmation is at once, and twice that when the next one comes.
 HOLD_MS = 2000.0
 LOOK_S = 1.0  # a file is looked at so often
 HEAD_BYTES = 16 << 10
@@ -204,8 +204,8 @@
 
     def __init__(self, keeper: Keeper, epoch: int, passed: Passed, asked_at: float,
                  least: int | None) -> None:
-        """`asked_at`: on the loop's clock; `least`: the generation from which on changes were asked for, None:
-        all was asked for."""
+        """`asked_at`: on the loop's clock; `least`: the generation from which on changes were asked for,
+        None: all was asked for."""
         self.keeper, self.epoch, self.passed, self.asked_at = keeper, epoch, passed, asked_at
         self.least = least
         self.split = Splitter()
@@ -218,8 +218,10 @@
         """Its generation. Raises SourceError, and TooManyChanges."""
         async for piece in pieces:
             self.split.feed(piece)
-            while self._some(self.split.entries(ENTRIES_A_TURN)):
-                await asyncio.sleep(0)
+            more = True
+            while more:
+                more = self._some(self.split.entries(ENTRIES_A_TURN))
+                await asyncio.sleep(0)  # also where the next piece lies ready: all else has its turn
         self.split.whole()
         generation, whole = self._head()
         while self.late:
@@ -372,7 +374,10 @@
         if self.generation is not None:
             hold_ms = round(min(HOLD_MS, self.asking.hold()))
             target += f"?from={self.generation}&hold_ms={hold_ms}"
-        await self._taken(answer(self.at, target, self.asking.patience(hold_ms) / 1000), self.now())
+        at = self.at
+        await self._taken(answer(at, target, self.asking.patience(hold_ms) / 1000), self.now())
+        if at != self.at:  # another register meanwhile, which counts by itself
+            self.generation = None
 
 
 class FileSource(Source):
--- /dev/null
+++ b/tests/shards/loopback.py
@@ -0,0 +1,167 @@
+"""Hosts with a directory by interest, in this process: real peers' nodes on loopback, a list in a file, and a
+carrier that notes each call in place of endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import json
+import os
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+from benchmarks.processes import free_ports
+from linnetstile import config
+from linnetstile.core.host import Host
+from linnetstile.core.seams import Attempt, Result
+from linnetstile.decisions.interface import Outcome
+from linnetstile.peers.identity import claimed
+from linnetstile.peers.node import Node
+from linnetstile.peers.settings import PeersPart
+from linnetstile.shards.node import Shards
+from linnetstile.shards.ring import shard_of
+from linnetstile.shards.settings import ShardsPart
+
+from ..loopback import Agent, raw_config
+from ..test_seams import Carrier, Front
+
+SHARDS = 64
+HOLD = 400
+
+
+def entry(name: str, dest: int, port: int = 1, **more: Any) -> dict[str, Any]:
+    return {"instanceId": name, "hostPort": f"h:{port}", "zone": "z", "machineType": "k", "cell": dest,
+            "lifecycle": "ready", "weight": 500.0, "startedAtMs": 0, **more}
+
+
+def listing(entries: list[dict[str, Any]], generation: int = 1, reset: bool = True) -> dict[str, Any]:
+    return {"generation": generation, "reset": reset, "instances": entries}
+
+
+def in_shards(count: int) -> list[int]:
+    """Destinations, each in a shard of its own."""
+    found: dict[int, int] = {}
+    dest = 0
+    while len(found) < count:
+        dest += 1
+        found.setdefault(shard_of(dest, SHARDS), dest)
+    return list(found.values())
+
+
+class Slow(Carrier):
+    """Looks for a connection for as long as `connects` is not set; asks right before the first byte."""
+
+    def __init__(self, *script: Outcome) -> None:
+        super().__init__(*script)
+        self.connects = asyncio.Event()
+        self.connects.set()
+        self.connecting = 0
+        self.held_back = 0
+
+    async def attempt(self, attempt: Attempt) -> Result:
+        self.connecting += 1
+        await self.connects.wait()
+        if not attempt.may_write():
+            self.held_back += 1
+            return Result(Outcome.NOT_SENT, held_back=True)
+        self.attempts.append(attempt)
+        outcome = self.script.pop(0) if self.script else Outcome.OK
+        return Result(outcome, over=outcome is Outcome.OK)
+
+
+def made(folder: Path, front: Front, carrier: Carrier) -> Host:
+    (folder / "state").mkdir(exist_ok=True, parents=True)
+    raw = copy.deepcopy(raw_config(folder / "state", Agent(address=("127.0.0.1", 1))))
+    raw["settings"]["limits"]["open-cap"] = HOLD
+    path = folder / "config.json"
+    path.write_text(json.dumps(raw))
+    host = Host(config.load({"RELAY_CONFIG": str(path)}))
+    host.plug_in({"fake": front}, carrier, [])
+    return host
+
+
+class Instance:
+    """One relay; a keeper too, if its number is among the part's."""
+
+    def __init__(self, number: int, part: ShardsPart, folder: Path, port: int) -> None:
+        self.front, self.carrier = Front(), Slow()
+        self.folder = folder / str(number)
+        self.host = made(self.folder, self.front, self.carrier)
+        peers = PeersPart(listen=f"127.0.0.1:{port}", seeds=(f"127.0.0.1:{port}",), period_s=0.2)
+        home = self.folder / "peers"
+        self.node = Node(peers, claimed(home, f"n{number}"), home, number, "z", 0)
+        self.shards = Shards(part, self.node, self.host, number, self.host.config)
+        self.host.by_interest(self.shards, self.shards)
+        self.messages, self.entries = self.host.messages, self.host.journal.entries
+
+    async def start(self) -> None:
+        await self.host.start()
+        await self.node.start()
+        self.shards.start()
+
+    async def close(self) -> None:
+        await self.host.close()
+        self.node.leave()
+        await self.node.close()
+        await asyncio.sleep(0)
+
+    async def gone(self) -> None:
+        """As if it were killed: nobody is told, and nothing more is written."""
+        self.shards.close()
+        await self.node.close()
+        await self.host.tasks.cancel()
+        self.host.turns.stop()
+        self.host.journal.close()
+        self.host.lock.release()
+
+
+class Fleet:
+    def __init__(self, folder: Path, entries: list[dict[str, Any]], keepers: int = 1, **more: Any) -> None:
+        self.folder, self.file, self.generation = folder, folder / "list.json", 0
+        self.port = free_ports(8, 3)
+        self.part = ShardsPart(tuple(range(keepers)), SHARDS, file=str(self.file), **more)
+        self.instances: dict[int, Instance] = {}
+        self.tell(entries)
+
+    def tell(self, entries: list[dict[str, Any]], generation: int | None = None) -> None:
+        """The list is replaced."""
+        self.generation = self.generation + 1 if generation is None else generation
+        part = self.file.with_suffix(".part")
+        part.write_text(json.dumps(listing(entries, self.generation)))
+        os.replace(part, self.file)
+
+    async def begin(self, number: int) -> Instance:
+        it = self.instances[number] = Instance(number, self.part, self.folder, self.port)
+        await it.start()
+        return it
+
+    async def end(self, number: int, killed: bool = True) -> None:
+        it = self.instances.pop(number)
+        await (it.gone() if killed else it.close())
+
+    async def loaded(self) -> None:
+        """Each keeper has the list as it is in the file."""
+        keepers = [it.shards.keeper for it in self.instances.values() if it.shards.keeper is not None]
+        await until(lambda: all(it.version == (1, self.generation) for it in keepers))
+
+
+@contextlib.asynccontextmanager
+async def fleet(folder: Path, entries: list[dict[str, Any]], *numbers: int,
+                **more: Any) -> AsyncIterator[Fleet]:
+    it = Fleet(folder, entries, **more)
+    try:
+        for number in numbers:
+            await it.begin(number)
+        await it.loaded()
+        yield it
+    finally:
+        for each in it.instances.values():
+            await each.close()
+
+
+async def until(true: Callable[[], object], seconds: float = 20.0) -> None:
+    async with asyncio.timeout(seconds):
+        while not true():
+            await asyncio.sleep(0.005)
--- /dev/null
+++ b/tests/shards/test_relaying.py
@@ -0,0 +1,372 @@
+"""Messages and the directory by interest: a keeper and a relay on loopback, in this process."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linnetstile.core.seams import Malformed
+from linnetstile.decisions.interface import Outcome
+from linnetstile.shards.ring import shard_of
+from linnetstile.shards.wire import Ask, Busy, Other, packed, read
+
+from ..loopback import run
+from ..test_seams import offer
+from .loopback import SHARDS, Fleet, Instance, entry, fleet, in_shards, until
+
+
+def listed(*dests: int, port: int = 1) -> list[dict[str, Any]]:
+    return [entry(f"e{dest}", dest, port) for dest in dests]
+
+
+async def learned(relay: Instance, dest: int, ident: str = "first") -> None:
+    """A message for it went, so that its shard is here."""
+    assert relay.messages.take(offer(ident, dest=dest)).new
+    await until(lambda: relay.entries[ident].end == "delivered")
+    relay.carrier.attempts.clear()
+
+
+def cut(relay: Instance) -> None:
+    """No keeper can be reached, and what they say does not come."""
+    async def ask(*_: object) -> bytes:
+        raise OSError("cut off")
+    relay.node.ask = ask  # type: ignore[method-assign, assignment]
+    relay.node.datagrams.clear()
+
+
+def test_a_message_whose_shard_is_not_here_is_accepted_and_goes_when_it_comes(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 1) as it:  # the keeper is not there yet
+            relay = it.instances[1]
+            receipt = relay.messages.take(offer("m"))
+            assert receipt.taken and receipt.new and not relay.entries["m"].end
+            await asyncio.sleep(0.3)
+            assert not relay.carrier.connecting and relay.host.relay.board.queues[7].length == 1
+            await it.begin(0)
+            await until(lambda: relay.entries["m"].end == "delivered")
+            assert [(each.address, each.trace_id) for each in relay.carrier.attempts] == [(("h", 1), "m")]
+            assert relay.shards.knows(7) and not relay.messages.bound_for
+    run(work())
+
+
+def test_one_that_is_in_no_shard_ends_as_failed_at_once_and_is_never_silent(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            relay = it.instances[1]
+            assert relay.messages.take(offer("m", dest=8)).taken
+            await until(lambda: bool(relay.front.ends))
+            assert [(end.id, end.state) for end in relay.front.ends] == [("m", "failed")]
+            assert relay.entries["m"].due > 0 and not relay.carrier.connecting
+            await until(lambda: not relay.host.relay.board.held)  # nothing of it is left in the decisions
+            assert not relay.messages.held and not relay.messages.bound_for
+    run(work())
+
+
+def test_no_such_destination_is_said_only_by_a_shard_that_is_here(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            relay = it.instances[1]
+            await learned(relay, 7)
+            it.tell([])
+            await it.loaded()
+            await until(lambda: not relay.shards.knows(7))
+            assert relay.shards.here(7)
+            assert relay.messages.take(offer("m")).taken  # all its endpoints may be on their way to others
+            relay.messages.dests.clear()  # a minute later
+            with pytest.raises(Malformed) as caught:
+                relay.messages.take(offer("n"))
+            assert caught.value.field == "dest" and "n" not in relay.entries
+    run(work())
+
+
+def test_after_a_restart_what_was_held_over_many_shards_is_asked_for_the_earliest_end_first(
+        tmp_path: Path) -> None:
+    async def work() -> None:
+        dests = in_shards(50)
+        async with fleet(tmp_path, listed(*dests), 1) as it:
+            relay = it.instances[1]
+            for n, dest in enumerate(dests):
+                left = 60_000 - 1_000 * n  # the last one that comes ends first
+                assert relay.messages.take(offer(f"m{n}", "keyed", dest=dest, left_ms=left)).taken
+            await it.end(1)
+            relay = await it.begin(1)
+            asked: list[list[int]] = []
+            ask = relay.node.ask
+
+            async def noted(name: str, kind: str, raw: bytes, seconds: float = 2.0) -> bytes:
+                word = read(raw)
+                assert isinstance(word, Ask)
+                asked.append([want.shard for want in word.wants])
+                return await ask(name, kind, raw, seconds)
+
+            relay.node.ask = noted  # type: ignore[method-assign]
+            assert relay.messages.holding == 50
+            await it.begin(0)
+            await until(lambda: all(each.end == "delivered" for each in relay.entries.values()))
+            wanted = next(each for each in asked if each)
+            assert wanted == [shard_of(dest, SHARDS) for dest in reversed(dests)][:len(wanted)]
+            assert sorted(each.trace_id for each in relay.carrier.attempts) == sorted(
+                f"m{n}" for n in range(50))
+    run(work())
+
+
+def test_one_that_was_left_for_a_shard_without_it_ends_as_failed(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 1) as it:
+            it.instances[1].messages.take(offer("m", dest=8))
+            await it.end(1)
+            await it.begin(0)
+            relay = await it.begin(1)
+            await until(lambda: [(end.id, end.state) for end in relay.front.ends] == [("m", "failed")])
+            assert not relay.messages.holding
+    run(work())
+
+
+def test_a_destination_that_moves_while_its_message_waits_gets_it_where_it_is(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 1) as it:
+            relay = it.instances[1]
+            relay.messages.take(offer("m"))
+            it.tell(listed(7, port=2))
+            await it.begin(0)
+            await until(lambda: relay.entries["m"].end == "delivered")
+            assert [each.address for each in relay.carrier.attempts] == [("h", 2)]
+    run(work())
+
+
+def test_one_that_moves_while_a_connection_is_looked_for_gets_no_byte_at_its_old_place(
+        tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            relay = it.instances[1]
+            await learned(relay, 7)
+            relay.carrier.connects.clear()
+            relay.messages.take(offer("m"))
+            begun = relay.carrier.connecting
+            await until(lambda: relay.carrier.connecting > begun)
+            it.tell(listed(7, port=2))
+            await until(lambda: relay.host.directory.by_name["e7"].address == ("h", 2))
+            relay.carrier.connects.set()
+            await until(lambda: relay.entries["m"].end == "delivered")
+            assert relay.carrier.held_back == 1
+            assert [each.address for each in relay.carrier.attempts] == [("h", 2)]
+            assert relay.entries["m"].tries == 1  # what was held back is no try
+    run(work())
+
+
+def test_one_that_was_frozen_sends_no_byte_before_it_has_heard_what_is_new(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1, bound_s=6.0) as it:
+            relay = it.instances[1]
+            await learned(relay, 7)
+            ask, datagrams = relay.node.ask, dict(relay.node.datagrams)
+            relay.node.datagrams.clear()  # what comes while it stands still
+            relay.shards.running = False
+            if relay.shards.timer is not None:
+                relay.shards.timer.cancel()
+            it.tell(listed(7, port=2))
+            await it.loaded()
+            await asyncio.sleep(6.0)
+
+            async def slow(*args: Any) -> bytes:
+                await asyncio.sleep(0.4)
+                return await ask(*args)
+
+            relay.node.ask = slow  # type: ignore[method-assign, assignment]
+            relay.node.datagrams.update(datagrams)
+            relay.shards.running = True
+            connecting = relay.carrier.connecting
+            relay.messages.take(offer("m"))
+            await asyncio.sleep(0.2)
+            assert relay.carrier.connecting == connecting  # it waits, and isn't made again and again
+            await until(lambda: relay.entries["m"].end == "delivered")
+            assert [each.address for each in relay.carrier.attempts] == [("h", 2)]
+            assert relay.carrier.connecting == connecting + 1
+    run(work())
+
+
+def test_the_gate_holds_back_what_has_become_old_while_a_connection_was_looked_for(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            relay = it.instances[1]
+            await learned(relay, 7)
+            relay.carrier.connects.clear()
+            relay.messages.take(offer("m"))
+            begun = relay.carrier.connecting
+            await until(lambda: relay.carrier.connecting > begun)
+            current = relay.shards.reader.current
+            relay.shards.reader.current = lambda *_: False  # type: ignore[method-assign]
+            relay.carrier.connects.set()
+            await until(lambda: relay.carrier.held_back == 1)
+            assert relay.entries["m"].tries == 0 and not relay.carrier.attempts
+            await asyncio.sleep(1.5)
+            assert relay.carrier.connecting <= begun + 3  # a wait of a second each time, no spin
+            relay.shards.reader.current = current  # type: ignore[method-assign]
+            await until(lambda: relay.entries["m"].end == "delivered")
+            assert len(relay.carrier.attempts) == 1
+    run(work())
+
+
+def test_without_any_keeper_what_is_known_serves_and_the_status_tells_how_old_it_is(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1, bound_s=6.0) as it:
+            relay = it.instances[1]
+            await learned(relay, 7)
+            await it.end(0)
+            cut(relay)
+            await asyncio.sleep(7.0)
+            for n in range(3):
+                relay.messages.take(offer(f"m{n}"))
+                await until(lambda n=n: relay.entries[f"m{n}"].end == "delivered")  # type: ignore[misc]
+            told = relay.shards.told()["reader"]
+            assert told["behind"] is False or told["age_s"] > 5.0
+            assert 5.0 < told["age_s"] < 20.0 and told["failures"] > 0
+            assert relay.messages.take(offer("x", dest=8)).taken  # nobody can say that there is none
+            await asyncio.sleep(0.3)
+            assert not relay.front.ends and not relay.entries["x"].end
+    run(work())
+
+
+def test_what_is_given_up_is_not_taken_for_down_when_it_is_needed_again(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1, idle_s=1.0) as it:
+            relay = it.instances[1]
+            await learned(relay, 7)
+            await until(lambda: not relay.host.directory.by_name)
+            await until(lambda: 7 not in relay.host.relay.lanes)
+            assert not relay.shards.here(7) and not relay.shards.reader.store.held
+            await learned(relay, 7, "second")
+            lane = relay.host.relay.lanes[7][-1]
+            assert lane.cold_since < 0 and lane.bad_since is None
+    run(work())
+
+
+def test_what_is_needed_is_not_given_up(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7, 8), 0, 1, idle_s=1.0) as it:
+            relay = it.instances[1]
+            relay.carrier.script = [Outcome.FULL]
+            await learned(relay, 8)
+            relay.carrier.connects.clear()
+            relay.messages.take(offer("m"))  # its call is out
+            await until(lambda: relay.shards.here(7))
+            await until(lambda: not relay.shards.here(8))
+            await asyncio.sleep(2.0)
+            assert relay.shards.here(7) and relay.host.in_use(7) and not relay.host.in_use(8)
+            relay.carrier.connects.set()
+            await until(lambda: relay.entries["m"].end == "delivered")
+            assert not relay.host.in_use(7)
+    run(work())
+
+
+def test_a_told_wait_outlasts_a_restart_though_its_shard_comes_later(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            relay = it.instances[1]
+            await learned(relay, 7)
+            lane = relay.host.relay.lanes[7][-1]
+            lane.wait_until = relay.host.turns.now() + 4000.0
+            relay.host.relay.members.mark(7)
+            await it.end(0)
+            await it.end(1, killed=False)
+            relay = await it.begin(1)
+            await until(lambda: relay.host.open)
+            assert relay.host.in_use(7) and 7 not in relay.host.relay.lanes
+            relay.host._keep_learned()
+            assert [lane.destination for lane in relay.host.learned.lanes] == [7]  # for the next process too
+            relay.messages.take(offer("m"))
+            begun = asyncio.get_running_loop().time()
+            await it.begin(0)
+            await until(lambda: 7 in relay.host.relay.lanes)
+            await until(lambda: relay.entries["m"].end == "delivered")
+            assert 1.0 < asyncio.get_running_loop().time() - begun < 5.0
+    run(work())
+
+
+def test_words_that_cannot_be_read_are_counted_and_lose_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            relay, keeper = it.instances[1], it.instances[0]
+            await learned(relay, 7)
+            for raw in (b"", b"\xff", b"\x93\xa1d", packed(Busy(1, 1.0))):
+                relay.shards._said("n0", raw)
+                with pytest.raises(OSError):
+                    await relay.node.ask("n0", "shards", raw, 1.0)
+            assert relay.shards.counts["unreadable"] == 4 and keeper.shards.counts["unreadable"] == 4
+            ask = relay.node.ask
+
+            async def spoilt(*args: Any) -> bytes:
+                relay.node.ask = ask  # type: ignore[method-assign]
+                return b"\x91\xa1x"
+
+            relay.node.ask = spoilt  # type: ignore[method-assign, assignment]
+            relay.messages.take(offer("m", dest=8))
+            await until(lambda: bool(relay.front.ends))
+            assert relay.shards.counts["unreadable"] == 5 and relay.shards.knows(7)
+    run(work())
+
+
+def test_a_fault_in_a_turn_is_told_and_the_next_one_comes(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            relay = it.instances[1]
+            tick, broken = relay.shards.reader.tick, [1]
+
+            def failing(*args: Any) -> None:
+                if broken:
+                    broken.pop()
+                    raise RuntimeError("a fault of ours")
+                tick(*args)
+
+            relay.shards.reader.tick = failing  # type: ignore[method-assign, assignment]
+            await learned(relay, 7)
+            assert "a turn of the directory failed" in caplog.text
+    run(work())
+
+
+def test_a_keepers_own_relay_is_a_reader_too(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0) as it:
+            keeper = it.instances[0]
+            await learned(keeper, 7)
+            told = keeper.shards.told()
+            assert told["reader"]["shards"] == 1 and told["keeper"]["endpoints"] == 1
+    run(work())
+
+
+def test_an_instance_that_keeps_nothing_says_so_when_it_is_asked(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            ask = Ask(5, it.instances[1].shards.layout, (0, -1), b"")
+            raw = it.instances[1].shards._asked("n0", packed(ask))
+            assert read(raw) == Other(5, it.instances[1].shards.layout)
+    run(work())
+
+
+def test_the_sweep_walks_over_no_destination_and_what_is_long_gone_is_forgotten(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            relay = it.instances[1]
+            await learned(relay, 7)
+            known: list[set[int]] = []
+            relay.messages.know = known.append  # type: ignore[method-assign, assignment]
+            await asyncio.sleep(1.3)
+            assert not known and not relay.host.relay.members.marked
+    run(work())
+
+
+def test_ends_are_told_once_over_a_kill_between(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            relay = it.instances[1]
+            relay.messages.take(offer("m", dest=8))
+            await until(lambda: bool(relay.front.ends))
+            await it.end(1)
+            again = await it.begin(1)
+            assert [(end.id, end.state) for end in again.front.ends] == [("m", "failed")]
+            assert isinstance(it, Fleet)
+    run(work())
--- /dev/null
+++ b/tests/shards/test_source.py
@@ -0,0 +1,341 @@
+"""Where a keeper has its list from: in pieces, in any cut, and what can't be used changes nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linnetstile.shards import source
+from linnetstile.shards.keeping import Keeper
+from linnetstile.shards.source import (
+    ENTRIES_A_TURN, FileSource, Passed, Refused, RegisterSource, SourceError, Splitter, Taking,
+    TooManyChanges,
+)
+from linnetstile.shards.wire import Layout, Row
+
+from ..loopback import Agent, answer, run
+from .loopback import entry, listing, until
+
+
+def keeper(shards: int = 64) -> Keeper:
+    return Keeper(Layout(shards, (0,)), 1, random.Random(1))
+
+
+async def pieces(raw: bytes, size: int = source.PIECE_BYTES) -> AsyncIterator[bytes]:
+    for at in range(0, len(raw), size):
+        yield raw[at:at + size]
+
+
+async def taken(it: Keeper, told: dict[str, Any] | bytes, least: int | None = None,
+                size: int = source.PIECE_BYTES) -> Taking:
+    raw = told if isinstance(told, bytes) else json.dumps(told).encode()
+    taking = Taking(it, 1, Passed(), 5.0, least)
+    await taking.take(pieces(raw, size))
+    return taking
+
+
+def rows(it: Keeper) -> dict[str, Row]:
+    return {row.name: row for shard in range(it.layout.shards) for row in it.table.rows(shard)}
+
+
+def many(count: int) -> list[dict[str, Any]]:
+    return [entry(f"e-{n:07}", n, 1 + n % 60_000) for n in range(count)]
+
+
+def test_a_list_is_the_same_in_whatever_pieces_it_comes() -> None:
+    told = listing([entry("ä", 1, 5), entry('"}],', 2, 6, lifecycle="draining"), entry("c", 3, 7, zone=None)])
+    behind = {"instances": told["instances"], "more": [{"x": 1.5}], "reset": True, "generation": 1}
+    texts = [json.dumps(told), json.dumps(told, ensure_ascii=False, indent=2), json.dumps(behind)]
+
+    async def work() -> None:
+        for text in texts:
+            for size in (1, 2, 3, 7, 50, 10_000):
+                it = keeper()
+                await taken(it, text.encode(), size=size)
+                assert it.version == (1, 1)
+                assert rows(it) == {"ä": Row("ä", 1, 0, "h", 5, "k", "z", 500.0),
+                                    '"}],': Row('"}],', 2, 1, "h", 6, "k", "z", 500.0),
+                                    "c": Row("c", 3, 0, "h", 7, "k", None, 500.0)}
+    run(work())
+
+
+def test_a_list_of_20_mb_takes_no_turn_of_more_than_some_hundred_entries() -> None:
+    raw = json.dumps(listing(many(140_000))).encode()
+    assert len(raw) > 20_000_000
+
+    async def work() -> None:
+        it, turns = keeper(8192), 0
+
+        async def others() -> None:
+            nonlocal turns
+            while True:
+                await asyncio.sleep(0)
+                turns += 1
+
+        beside = asyncio.ensure_future(others())
+        taking = await taken(it, raw)
+        beside.cancel()
+        assert it.told(5.0).endpoints == 140_000
+        assert taking.longest <= ENTRIES_A_TURN
+        assert turns > 140_000 / ENTRIES_A_TURN / 2  # in between all else has its turn
+    run(work())
+
+
+def test_each_cut_of_a_list_changes_nothing() -> None:
+    raw = json.dumps(listing([entry("a", 1), entry("b", 2)], 2)).encode()
+
+    async def work() -> None:
+        it = keeper()
+        await taken(it, listing([entry("old", 3)]))
+        for length in range(len(raw)):
+            with pytest.raises(SourceError):
+                await taken(it, raw[:length])
+        assert it.version == (1, 1) and set(rows(it)) == {"old"}
+        await taken(it, raw)
+        assert it.version == (1, 2) and set(rows(it)) == {"a", "b"}
+    run(work())
+
+
+@pytest.mark.parametrize("raw", [
+    b"", b"[]", b"null", b"{}", b'{"instances": 5}', b'{"instances": []}',
+    b'{"generation": 1, "instances": []}', b'{"generation": "x", "reset": true, "instances": []}',
+    b'{"generation" 1}', b'{"generation": 1 "reset": 1}',
+    b'{"generation": 1, "reset": true, "instances": [{} {}]}', b"\xff" * 9, b"[" * 100_000,
+    b'{"generation": 1, "reset": true, "instances": [' + b"[" * 60_000 + b"]" * 60_000 + b"]}",
+    b'{"generation": 1, "reset": true, "instances": ["' + b"x" * 200_000 + b'"]}',
+    b'{"generation": 1, "reset": true, "instances": [nonsense]}',
+    b'{"generation": 1, "reset": false, "instances": []}',  # changes, and nothing that they change
+])
+def test_what_is_no_list_changes_nothing(raw: bytes) -> None:
+    async def work() -> None:
+        it = keeper()
+        with pytest.raises(SourceError):
+            await taken(it, raw)
+        assert not it.loaded
+    run(work())
+
+
+def test_a_list_that_is_too_long_is_told_and_changes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(source, "LIST_BYTES", 50_000)
+
+    async def work() -> None:
+        it = keeper()
+        await taken(it, listing(many(100)))
+        with pytest.raises(SourceError, match="longer than 50000 bytes"):
+            await taken(it, listing(many(1000), 2))
+        assert it.version == (1, 1) and len(rows(it)) == 100
+    run(work())
+
+
+def test_entries_that_cannot_be_read_are_passed_over_and_stand_but_for_their_life() -> None:
+    good = [entry("a", 1), entry("b", 2), entry("c", 3)]
+    bad: list[Any] = [
+        entry("a", 1, hostPort="x"), entry("b", 2, weight=-1, lifecycle="draining"),
+        entry("c", 3, weight="much", lifecycle="gone"), entry("new", 4, hostPort=":5"), 5, None, [], {},
+        {"instanceId": "d"},
+    ]
+
+    async def work() -> None:
+        it = keeper()
+        await taken(it, listing(good))
+        taking = await taken(it, listing([*bad, entry("e", 5)], 2))
+        assert taking.passed.count == len(bad)
+        assert rows(it) == {"a": Row("a", 1, 0, "h", 1, "k", "z", 500.0),
+                            "b": Row("b", 2, 1, "h", 1, "k", "z", 500.0),
+                            "e": Row("e", 5, 0, "h", 1, "k", "z", 500.0)}
+        await taken(it, listing([entry("e", 5, hostPort="x", lifecycle="draining")], 3, reset=False), 2)
+        assert rows(it)["e"].listing == 1 and it.version == (1, 3)
+    run(work())
+
+
+def test_changes_change_and_too_many_are_asked_for_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        it = keeper()
+        await taken(it, listing(many(100)))
+        changes = [entry("e-0000001", 1, 9), entry("e-0000002", 2, lifecycle="gone")]
+        await taken(it, listing(changes, 5, False), 1)
+        assert it.version == (1, 5) and len(rows(it)) == 99 and rows(it)["e-0000001"].port == 9
+        await taken(it, listing([], 5, False), 5)
+        assert it.version == (1, 5)
+        monkeypatch.setattr(source, "CHANGES_MOST", 50)
+        with pytest.raises(TooManyChanges):
+            await taken(it, listing(many(51), 6, False), 5)
+        assert it.version == (1, 5) and len(rows(it)) == 99
+    run(work())
+
+
+def test_a_generation_that_goes_back_is_refused() -> None:
+    async def work() -> None:
+        it = keeper()
+        await taken(it, listing(many(10), 7))
+        with pytest.raises(Refused, match="shards.epoch"):
+            await taken(it, listing(many(5), 6))
+        with pytest.raises(Refused):
+            await taken(it, listing(many(1), 6, False), 7)
+        assert it.version == (1, 7) and len(rows(it)) == 10 and it.told(5.0).refused == 2
+    run(work())
+
+
+def test_a_list_counts_as_of_when_it_was_asked_for() -> None:
+    """It may have lain unread while this process stood still."""
+    async def work() -> None:
+        it = keeper()
+        await taken(it, listing(many(10)))
+        assert it.told(9.0).source_age_s == 4.0
+        await taken(it, listing([], 1, False), 1)
+        assert it.told(9.0).source_age_s == 4.0
+    run(work())
+
+
+def test_a_splitter_gives_no_more_entries_than_it_is_asked_for() -> None:
+    split = Splitter()
+    split.feed(json.dumps(listing(many(20))).encode())
+    assert [len(split.entries(8)) for _ in range(4)] == [8, 8, 4, 0]
+    split.whole()
+
+
+# -- the register ------------------------------------------------------------------------------------------
+
+
+def registered(it: Keeper, agent: Agent) -> RegisterSource:
+    return RegisterSource(it, 1, agent.address, 8, 1, shared=True)
+
+
+def test_the_register_is_watched_and_what_fails_is_asked_again() -> None:
+    async def work() -> None:
+        agent, it = await Agent().start(), keeper()
+        agent.silent = True
+        agent.changes.put_nowait(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+        agent.tell(listing(many(3000)))
+        long = json.dumps(listing(many(3000))).encode()
+        agent.changes.put_nowait(answer(200, body=long.decode())[:-100])  # cut, and then silent
+        watch = registered(it, agent)
+        task = asyncio.ensure_future(watch.run())
+        await until(lambda: it.version == (1, 1))
+        assert len(rows(it)) == 3000 and watch.failures == 1
+        assert "from" not in agent.seen[1].target
+        await until(lambda: len(agent.seen) > 2)
+        assert agent.seen[2].target.startswith("/v1/servers?from=1&hold_ms=")
+        assert int(agent.seen[2].target.rpartition("=")[2]) <= source.HOLD_MS
+        agent.tell(listing([entry("new", 5)], 2, False))
+        await until(lambda: it.version == (1, 2))
+        assert len(rows(it)) == 3001
+        task.cancel()
+    run(work())
+
+
+def test_a_list_past_the_agents_own_cap_is_taken() -> None:
+    from linnetstile.http.agent import ANSWER_BYTES
+
+    async def work() -> None:
+        agent, it = await Agent().start(), keeper()
+        agent.tell(listing(many(8000)))
+        assert len(json.dumps(listing(many(8000)))) > ANSWER_BYTES
+        task = asyncio.ensure_future(registered(it, agent).run())
+        await until(lambda: it.loaded)
+        assert len(rows(it)) == 8000
+        task.cancel()
+    run(work())
+
+
+def test_a_register_that_counts_anew_is_asked_for_all_and_refused_until_it_has_caught_up() -> None:
+    async def work() -> None:
+        agent, it = await Agent().start(), keeper()
+        agent.tell(listing(many(10), 9))
+        watch = registered(it, agent)
+        task = asyncio.ensure_future(watch.run())
+        await until(lambda: it.loaded)
+        agent.tell(listing(many(3), 2))
+        await until(lambda: watch.failures == 1)
+        assert it.version == (1, 9) and len(rows(it)) == 10
+        agent.tell(listing(many(4), 10))
+        await until(lambda: it.version == (1, 10))
+        assert len(rows(it)) == 4
+        task.cancel()
+    run(work())
+
+
+def test_too_many_changes_in_one_answer_make_it_ask_for_the_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(source, "CHANGES_MOST", 50)
+
+    async def work() -> None:
+        agent, it = await Agent().start(), keeper()
+        agent.tell(listing(many(100)))
+        agent.tell(listing(many(60), 2, False))
+        agent.tell(listing(many(60), 2))
+        task = asyncio.ensure_future(registered(it, agent).run())
+        await until(lambda: it.version == (1, 2))
+        assert len(rows(it)) == 60
+        assert [("from" in seen.target) for seen in agent.seen[:3]] == [False, True, False]
+        task.cancel()
+    run(work())
+
+
+def test_another_register_is_asked_for_all_of_its_list() -> None:
+    async def work() -> None:
+        one, other, it = await Agent().start(), await Agent().start(), keeper()
+        one.tell(listing(many(3), 1))
+        other.tell(listing(many(5), 2))
+        watch = registered(it, one)
+        task = asyncio.ensure_future(watch.run())
+        await until(lambda: it.version == (1, 1))
+        watch.reload(one.address)
+        assert watch.generation == 1
+        watch.reload(other.address)
+        await until(lambda: it.version == (1, 2))
+        assert "from" not in other.seen[0].target and len(rows(it)) == 5
+        task.cancel()
+    run(work())
+
+
+# -- a file ------------------------------------------------------------------------------------------------
+
+
+def put(path: Path, told: dict[str, Any] | str) -> None:
+    part = path.with_suffix(".part")
+    part.write_text(told if isinstance(told, str) else json.dumps(told))
+    os.replace(part, path)
+
+
+def test_a_file_is_read_again_when_it_changes_and_a_faulty_one_changes_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        it, path = keeper(), tmp_path / "list.json"
+        watch = FileSource(it, 1, path)
+        with pytest.raises(OSError):
+            await watch.look()
+        put(path, listing(many(10)))
+        await watch.look()
+        assert it.version == (1, 1) and len(rows(it)) == 10
+        at = it.confirmed_at
+        await watch.look()
+        assert it.confirmed_at > at  # nothing has changed, and that is so now
+        put(path, json.dumps(listing(many(5), 2))[:-5])
+        with pytest.raises(SourceError):
+            await watch.look()
+        at = it.confirmed_at
+        await watch.look()  # it is not read again and again, and confirms nothing
+        assert it.version == (1, 1) and it.confirmed_at == at
+        put(path, listing(many(5), 2))
+        await watch.look()
+        assert it.version == (1, 2) and len(rows(it)) == 5
+    run(work())
+
+
+def test_a_file_that_cannot_be_read_is_tried_again_and_told(tmp_path: Path) -> None:
+    async def work() -> None:
+        it, path = keeper(), tmp_path / "list.json"
+        watch = FileSource(it, 1, path)
+        task = asyncio.ensure_future(watch.run())
+        await until(lambda: watch.failures == 1)
+        put(path, listing(many(3)))
+        await until(lambda: it.loaded)
+        assert watch.failures >= 1
+        task.cancel()
+    run(work())
