--- /dev/null
+++ b/benchmarks/shards_town.py
@@ -0,0 +1,308 @@
+"""Real relays and keepers with a net between them in which faults are put, a register whose list changes, and
+two partners' endpoints between which destinations move: for tests and benchmarks/shards.py.
+
+Instances 0 to `keepers` - 1 keep the list; clients hand in at the others. Each message's id tells its
+destination, so that the ledgers of the two places tell by which entry each call was made.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import tempfile
+import time
+from bisect import bisect_left
+from collections.abc import AsyncIterator, Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TextIO
+from urllib.parse import parse_qs, urlsplit
+
+from linnetstile.fleet.report import Report
+from linnetstile.fleet.status import StatusError, ask
+from emulator import clients as connections
+from emulator.clients import request
+from standins.agent import Agent
+
+from .processes import CLASSES, lines
+from .town import PORT, Town
+
+PLACES = ("a", "b")
+LOG = 200_000  # changes that a register can tell since a version; older ones: all
+
+
+class Register(Agent):
+    """The platform's agent with a list that changes. In the process of the benchmark."""
+
+    def __init__(self, entries: Iterable[dict[str, Any]], ledger: TextIO | None = None) -> None:
+        self.ledger, self.generation = ledger, 1
+        self.entries = {entry["instanceId"]: entry for entry in entries}
+        self.log: list[tuple[int, dict[str, Any]]] = []
+        self.first = 1  # changes are known since this generation
+        self.whole = (0, b"")
+        self.news = asyncio.Event()
+        self.bytes = 0
+        self.at: dict[int, float] = {}  # Unix s of each generation
+
+    async def begin(self) -> str:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    def change(self, entries: Iterable[dict[str, Any]]) -> None:
+        """In one generation."""
+        self.generation += 1
+        for entry in entries:
+            self.log.append((self.generation, entry))
+            if entry["lifecycle"] == "gone":
+                self.entries.pop(entry["instanceId"], None)
+            else:
+                self.entries[entry["instanceId"]] = entry
+        if len(self.log) > LOG:
+            self.first = self.log[-LOG][0] + 1
+            self.log = [each for each in self.log if each[0] >= self.first]
+        self.at[self.generation] = time.time()
+        self.news.set()
+        self.news = asyncio.Event()
+
+    async def answer(self, method: str, target: str, told: bytes) -> tuple[int, bytes]:
+        if method == "POST":
+            return await super().answer(method, target, told)
+        query = parse_qs(urlsplit(target).query)
+        known = int(query.get("from", ["-1"])[0])
+        if not self.first <= known <= self.generation:
+            if self.whole[0] != self.generation:
+                self.whole = self.generation, self._told(True, list(self.entries.values()))
+            return 200, self.whole[1]
+        if known == self.generation:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(int(query.get("hold_ms", ["0"])[0]) / 1000):
+                    await self.news.wait()
+        changes = self.log[bisect_left(self.log, known + 1, key=lambda each: each[0]):]
+        latest = {entry["instanceId"]: entry for _, entry in changes}
+        return 200, self._told(False, list(latest.values()))
+
+    def _told(self, reset: bool, entries: list[dict[str, Any]]) -> bytes:
+        body = json.dumps({"generation": self.generation, "reset": reset, "instances": entries}).encode()
+        self.bytes += len(body)
+        return body
+
+
+def entry(dest: int, at: str, **more: Any) -> dict[str, Any]:
+    return {"instanceId": f"e{dest}", "hostPort": at, "zone": "z", "machineType": "k", "cell": dest,
+            "lifecycle": "ready", "weight": 1000.0, "startedAtMs": 0, **more}
+
+
+@dataclass
+class Clients:
+    """Messages handed in at relays by turns; each has its destination in its id."""
+
+    it: ShardsTown
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
+    asked: list[str] = field(default_factory=list)
+    taken: dict[str, str] = field(default_factory=dict)  # and their classes
+    answers: dict[str, int] = field(default_factory=dict)
+    work: set[asyncio.Task[None]] = field(default_factory=set)
+    kept: connections.Clients = field(default_factory=lambda: connections.Clients(2000.0))
+
+    async def run(self, rate: float, seconds: float, dests: list[int], to: list[int] | None = None) -> None:
+        """Open loop; a message is handed in when its time has come."""
+        loop = asyncio.get_running_loop()
+        at = loop.time()
+        ends = at + seconds
+        while (at := at + self.rng.expovariate(rate)) < ends:
+            await asyncio.sleep(max(0.0, at - loop.time()))
+            self.hand_in(self.rng.choice(dests), self.rng.choice(to or self.it.relays))
+        await self.settled()
+
+    def hand_in(self, dest: int, relay: int, class_: str = "", left_ms: float = 0.0) -> None:
+        task = asyncio.ensure_future(self.one(dest, relay, class_, left_ms))
+        self.work.add(task)
+        task.add_done_callback(self.work.discard)
+
+    async def settled(self) -> None:
+        while self.work:
+            await asyncio.gather(*list(self.work), return_exceptions=True)
+
+    async def one(self, dest: int, relay: int, class_: str = "", left_ms: float = 0.0) -> None:
+        ident = f"m{len(self.asked)}-{dest}"
+        self.asked.append(ident)
+        names = [name for name, *_ in CLASSES]
+        class_ = class_ or self.rng.choices(names, [weight for *_, weight in CLASSES])[0]
+        deadline = left_ms or next(ms for name, _, ms, _ in CLASSES if name == class_)
+        data = request(ident, class_, dest, deadline, b"x" * 200, f"k{ident}")
+        status = (await self.kept.hand_in(("127.0.0.1", self.it.port + relay), data)).status
+        self.answers[status] = self.answers.get(status, 0) + 1
+        if status in ("202", "200"):
+            self.taken[ident] = class_
+
+    def close(self) -> None:
+        self.kept.close()
+
+
+@dataclass
+class ShardsTown(Town):
+    """`instances` counts keepers and relays."""
+
+    agreed: bool = False
+    keepers: int = 3
+    dests: int = 400
+    count: int = 512
+    bound_s: float = 12.0
+    idle_s: float = 300.0
+    hold: int = 1000
+    on: bool = True  # False: the same processes with the whole list at each
+    spoilt: tuple[dict[str, Any], ...] = ()  # entries of the list that can't be read
+    old: tuple[int, ...] = ()  # keepers with a register of their own, which hears of no change
+    extra: int = 0  # destinations that nobody calls
+    moves: list[tuple[float, int, str]] = field(default_factory=list)  # Unix s, destination, to which place
+    where: dict[int, str] = field(default_factory=dict)
+
+    @property
+    def relays(self) -> list[int]:
+        return list(range(self.keepers, self.instances))
+
+    async def start(self, name: str, *args: str) -> str:
+        """In place of the agent: the register of this process, which takes its notices too."""
+        if name != "agent":
+            return await super().start(name, *args)
+        self.notices = open(self.folder / "notices", "a")  # noqa: SIM115  until it is closed
+        listed = [entry(dest, self.at["a"]) for dest in range(1, self.dests + 1)]
+        listed += [entry(dest, self.at["a"]) for dest in range(self.dests + 1, self.dests + 1 + self.extra)]
+        self.where = dict.fromkeys(range(1, self.dests + 1), "a")
+        self.register = Register([*listed, *self.spoilt], self.notices)
+        self.old_register = Register([*listed, *self.spoilt], self.notices)
+        self.old_at = await self.old_register.begin()
+        return await self.register.begin()
+
+    async def set_up(self) -> None:
+        self.at = {}
+        for place in PLACES:
+            self.at[place] = await super().start(
+                f"partner {place}", "standins.partner", "--answer-ms", str(self.answer_ms), "--calls",
+                str(self.folder / f"calls {place}"), "--ledger", str(self.folder / "effects"))
+        if self.old:
+            path = self.folder / "old.json"
+            self.more_env |= {n: {"RELAY_CONFIG": str(path)} for n in self.old}
+        await super().set_up()
+
+    def _listed(self, places: dict[str, str]) -> dict[str, Any]:
+        return {"generation": 1, "reset": True, "instances": []}
+
+    def _settings(self) -> dict[str, Any]:
+        told = super()._settings()
+        return told | {"limits": told["limits"] | {"open-cap": self.hold}}
+
+    def configure(self, instances: int) -> None:
+        seeds = ", ".join(f'"127.{self.block}.2.{n}:{PORT}"' for n in range(max(1, self.keepers)))
+        self.more_parts = (
+            f'[peers]\nlisten = "127.{self.block}.1.{{n}}:{PORT}"\n'
+            f'address = "127.{self.block}.2.{{n}}:{PORT}"\nseeds = [{seeds}]\n'
+            f'secret_file = "{self.folder}/secret"\nperiod_s = 0.5\n')
+        if self.on:
+            self.more_parts += (
+                f"[shards]\nkeepers = {list(range(self.keepers))}\ncount = {self.count}\n"
+                f"bound_s = {self.bound_s}\nidle_s = {self.idle_s}\n")
+        path = self.folder / "config0.json"
+        if self.old:
+            told = json.loads(path.read_text())
+            (self.folder / "old.json").write_text(json.dumps(told | {"discovery": self.old_at}))
+        super().configure(instances)
+
+    # -- changes ---------------------------------------------------------------------------------------------
+
+    def move(self, *dests: int) -> None:
+        """To the other place."""
+        for dest in dests:
+            self.where[dest] = "b" if self.where[dest] == "a" else "a"
+            self.moves.append((time.time(), dest, self.where[dest]))
+        self.register.change(entry(dest, self.at[self.where[dest]]) for dest in dests)
+
+    def late(self) -> list[float]:
+        """Of each move: how long after it the last call was made by the entry before it; 0: none was."""
+        calls: dict[tuple[str, int], list[float]] = {}
+        for place in PLACES:
+            for line in lines(self.folder / f"calls {place}"):
+                at, ident = line.split()[:2]
+                calls.setdefault((place, int(ident.rpartition("-")[2])), []).append(float(at) / 1000)
+        found = []
+        for n, (at, dest, to) in enumerate(self.moves):
+            ends = next((then for then, other, _ in self.moves[n + 1:] if other == dest), float("inf"))
+            before = "b" if to == "a" else "a"
+            old = [each - at for each in calls.get((before, dest), []) if at < each < ends]
+            found.append(max(old, default=0.0))
+        return found
+
+    def calls_to(self, dest: int, place: str) -> list[str]:
+        """Ids of its messages that were called there."""
+        idents = [line.split()[1] for line in lines(self.folder / f"calls {place}")]
+        return [ident for ident in idents if int(ident.rpartition("-")[2]) == dest]
+
+    # -- instances -------------------------------------------------------------------------------------------
+
+    async def report(self, n: int) -> Report:
+        """Raises StatusError."""
+        told = await ask(self.folder / "run" / f"{n}.sock")
+        assert isinstance(told, Report)
+        return told
+
+    async def role(self, n: int, role: str) -> dict[str, Any]:
+        return dict((await self.report(n)).shards or {})[role]
+
+    async def loaded(self, seconds: float = 60.0) -> None:
+        """Until each keeper has a list."""
+        async with asyncio.timeout(seconds):
+            for n in range(self.keepers):
+                while True:
+                    with contextlib.suppress(StatusError):
+                        if not (await self.role(n, "keeper"))["loading"]:
+                            break
+                    await asyncio.sleep(0.05)
+
+    async def followed(self, seconds: float = 60.0) -> None:
+        """Until each keeper but those with an old register is at the latest generation."""
+        async with asyncio.timeout(seconds):
+            for n in (n for n in range(self.keepers) if n not in self.old):
+                while True:
+                    with contextlib.suppress(StatusError):
+                        if (await self.role(n, "keeper"))["version"][1] == self.register.generation:
+                            break
+                    await asyncio.sleep(0.05)
+
+    async def close(self) -> None:
+        try:
+            await super().close()
+        finally:
+            for each in (self.register, self.old_register):
+                each.server.close()
+            self.notices.close()
+
+
+@contextlib.asynccontextmanager
+async def shards_town(keepers: int = 3, relays: int = 3, **more: Any) -> AsyncIterator[ShardsTown]:
+    with tempfile.TemporaryDirectory(prefix="linnetstile-") as folder:
+        it = ShardsTown(Path(folder), keepers + relays, more.pop("rate", 1000.0), False, keepers=keepers,
+                        fleet_of=keepers + relays, **more)
+        try:
+            await it.set_up()
+            if it.on:
+                await it.loaded()
+            yield it
+        finally:
+            await it.close()
+
+
+@contextlib.asynccontextmanager
+async def traffic(it: ShardsTown, rate: float, dests: list[int]) -> AsyncIterator[Clients]:
+    """Goes on meanwhile."""
+    clients = Clients(it)
+    work = asyncio.ensure_future(clients.run(rate, 600.0, dests))
+    try:
+        yield clients
+    finally:
+        work.cancel()
+        await asyncio.gather(work, return_exceptions=True)
+        await clients.settled()
+        clients.close()
--- a/tests/shards/test_relaying.py
+++ b/tests/shards/test_relaying.py
@@ -104,6 +104,7 @@
 
             relay.node.ask = noted  # type: ignore[method-assign]
             assert relay.messages.holding == 50
+            assert not relay.host.open and len(relay.shards.reader.wants) == 50  # before all else
             await it.begin(0)
             await until(lambda: all(each.end == "delivered" for each in relay.entries.values()))
             wanted = next(each for each in asked if each)
@@ -262,6 +263,30 @@
     run(work())
 
 
+def test_what_was_learned_of_a_destination_keeps_its_shard_here(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7, 8), 0, 1, idle_s=1.0) as it:
+            relay = it.instances[1]
+            await learned(relay, 7)
+            await learned(relay, 8, "other")
+            relay.host.relay.lanes[7][-1].wait_until = relay.host.turns.now() + 4000.0
+            await until(lambda: not relay.shards.here(8))
+            assert relay.shards.here(7)
+            begun = asyncio.get_running_loop().time()
+            await until(lambda: not relay.shards.here(7))
+            assert asyncio.get_running_loop().time() - begun > 1.0
+    run(work())
+
+
+def test_a_destination_that_is_not_known_yet_is_taken_to_be_as_fast_as_one_whose_rate_is_not_listed(
+        tmp_path: Path) -> None:
+    """Else what waits for its shard would be refused first, and its clients told to stay away for minutes."""
+    async def work() -> None:
+        async with fleet(tmp_path, [], 0) as it:
+            assert it.instances[0].host.relay.endings.drained(1000.0, 5, 1) == 3000.0
+    run(work())
+
+
 def test_a_told_wait_outlasts_a_restart_though_its_shard_comes_later(tmp_path: Path) -> None:
     async def work() -> None:
         async with fleet(tmp_path, listed(7), 0, 1) as it:
