--- /dev/null
+++ b/benchmarks/shards.py
@@ -0,0 +1,292 @@
+"""The directory by interest on real processes: one play of each hard case, and what it costs a relay.
+
+    python -m benchmarks.shards [--json] [--plays killed,frozen,...] [--budget] [--sizes 1000,...]
+
+Plays: 3 keepers and 3 relays through the fault net, traffic to 60 of 400 destinations, ten of which move to
+another address every two seconds. `force`: how long after a move, as the register told it, the last call was
+made by the entry before it. `broken`: messages that were lost, doubled or told two ends, by the ledgers. The
+budget: `--budget`, with keepers of 360,000 destinations beside one real relay. Nothing else should run.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from .shards_budget import budget
+from .shards_town import Clients, ShardsTown, entry, shards_town, traffic
+
+RATE = 120.0  # messages a second, of all clients
+USED = list(range(1, 61))  # destinations with traffic all the time
+MOVED, MOVE_S = 10, 2.0  # so many move at once, so often
+DRAIN_S = 25.0  # past the longest deadline
+BOUND_S = 12.0
+Play = Callable[[], Awaitable[dict[str, Any]]]
+
+
+async def moving(it: ShardsTown, seconds: float) -> None:
+    rng, ends = random.Random(7), time.monotonic() + seconds
+    while time.monotonic() < ends:
+        it.move(*rng.sample(USED, MOVED))
+        await asyncio.sleep(MOVE_S)
+
+
+async def told(it: ShardsTown, clients: Clients) -> dict[str, Any]:
+    """After the play: what the ledgers say."""
+    await it.drained(DRAIN_S)
+    late = sorted(it.late())
+    readers = [await it.role(n, "reader") for n in it.relays]
+    found: dict[str, Any] = {
+        "handed in": len(clients.asked), "taken": len(clients.taken), "answers": clients.answers,
+        "broken": it.broken(clients.taken), "failed": sum("failed" in ends for ends in it.ends().values()),
+        "stale refused": sum(each["stale_refused"] for each in readers),
+        "ask failures": sum(each["failures"] for each in readers),
+        "unreadable": sum(each["unreadable"] for each in readers),
+    }
+    if late:
+        found |= {"moves": len(late), "force p50 s": round(late[len(late) // 2], 2),
+                  "force p99 s": round(late[int(0.99 * (len(late) - 1))], 2),
+                  "force most s": round(late[-1], 2)}
+    return found
+
+
+async def under(fault: Callable[[ShardsTown, Clients], Awaitable[None]], **more: Any) -> dict[str, Any]:
+    """Traffic and moves, with a fault among them."""
+    async with shards_town(3, 3, **more) as it:
+        async with traffic(it, RATE, USED) as clients:
+            await asyncio.sleep(1.0)
+            moves = asyncio.ensure_future(moving(it, 600.0))
+            await asyncio.sleep(3.0)
+            await fault(it, clients)
+            moves.cancel()
+            await asyncio.gather(moves, return_exceptions=True)
+            await asyncio.sleep(BOUND_S)
+        return await told(it, clients)
+
+
+async def calm() -> dict[str, Any]:
+    async def fault(it: ShardsTown, clients: Clients) -> None:
+        await asyncio.sleep(12.0)
+
+    return await under(fault)
+
+
+async def killed() -> dict[str, Any]:
+    """A keeper is killed in the middle of a shard's answer: what comes of it is a trickle."""
+    async def fault(it: ShardsTown, clients: Clients) -> None:
+        for relay in it.relays:
+            await it.net("set", "n0", f"n{relay}", bytes_s=2000.0)
+        for dest in range(61, 361):
+            clients.hand_in(dest, it.relays[dest % 3])
+        await asyncio.sleep(0.4)
+        await it.kill(0)
+        await asyncio.sleep(8.0)
+        await it.net("heal")
+        await it.begin(0)
+        await asyncio.sleep(5.0)
+
+    return await under(fault)
+
+
+async def frozen() -> dict[str, Any]:
+    """A keeper stands still for 20 s, and then a relay does."""
+    async def fault(it: ShardsTown, clients: Clients) -> None:
+        it.freeze(0)
+        await asyncio.sleep(20.0)
+        it.thaw(0)
+        await asyncio.sleep(3.0)
+        it.freeze(it.relays[0])
+        await asyncio.sleep(15.0)
+        it.thaw(it.relays[0])
+        await asyncio.sleep(5.0)
+
+    return await under(fault)
+
+
+async def behind() -> dict[str, Any]:
+    """One keeper hears of no change, though its source confirms it: it is behind by all changes of the play
+    and 300 before it. For a while it is the only one that can be reached."""
+    async def fault(it: ShardsTown, clients: Clients) -> None:
+        await asyncio.sleep(8.0)
+        for dest in range(61, 161):
+            clients.hand_in(dest, it.relays[dest % 3])
+        others = ["n0", "n2"]
+        for relay in it.relays:
+            await it.net("set", f"n{relay}", others, cut=True)
+            await it.net("set", others, f"n{relay}", cut=True)
+        await asyncio.sleep(6.0)
+        await it.net("heal")
+        await asyncio.sleep(6.0)
+
+    async with shards_town(3, 3, old=(1,)) as it:
+        for _ in range(30):
+            it.move(*random.Random(3).sample(range(1, it.dests + 1), 10))
+        it.moves.clear()  # nobody has called yet
+        await it.followed()
+        async with traffic(it, RATE, USED) as clients:
+            await asyncio.sleep(1.0)
+            moves = asyncio.ensure_future(moving(it, 600.0))
+            await fault(it, clients)
+            moves.cancel()
+            await asyncio.gather(moves, return_exceptions=True)
+            await asyncio.sleep(BOUND_S)
+        return await told(it, clients)
+
+
+async def restarted() -> dict[str, Any]:
+    """All keepers end and start together, while messages come for shards that no relay has."""
+    async def fault(it: ShardsTown, clients: Clients) -> None:
+        await asyncio.gather(*(it.kill(n) for n in range(3)))
+        for dest in range(61, 361):
+            clients.hand_in(dest, it.relays[dest % 3])
+        await asyncio.sleep(1.0)
+        await asyncio.gather(*(it.begin(n) for n in range(3)))
+        await asyncio.sleep(8.0)
+
+    return await under(fault)
+
+
+async def one_way() -> dict[str, Any]:
+    """What keepers say does not come, what is asked of them does; then the other way round."""
+    async def fault(it: ShardsTown, clients: Clients) -> None:
+        relays = [f"n{n}" for n in it.relays]
+        for some, others in ((["n0", "n1", "n2"], relays), (relays, ["n0", "n1", "n2"])):
+            await it.net("set", some, others, cut=True)
+            await asyncio.sleep(4.0)
+            await it.net("heal")
+            await asyncio.sleep(4.0)
+        await it.net("set", "n0", relays, cut=True)
+        await asyncio.sleep(15.0)
+        await it.net("heal")
+        await asyncio.sleep(4.0)
+
+    return await under(fault)
+
+
+async def doubled() -> dict[str, Any]:
+    """Datagrams come twice, late and in another order, and a third is lost; connections are slow and uneven,
+    and end now and then in the middle."""
+    async def fault(it: ShardsTown, clients: Clients) -> None:
+        await it.net("set", twice=0.5, late=0.2, loss=0.3, delay_ms=20.0, jitter_ms=150.0)
+        for turn in range(8):
+            for dest in range(61 + 40 * turn, 101 + 40 * turn):
+                clients.hand_in(dest, it.relays[dest % 3])
+            await asyncio.sleep(2.5)
+            await it.net("reset")
+        await it.net("heal")
+
+    return await under(fault)
+
+
+async def unreadable() -> dict[str, Any]:
+    """Entries that can't be read: a port that is none, no address, a rate below 0, and no entry at all; then
+    two that are known change to such."""
+    spoilt = (entry(900, "127.0.0.1:99999"), entry(901, ""), entry(902, "127.0.0.1:9", weight=-1),
+              {"instanceId": "x"})
+
+    async def fault(it: ShardsTown, clients: Clients) -> None:
+        it.register.change([entry(dest, "nowhere") for dest in (300, 301)])
+        await it.followed()
+        for dest in (*range(295, 310), 900, 901, 902):
+            clients.hand_in(dest, it.relays[0])
+        await asyncio.sleep(8.0)
+
+    return await under(fault, spoilt=spoilt)
+
+
+async def held() -> dict[str, Any]:
+    """3 relays are killed with 500 messages held over 400 shards, whose keepers are away; some of their
+    destinations move meanwhile."""
+    async with shards_town(3, 3, dests=1200, count=4096) as it:
+        await asyncio.gather(*(it.kill(n) for n in range(3)))
+        clients = Clients(it)
+        for n in range(500):
+            clients.hand_in(1 + 2 * n, it.relays[n % 3], "order", 60_000.0)
+        await clients.settled()
+        before = len(clients.taken)
+        await asyncio.gather(*(it.kill(n) for n in it.relays))
+        moved = [1 + 2 * n for n in range(0, 500, 10)]
+        it.move(*moved)
+        begun = time.monotonic()
+        await asyncio.gather(*(it.begin(n) for n in range(6)))
+        await it.drained(60.0)
+        took = time.monotonic() - begun
+        wrong = sum(len(it.calls_to(dest, "a")) for dest in moved)
+        found = await told(it, clients)
+        clients.close()
+        return found | {"held": before, "drained s": round(took, 1), "delivered": len(it.effects()),
+                        "calls at places that were left": wrong}
+
+
+async def waiting() -> dict[str, Any]:
+    """Destinations move, twice, while their messages wait for the shard."""
+    async with shards_town(3, 3) as it:
+        await asyncio.gather(*(it.kill(n) for n in range(3)))
+        clients = Clients(it)
+        moved = list(range(100, 160))
+        for dest in moved:
+            clients.hand_in(dest, it.relays[dest % 3])
+        await clients.settled()
+        it.move(*moved)
+        it.move(*moved[:30])
+        await asyncio.gather(*(it.begin(n) for n in range(3)))
+        found = await told(it, clients)
+        wrong = sum(len(it.calls_to(dest, "b" if it.where[dest] == "a" else "a")) for dest in moved)
+        clients.close()
+        return found | {"delivered": len(it.effects()), "calls at places that were left": wrong}
+
+
+PLAYS: dict[str, Play] = {
+    "calm": calm, "killed": killed, "frozen": frozen, "behind": behind, "restarted": restarted,
+    "one_way": one_way, "doubled": doubled, "unreadable": unreadable, "held": held, "waiting": waiting,
+}
+
+
+def faults(name: str, found: dict[str, Any]) -> list[str]:
+    bad = [f"{name}: {text}" for text in found["broken"]]
+    if found.get("force most s", 0.0) > BOUND_S:
+        bad.append(f"{name}: a call by what was known {found['force most s']} s before")
+    if found.get("calls at places that were left"):
+        bad.append(f"{name}: calls at places that were left before")
+    return bad
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.shards")
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--plays", default=",".join(PLAYS), help="by name, with commas; empty: none")
+    parser.add_argument("--budget", action="store_true")
+    parser.add_argument("--sizes", default="1000,10000", help="destinations in use, of 360,000")
+    args = parser.parse_args()
+    results: dict[str, Any] = {}
+    bad: list[str] = []
+    for name in (each for each in args.plays.split(",") if each):
+        results[name] = asyncio.run(_played(PLAYS[name]))
+        bad += faults(name, results[name])
+        if not args.json:
+            said = ", ".join(f"{key} {value}" for key, value in results[name].items())
+            print(f"{name}: {said}", flush=True)
+    if args.budget:
+        results["budget"] = asyncio.run(budget([int(each) for each in args.sizes.split(",")]))
+    if args.json or args.budget:
+        print(json.dumps(results, indent=1))
+    for text in bad:
+        print(text, file=sys.stderr)
+    return 1 if bad else 0
+
+
+async def _played(play: Play) -> dict[str, Any]:
+    begun = time.monotonic()
+    return await play() | {"took s": round(time.monotonic() - begun, 1)}
+
+
+if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that no process is left behind
+    sys.exit(main())
--- a/linnetstile/shards/node.py
+++ b/linnetstile/shards/node.py
@@ -258,7 +258,8 @@
     # -- for people ------------------------------------------------------------------------------------------
 
     def told(self) -> dict[str, Any]:
-        told = {"reader": msgspec.to_builtins(self.reader.told(self.now())) | dict(self.counts)}
+        told = {"reader": msgspec.to_builtins(self.reader.told(self.now())) | dict(self.counts),
+                "peers": {name: self.peers.counts[name] for name in ("sent_bytes", "received_bytes")}}
         if self.keeper is not None and self.source is not None:
             told["keeper"] = msgspec.to_builtins(self.keeper.told(self.now())) | {
                 "source_failures": self.source.failures, "entries_passed_over": self.source.passed.count}
--- a/tests/shards/test_source.py
+++ b/tests/shards/test_source.py
@@ -258,6 +258,7 @@
         agent.tell(listing(many(4), 10))
         await until(lambda: it.version == (1, 10))
         assert len(rows(it)) == 4
+        assert [("from" in seen.target) for seen in agent.seen[:3]] == [False, True, False]
         task.cancel()
     run(work())
 
@@ -288,7 +289,9 @@
         await until(lambda: it.version == (1, 1))
         watch.reload(one.address)
         assert watch.generation == 1
+        await until(lambda: len(one.seen) == 2)
         watch.reload(other.address)
+        one.tell(listing([], 1, False))  # what it was asked before
         await until(lambda: it.version == (1, 2))
         assert "from" not in other.seen[0].target and len(rows(it)) == 5
         task.cancel()
