--- a/linnetstile/core/messages.py
+++ b/linnetstile/core/messages.py
@@ -165,8 +165,6 @@
                 continue
             if entry.class_ not in self.classes:
                 self.end(entry, "failed")  # the settings no longer know its class
-            elif self.interest is not None and self._nowhere(entry.dest):
-                self.end(entry, "failed")  # taken before its shard came, and in none
             else:
                 risk = entry.risk
                 self._hold(entry, self._message(
--- a/tests/shards/test_relaying.py
+++ b/tests/shards/test_relaying.py
@@ -199,6 +199,16 @@
     run(work())
 
 
+def test_who_waits_for_what_is_new_goes_on_when_it_has_come(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with fleet(tmp_path, listed(7), 0, 1) as it:
+            relay = it.instances[1]
+            await learned(relay, 7)
+            waiting = [asyncio.ensure_future(relay.shards.renewed()) for _ in range(3)]
+            await until(lambda: all(each.done() for each in waiting))
+    run(work())
+
+
 def test_the_gate_holds_back_what_has_become_old_while_a_connection_was_looked_for(tmp_path: Path) -> None:
     async def work() -> None:
         async with fleet(tmp_path, listed(7), 0, 1) as it:
