--- a/benchmarks/shards.py
+++ b/benchmarks/shards.py
@@ -1,6 +1,6 @@
 """The directory by interest on real processes: one play of each hard case, and what it costs a relay.
 
-    python -m benchmarks.shards [--json] [--plays killed,frozen,...] [--budget] [--sizes 1000,...]
+    python -m benchmarks.shards [--json] [--plays killed,...] [--budget] [--sizes 1000,...] [--no-storm]
 
 Plays: 3 keepers and 3 relays through the fault net, traffic to 60 of 400 destinations, ten of which move to
 another address every two seconds. `force`: how long after a move, as the register told it, the last call was
@@ -20,7 +20,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from .shards_budget import budget
+from .shards_budget import DESTS, budget
 from .shards_town import Clients, ShardsTown, entry, shards_town, traffic
 
 RATE = 120.0  # messages a second, of all clients
@@ -264,6 +264,8 @@
     parser.add_argument("--plays", default=",".join(PLAYS), help="by name, with commas; empty: none")
     parser.add_argument("--budget", action="store_true")
     parser.add_argument("--sizes", default="1000,10000", help="destinations in use, of 360,000")
+    parser.add_argument("--known", type=int, default=DESTS, help="destinations at the keepers")
+    parser.add_argument("--no-storm", action="store_true")
     args = parser.parse_args()
     results: dict[str, Any] = {}
     bad: list[str] = []
@@ -274,7 +276,8 @@
             said = ", ".join(f"{key} {value}" for key, value in results[name].items())
             print(f"{name}: {said}", flush=True)
     if args.budget:
-        results["budget"] = asyncio.run(budget([int(each) for each in args.sizes.split(",")]))
+        results["budget"] = asyncio.run(budget(
+            [int(each) for each in args.sizes.split(",")], args.known, not args.no_storm))
     if args.json or args.budget:
         print(json.dumps(results, indent=1))
     for text in bad:
--- a/benchmarks/shards_budget.py
+++ b/benchmarks/shards_budget.py
@@ -48,7 +48,7 @@
     rng = random.Random(5)
     while True:
         await asyncio.sleep(rng.expovariate(a_second))
-        it.register.change([entry(rng.randint(1, DESTS), it.at[rng.choice("ab")])])
+        it.register.change([entry(rng.randint(1, it.dests), it.at[rng.choice("ab")])])
 
 
 async def with_changes(it: ShardsTown, a_second: float) -> dict[str, float]:
@@ -75,7 +75,7 @@
 async def stormed(it: ShardsTown) -> dict[str, float]:
     rng, begun = random.Random(6), time.monotonic()
     before = await taken(it)
-    dests = rng.sample(range(1, DESTS + 1), STORM)
+    dests = rng.sample(range(1, it.dests + 1), min(STORM, it.dests))
     pieces = 60
     for n in range(pieces):
         it.register.change([entry(dest, it.at["b"]) for dest in dests[n::pieces]])
@@ -86,25 +86,25 @@
     async with asyncio.timeout(120.0):
         while (await it.role(it.relays[0], "reader"))["version"][1] < it.register.generation:
             await asyncio.sleep(0.05)
-    return {"changes": STORM, "within s": STORM_S, "keepers follow after s": round(kept, 1),
+    return {"changes": len(dests), "within s": STORM_S, "keepers follow after s": round(kept, 1),
             "the relay follows after s": round(time.monotonic() - ended, 1),
             **between(before, await taken(it))}
 
 
-async def budget(sizes: list[int]) -> dict[str, Any]:
-    """Ascending sizes: destinations in use at the relay."""
-    found: dict[str, Any] = {"destinations": DESTS}
+async def budget(sizes: list[int], known: int = DESTS, storm: bool = True) -> dict[str, Any]:
+    """Ascending sizes: destinations in use at the relay, of `known`."""
+    found: dict[str, Any] = {"destinations": known}
     async with shards_town(1, 1, on=False, dests=1, hold=2000) as it:
         await asyncio.sleep(2.0)
         clients = Clients(it)
         await use(it, clients, [1] * 1000)
         clients.close()
         found["without"] = await window(it)
-    async with shards_town(2, 1, dests=DESTS, count=SHARDS, hold=2000, idle_s=3600.0) as it:
+    async with shards_town(2, 1, dests=known, count=SHARDS, hold=2000, idle_s=3600.0) as it:
         await asyncio.sleep(2.0)
         found["keeper"] = {"RSS MB": round((await it.report(0)).rss_mb, 1)}
         found["none in use"] = await window(it)
-        dests = list(range(1, DESTS + 1))
+        dests = list(range(1, known + 1))
         random.Random(4).shuffle(dests)
         clients, before = Clients(it), 0
         for size in sizes:
@@ -117,7 +117,8 @@
             row["plan x 100"] = await with_changes(it, 100 * PLAN / DAY_S)
             row["reader"] = await it.role(it.relays[0], "reader")
             found[f"{size} in use"] = row
-        found["storm"] = await stormed(it)
+        if storm:
+            found["storm"] = await stormed(it)
         found["keeper after"] = {"RSS MB": round((await it.report(0)).rss_mb, 1),
                                  "lag ms": (await it.report(0)).lag.most_ms}
         found["broken"] = it.broken(clients.taken)
