--- a/linnetstile/fleet/instance.py
+++ b/linnetstile/fleet/instance.py
@@ -142,6 +142,8 @@
         assert told is not None
         if told.fleet.share_rates != self.told.fleet.share_rates:
             log.warning(Note("a change of fleet.share_rates waits for a restart"))
+        if told.shards != self.told.shards:
+            log.warning(Note("a change of [shards] waits for a restart"))
         super().reload()
         self.told = told
         logging.getLogger().setLevel(told.log.level.upper())
