--- a/linnetstile/core/directory.py
+++ b/linnetstile/core/directory.py
@@ -62,7 +62,7 @@
                 changed[before.key] = False
                 concerned.add(before.entry.destination)
                 self._count(before.entry.destination, -1)
-            if known.entry.listing is not Listing.GONE:
+            if known.entry.listing not in (Listing.GONE, Listing.UNNEEDED):
                 self.by_name[known.name] = self.by_number[known.entry.id] = known
                 changed[known.key] = known.ready
                 self._count(known.entry.destination, 1)
--- a/linnetstile/decisions/endings.py
+++ b/linnetstile/decisions/endings.py
@@ -27,6 +27,7 @@
         self.ends: list[tuple[float, int]] = []  # heap: when a message can no longer be delivered
         self.poor: list[tuple[float, float, int]] = []  # heap: queues by what is worth least in them
         self.crowded = False  # more than one turn may refuse
+        self.unknown = 0.01  # calls a second, nearly none, at a destination without any endpoint
 
     def expect(self, now: float, held: Held) -> None:
         """Sets when a message is closed that has not been delivered by then."""
@@ -83,18 +84,17 @@
         for _ in range(min(ROLLING + POOR, len(queues)) - len(some)):
             queues.move_to_end(next(iter(queues)))
             some[next(reversed(queues))] = None
-        best: tuple[float, float, Held] | None = None
+        found = list[tuple[float, float, Held]]()
         for dest in some:
-            queue, found = queues[dest], self.poorest(now, queues[dest])
-            queue.poorest = found and found[:2]
-            if found is not None:
-                heapq.heappush(self.poor, (*found[:2], dest))
-                if best is None or found[:2] < best[:2]:
-                    best = found
+            poorest = self.poorest(now, queues[dest])
+            queues[dest].poorest = poorest and poorest[:2]
+            if poorest is not None:
+                heapq.heappush(self.poor, (*poorest[:2], dest))
+                found.append(poorest)
         if len(self.poor) > 64 + 4 * len(queues):
             self.poor = [(*q.poorest, q.dest) for q in queues.values() if q.poorest]
             heapq.heapify(self.poor)
-        return best
+        return min(found, key=lambda each: each[:2]) if found else None
 
     def poorest(self, now: float, queue: Queue) -> tuple[float, float, Held] | None:
         """What ending it now loses, its worth now, and the message for which both are least."""
@@ -110,4 +110,4 @@
     def speed(self, now: float, dest: int) -> float:
         """Calls a second that this relay may expect to place at a destination."""
         lanes = self.members.lanes.get(dest, {}).values()
-        return sum(self.paces.pace(now, lane, suspect(lane, now))[0] for lane in lanes) or 0.01
+        return sum(self.paces.pace(now, lane, suspect(lane, now))[0] for lane in lanes) or self.unknown
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -48,6 +48,7 @@
     READY = "ready"
     DRAINING = "draining"
     GONE = "gone"
+    UNNEEDED = "unneeded"  # it may well be there, but nobody here needs to know it any more
 
 
 class ListKind(Enum):
--- a/linnetstile/decisions/members.py
+++ b/linnetstile/decisions/members.py
@@ -44,26 +44,27 @@
         if event.kind is not ListKind.CACHED:
             self.ask_fails, self.ask_at = 0, FOREVER
         ready = {entry.id: entry for entry in event.entries if entry.listing is Listing.READY}
-        changes = event.kind is ListKind.CHANGES
-        named = sorted({entry.id for entry in event.entries} if changes else self.doors)
-        for ident in [ident for ident in named if ident in self.doors]:
+        unneeded = {entry.id for entry in event.entries if entry.listing is Listing.UNNEEDED}
+        named = {entry.id for entry in event.entries} if event.kind is ListKind.CHANGES else set(self.doors)
+        for ident in sorted(ident for ident in named if ident in self.doors):
             if ident not in ready or self._lane_key(ready[ident]) != self._lane_key(self.doors[ident].entry):
-                self._drop(now, self.doors.pop(ident))
+                self._drop(now, self.doors.pop(ident), ident in unneeded)
         for entry in ready.values():
             self._add(now, entry)
         while self.fading and self.fading[0][0] <= now:
             self._fade(now, heapq.heappop(self.fading)[1])
 
-    def _drop(self, now: float, door: Door) -> None:
-        """Nothing new goes to an endpoint that drains or is gone; a lane goes with its last trace."""
+    def _drop(self, now: float, door: Door, unneeded: bool) -> None:
+        """Nothing new goes to an endpoint that drains or is gone; a lane goes with its last trace, or at once
+        where nobody needs to know it any more: what comes back then was not down, and is not cold."""
         dest = door.entry.destination
         del door.lane.doors[door.entry.id]
         self.board.look(dest)
         if not door.lane.doors:
-            if door.lane.bad_since is None:
+            if door.lane.bad_since is None and not unneeded:
                 door.lane.bad_since = now
-            door.lane.bare_since = now
-            heapq.heappush(self.fading, (now + GONE_MS, dest))
+            door.lane.bare_since = NEVER if unneeded else now
+            heapq.heappush(self.fading, (now + GONE_MS * (not unneeded), dest))
 
     def _fade(self, now: float, dest: int) -> None:
         """Forgets what was learned of lanes without endpoints, unless something still hangs on it. Not too
--- a/linnetstile/decisions/state.py
+++ b/linnetstile/decisions/state.py
@@ -208,16 +208,15 @@
         course = self._course(queue, held)
         held.course, held.ripe_at = course, NEVER
         at = self.turn(held)
+        self.unsure[dest] = None
         if at > now:
             insort(course.parked, (held.since, held.msg.id, held))
             self._ripen(held, at)
-        else:
-            insort(course.ready, (held.since, held.msg.id, held))
-        self.unsure[dest] = None
-        if at <= now:
-            queue.fresh.append(held)
-            # What was found there stands: the newcomer is added, unless others stand for all of the course.
-            self.due[dest] = self.due.get(dest, False) or len(course.ready) > FULL_VIEW
+            return
+        insort(course.ready, (held.since, held.msg.id, held))
+        queue.fresh.append(held)
+        # What was found there stands: the newcomer is added, unless others stand for all of the course.
+        self.due[dest] = self.due.get(dest, False) or len(course.ready) > FULL_VIEW
 
     def _course(self, queue: Queue, held: Held) -> Course:
         """Guards looks against many different times to live: beyond some they are taken in steps."""
--- a/linnetstile/fleet/instance.py
+++ b/linnetstile/fleet/instance.py
@@ -83,9 +83,9 @@
         self.status = None if folder is None else StatusSocket(folder / f"{number}.sock", self.report)
 
     def report(self) -> report.Report:
-        return report.of(
-            self.host, self.number, self.state, self.began, self.lag.told(), self.told.status.destinations
-        )
+        shards = None if self.common is None or self.common.shards is None else self.common.shards.told()
+        return report.of(self.host, self.number, self.state, self.began, self.lag.told(),
+                         self.told.status.destinations, shards)
 
     async def serving(self) -> None:
         self.state = "serving"
@@ -142,6 +142,8 @@
         assert told is not None
         if told.fleet.share_rates != self.told.fleet.share_rates:
             log.warning(Note("a change of fleet.share_rates waits for a restart"))
+        if told.shards != self.told.shards:
+            log.warning(Note("a change of [shards] waits for a restart"))
         super().reload()
         self.told = told
         logging.getLogger().setLevel(told.log.level.upper())
--- a/linnetstile/shards/holding.py
+++ b/linnetstile/shards/holding.py
@@ -284,7 +284,7 @@
         for name in held.told:
             del self.names[name]
         self.endpoints -= len(held.told)
-        self._update([], [(name, Listing.GONE) for name in held.told])
+        self._update([], [(name, Listing.UNNEEDED) for name in held.told])
         self.top = max(self.top, self.as_of(held))
         del self.held[shard]
         self.behind.discard(shard)
