--- /dev/null
+++ b/benchmarks/capacity/store.py
@@ -0,0 +1,94 @@
+"""What a start costs by what the journal holds, and what an event costs the journal by how much it holds."""
+
+from __future__ import annotations
+
+import gc
+import os
+import tempfile
+import time
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+
+from linnetstile.fleet.report import rss_mb
+from linnetstile.store.journal import Entry, Journal
+
+from .form import Measure
+
+BODY = 300  # bytes
+LIFE_MS = 3_600_000.0  # nothing dies while it is measured
+EVENTS = 4000  # messages, with four records each
+ROOM = 6000  # bytes of the folder for each message held: twice what it needs, records to come included
+
+
+def entry(number: int) -> Entry:
+    return Entry(f"{number:016x}", "order", "t", number % 1000, f"k{number:016x}", 1e6, 1e6 + LIFE_MS, "",
+                 bytes(BODY))
+
+
+def entries(first: int, count: int) -> Iterator[Entry]:
+    return (entry(number) for number in range(first, first + count))
+
+
+def filled(folder: Path, size: int) -> Journal:
+    journal = Journal(folder, ROOM * (size + EVENTS) + 10_000_000)
+    for each in entries(0, size):
+        journal.take(each)
+    return journal
+
+
+def start(size: int) -> Mapping[str, float]:
+    """By a process that has held none of it: a child fills the folder."""
+    with tempfile.TemporaryDirectory() as name:
+        _elsewhere(Path(name), size)
+        gc.collect()
+        before, cpu = rss_mb(), time.process_time()
+        journal = Journal(Path(name), ROOM * (size + EVENTS) + 10_000_000)
+        cpu = time.process_time() - cpu
+        assert len(journal.entries) == size
+        told = {"cpu_ms": 1e3 * cpu, "memory_bytes": 1e6 * (rss_mb() - before),
+                "disk_bytes": float(journal.size)}
+        journal.close()
+        return told
+
+
+def _elsewhere(folder: Path, size: int) -> None:
+    child = os.fork()
+    if child == 0:
+        status = 1
+        try:
+            filled(folder, size).close()
+            status = 0
+        finally:
+            os._exit(status)
+    if os.waitpid(child, 0)[1] != 0:
+        raise ValueError("the journal could not be filled")
+
+
+def message(size: int) -> Mapping[str, float]:
+    with tempfile.TemporaryDirectory() as name:
+        journal = filled(Path(name), size)
+        gc.collect()
+        gc.freeze()  # as the daemon does
+        written, copied, cpu = journal.written, journal.copied, time.process_time()
+        now = 1e6
+        for each in entries(size, EVENTS):
+            journal.take(each)
+            journal.tried(each, now, "s-5be2a07c", 0)
+            journal.ended(each, "returned", 500.0)
+            journal.told([each.id])
+        cpu = time.process_time() - cpu
+        disk = journal.written - written + journal.copied - copied
+        journal.close()
+        return {"disk_bytes": disk / EVENTS, "cpu_us": 1e6 * cpu / EVENTS}
+
+
+MEASURES: tuple[Measure, ...] = (
+    Measure("store.start", "record", (6_250, 12_500, 25_000, 50_000), 200_000,
+            {"cpu_ms": "ms", "memory_bytes": "bytes", "disk_bytes": "bytes"}, start,
+            "linnetstile/store/recovery.py",
+            f"bodies of {BODY} bytes, untried; memory: the journal's entries with their bodies", 1),
+    Measure("store.message", "record", (2_500, 5_000, 10_000, 20_000), 80_000,
+            {"disk_bytes": "bytes", "cpu_us": "us"}, message, "linnetstile/store/journal.py",
+            f"take, tried, ended, told: {EVENTS} messages of {BODY} bytes beside those held; "
+            "no syncs, copies of old segments counted", 1),
+)
