--- a/linnetstile/decisions/members.py
+++ b/linnetstile/decisions/members.py
@@ -60,8 +60,7 @@
         del door.lane.doors[door.entry.id]
         self.board.look(dest)
         if not door.lane.doors:
-            if door.lane.bad_since is None:
-                door.lane.bad_since = now
+            door.lane.bad_since = now if door.lane.bad_since is None else door.lane.bad_since
             door.lane.bare_since = now
             heapq.heappush(self.fading, (now + GONE_MS, dest))
 
@@ -81,6 +80,7 @@
                 del lanes[key]
         if not lanes:
             self.lanes.pop(dest, None)
+            self.board.noted.pop(dest, None)
 
     def _add(self, now: float, entry: Endpoint) -> None:
         dest, key = self._lane_key(entry)
@@ -112,13 +112,11 @@
 
     def learned(self, now: float) -> list[Learned]:
         """Outages, cold returns, told waits. Not of routes apart: their endpoints get other numbers."""
-        found = []
-        for dest, lanes in self.lanes.items():
-            lane = lanes.get(-1)
-            if lane is None:
-                continue
+        found, noted, self.board.noted = list[Learned](), self.board.noted, {}
+        for dest, lane in [(dest, self.lanes[dest][-1]) for dest in noted if -1 in self.lanes.get(dest, ())]:
             cold = now - lane.cold_since if now < lane.cold_since + self.s.safety.cold_ms else None
             if lane.sick or cold is not None or now < lane.wait_until:
+                self.board.noted[dest] = None
                 bad = None if lane.bad_since is None else max(0.0, now - lane.bad_since)
                 found.append(Learned(dest, max(0.0, lane.wait_until - now), lane.sick, bad, cold))
         return found
--- a/linnetstile/decisions/state.py
+++ b/linnetstile/decisions/state.py
@@ -153,6 +153,7 @@
         self.looks: list[tuple[float, int]] = []  # heap: when a queue is looked at again
         self.due: OrderedDict[int, bool] = OrderedDict()  # destinations to look at now, and whether wholly
         self.unsure: OrderedDict[int, None] = OrderedDict()  # those whose poorest message may be another now
+        self.noted: dict[int, None] = {}  # destinations of which there may be something to remember
 
     def add(self, held: Held) -> None:
         self.held[held.msg.id] = held
@@ -282,6 +283,7 @@
 
     def look(self, dest: int) -> None:
         """Something has changed there: it is looked at in this turn, or as soon as there are slots."""
+        self.noted[dest] = None
         if dest in self.queues:
             self.due[dest], self.unsure[dest] = True, None
 
--- a/linnetstile/http/agent.py
+++ b/linnetstile/http/agent.py
@@ -9,7 +9,9 @@
 from ..core.growing import Growing
 from .link import Link, LinkLost
 
-ANSWER_BYTES = 1 << 20
+# A list of some 26,000 endpoints, at most: it takes 2 KB of memory for each, of 192 MB, and holds up the loop
+# for half a second. A longer one is refused, and what is known goes on serving.
+ANSWER_BYTES = 4 << 20
 
 
 class AgentError(Exception):
--- a/linnetstile/http/link.py
+++ b/linnetstile/http/link.py
@@ -13,7 +13,8 @@
 from ..config import Address
 
 HEAD_BYTES = 16 * 1024  # an answer's first line and headers, at most
-PIECES = 256  # heads and chunks of one answer, at most: reading endless tiny ones would hold up the loop
+PIECES = 256  # heads and chunks of one answer, at most: reading endless tiny ones would hold up the loop,
+PIECE_BYTES = 1024  # and one more for each so many bytes: a long answer comes in as many reads as it takes
 FIRST_LINE = re.compile(rb"HTTP/\d\.\d (\d{3})(?: [^\r\n]*)?\r?\n")
 HEAD_END = re.compile(rb"\r?\n\r?\n")
 # An answer that is written in the ordinary way and has come whole. What this takes, h11 takes in the same way
@@ -234,7 +235,7 @@
             while True:
                 event = self.http.next_event()
                 self.pieces += 1
-                if self.pieces > PIECES:
+                if self.pieces > PIECES + len(self.body) // PIECE_BYTES:
                     self._lose("the answer has too many pieces")
                     return
                 match event:
@@ -245,7 +246,8 @@
                     case h11.Data(data=chunk):
                         self.body += chunk
                         if len(self.body) > self.body_bytes:
-                            self._lose("the answer is too long")
+                            come = self.head.result().headers.get("content-length", f"over {len(self.body)}")
+                            self._lose(f"the answer is too long: {come} bytes, {self.body_bytes} at most")
                             return
                     case h11.EndOfMessage():
                         self._answered()
--- /dev/null
+++ b/tests/scale/test_limits.py
@@ -0,0 +1,70 @@
+"""Limits at their edges: what is just inside works, what is just outside is refused and said."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from pathlib import Path
+
+import pytest
+
+from linnetstile.http.agent import ANSWER_BYTES, Agent, AgentError
+from linnetstile.http.link import PIECE_BYTES, PIECES
+
+from ..loopback import Agent as FakeAgent
+from ..loopback import Client, Server, answer, host_of, listing, message, run, until
+
+
+def test_a_list_as_long_as_may_be_is_taken_and_a_longer_one_is_refused_and_said(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.WARNING)
+
+    async def work() -> None:
+        (tmp_path / "state").mkdir()
+        agent, old, new = await FakeAgent().start(), await Server().start(), await Server().start()
+        host = host_of(tmp_path / "state", agent, old)
+        await host.start()
+        longest = json.dumps(listing(new, generation=2)).ljust(ANSWER_BYTES)
+        agent.changes.put_nowait(answer(200, body=longest))
+        await until(lambda: host.register.version == 2)
+        assert {known.address for known in host.directory.by_name.values()} == {new.address}
+        longer = json.dumps(listing(old, generation=3)).ljust(ANSWER_BYTES + 1)
+        agent.changes.put_nowait(answer(200, body=longer))
+        said = f"the answer is too long: {ANSWER_BYTES + 1} bytes, {ANSWER_BYTES} at most"
+        await until(lambda: said in caplog.text)
+        assert host.register.version == 2  # and what is known goes on serving
+        async with Client(host.ingress.port) as client:
+            assert await client.ask(message("m")) == 202
+        await until(lambda: len(new.seen) == 1)
+        agent.changes.put_nowait(answer(200, body=json.dumps(listing(old, generation=4))))
+        await until(lambda: host.register.version == 4)
+        await host.close()
+
+    run(work())
+
+
+@pytest.mark.parametrize("size", (PIECE_BYTES, 1))
+def test_a_long_answer_may_come_in_many_pieces_and_not_in_endless_tiny_ones(size: int) -> None:
+    count = 4 * PIECES
+
+    async def work() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            chunk = f"{size:x}\r\n".encode() + b"x" * size + b"\r\n"
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(head + chunk * count + b"0\r\n\r\n")
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        agent = Agent(server.sockets[0].getsockname()[:2])
+        asked = agent.ask("GET", "/", b"", 30.0)
+        if size == 1:
+            with pytest.raises(AgentError, match="too many pieces"):
+                await asked
+        else:
+            assert await asked == (200, b"x" * size * count)
+        agent.close()
+        server.close()
+
+    run(work())
