--- a/linnetstile/decisions/endings.py
+++ b/linnetstile/decisions/endings.py
@@ -23,7 +23,7 @@
 class Endings:
     def __init__(self, members: Members, index: Index) -> None:
         self.members, self.paces, self.board = members, members.paces, members.board
-        self.s, self.index = members.s, index
+        self.s, self.index = members.paces.s, index
         self.ends: list[tuple[float, int]] = []  # heap: when a message can no longer be delivered
         self.poor: list[tuple[float, float, int]] = []  # heap: queues by what is worth least in them
         self.crowded = False  # more than one turn may refuse
--- a/linnetstile/decisions/members.py
+++ b/linnetstile/decisions/members.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from .interface import (
-    FOREVER, NEVER, Endpoint, EndpointList, Fleet, Learned, Listing, ListKind, Rates, Settings,
+    FOREVER, NEVER, Endpoint, EndpointList, Fleet, Learned, Listing, ListKind, Rates,
 )
 from .paces import BURST, FADE_MS, RETRY_MS, Paces
 from .share import Share
@@ -25,20 +25,16 @@
         self.ask_at = 0.0 if paces.s.ask_for_list else FOREVER
         self.ask_fails = 0
 
-    @property
-    def s(self) -> Settings:
-        return self.paces.s  # the number of instances may change
-
     def asks(self, now: float) -> bool:
         if now < self.ask_at:
             return False
-        self.ask_at = now + self.s.safety.ask_within_ms / 2  # asks again should no answer come
+        self.ask_at = now + self.paces.s.safety.ask_within_ms / 2  # asks again should no answer come
         return True
 
     def listed(self, now: float, event: EndpointList) -> None:
         if event.kind is ListKind.FAILED:
             # Guards against failing or overloaded discovery: asks again after growing, jittered pauses.
-            pause = min(RETRY_MS * 4 * 2**self.ask_fails, self.s.safety.ask_within_ms / 4)
+            pause = min(RETRY_MS * 4 * 2**self.ask_fails, self.paces.s.safety.ask_within_ms / 4)
             self.ask_fails, self.ask_at = min(self.ask_fails + 1, 5), now + pause * self.rng.uniform(0.5, 1.0)
             return
         if event.kind is not ListKind.CACHED:
@@ -55,8 +51,7 @@
             self._fade(now, heapq.heappop(self.fading)[1])
 
     def _drop(self, now: float, door: Door, unneeded: bool) -> None:
-        """Nothing new goes to an endpoint that drains or is gone; a lane goes with its last trace, or at once
-        where nobody needs to know it any more: what comes back then was not down, and is not cold."""
+        """Nothing new goes there; a lane goes with its last trace, at once if unneeded: that is no outage."""
         dest = door.entry.destination
         del door.lane.doors[door.entry.id]
         self.board.look(dest)
@@ -80,17 +75,18 @@
                 del lanes[key]
         if not lanes:
             self.lanes.pop(dest, None)
+            self.board.noted.pop(dest, None)
 
     def _add(self, now: float, entry: Endpoint) -> None:
         dest, key = self._lane_key(entry)
         lanes = self.lanes.setdefault(dest, {})
-        listed = entry.rate if self.s.rates is not Rates.NONE and entry.rate > 0 else 0.0
+        listed = entry.rate if self.paces.s.rates is not Rates.NONE and entry.rate > 0 else 0.0
         if key not in lanes:
-            total = listed or START * self.s.relays
-            pace = total / self.s.relays
+            total = listed or START * self.paces.s.relays
+            pace = total / self.paces.s.relays
             lanes[key] = Lane(*self.paces.usual, total, pace, BURST, now, listed=bool(listed))
-            if self.s.fleet is not None and listed:
-                lanes[key].share = Share(self.s.fleet, listed, self.s.safety)
+            if self.paces.s.fleet is not None and listed:
+                lanes[key].share = Share(self.paces.s.fleet, listed, self.paces.s.safety)
         lane, door = lanes[key], self.doors.get(entry.id)
         if listed and listed != lane.total:
             lane.pace, lane.total = lane.pace * listed / lane.total, listed  # keeps what was learned
@@ -106,22 +102,23 @@
             door.entry = entry
 
     def _lane_key(self, entry: Endpoint) -> tuple[int, int]:
-        apart = entry.kind < len(self.s.kinds) and self.s.kinds[entry.kind].routes_apart
+        apart = entry.kind < len(self.paces.s.kinds) and self.paces.s.kinds[entry.kind].routes_apart
         return entry.destination, entry.id if apart else -1
 
     def learned(self, now: float) -> list[Learned]:
         """Outages, cold returns, told waits. Not of routes apart: their endpoints get other numbers."""
-        found = []
-        for dest, lane in [(dest, lanes[-1]) for dest, lanes in self.lanes.items() if -1 in lanes]:
-            cold = now - lane.cold_since if now < lane.cold_since + self.s.safety.cold_ms else None
+        found, noted, self.board.noted = list[Learned](), self.board.noted, {}
+        for dest, lane in [(dest, self.lanes[dest][-1]) for dest in noted if -1 in self.lanes.get(dest, ())]:
+            cold = now - lane.cold_since if now < lane.cold_since + self.paces.s.safety.cold_ms else None
             if lane.sick or cold is not None or now < lane.wait_until:
+                self.board.noted[dest] = None
                 bad = None if lane.bad_since is None else max(0.0, now - lane.bad_since)
                 found.append(Learned(dest, max(0.0, lane.wait_until - now), lane.sick, bad, cold))
         return found
 
     def resized(self, fleet: Fleet) -> None:
         """There are more instances or fewer, or the shared clock was set: slots lie elsewhere from now on."""
-        self.paces.s = replace(self.s, relays=fleet.size, fleet=fleet if self.s.fleet is not None else None)
+        self.paces.s = replace(s := self.paces.s, relays=fleet.size, fleet=s.fleet and fleet)
         for lane in (lane for lanes in self.lanes.values() for lane in lanes.values()):
             if lane.share is not None:
                 lane.share.resized(fleet)
@@ -140,5 +137,5 @@
             lane.credit = 0.0
         elif event.cold_ms is not None:
             lane.cold_since, lane.credit = now - event.cold_ms, 0.0
-            lane.knowers = float(self.s.relays)  # how many know of it is not known any more: all may
+            lane.knowers = float(self.paces.s.relays)  # how many know of it is not known any more: all may
         self.board.look(event.destination)
--- a/tests/shards/test_relaying.py
+++ b/tests/shards/test_relaying.py
@@ -290,6 +290,7 @@
             await learned(relay, 7)
             await learned(relay, 8, "other")
             relay.host.relay.lanes[7][-1].wait_until = relay.host.turns.now() + 4000.0
+            relay.host.relay.board.look(7)
             await until(lambda: not relay.shards.here(8))
             assert relay.shards.here(7)
             begun = asyncio.get_running_loop().time()
@@ -314,6 +315,7 @@
             await learned(relay, 7)
             lane = relay.host.relay.lanes[7][-1]
             lane.wait_until = relay.host.turns.now() + 4000.0
+            relay.host.relay.board.look(7)
             await it.end(0)
             await it.end(1, killed=False)
             relay = await it.begin(1)
@@ -401,6 +403,7 @@
             relay.carrier.script = [Outcome.FULL]
             await learned(relay, 7, "second")
             relay.host.relay.lanes[7][-1].wait_until = relay.host.turns.now() + 3000.0
+            relay.host.relay.board.look(7)
             await until(lambda: relay.host.remembered == {7})
             await until(lambda: not relay.host.remembered)
             assert not known
