--- /dev/null
+++ b/benchmarks/capacity/accord.py
@@ -0,0 +1,167 @@
+"""What agreed rules cost a voter by the number of relays, and all by the number of destinations in them."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from collections.abc import Mapping
+
+import msgspec
+
+from linnetstile.accord.book import KEPT, Book, Propose, Version
+from linnetstile.accord.granting import Granting
+from linnetstile.accord.holding import Holding
+from linnetstile.accord.node import GRANT, RENEW
+from linnetstile.accord.rules import ANY, Destination, Rules, decoded, digest, encoded, within
+from linnetstile.accord.terms import Counts, Grant, Renew, Terms
+from linnetstile.peers.wire import App, Packet, opened, sealed
+
+from .form import Measure
+
+SECRET = b"0123456789abcdef"
+VOTERS = tuple(f"n{n}" for n in range(5))
+FIRST = "0123456789abcdef/" + ",".join(VOTERS)
+ROUNDS = 5  # each relay's renewals that are timed, in each of which the least counts
+LOOK = 3  # walks over all that are timed, of which the least counts
+ENDPOINTS = 5  # of a destination, where a rule names them: one in ten does
+Names = list[str]
+
+
+def voter(size: int, versions: int = KEPT) -> tuple[Granting, Names]:
+    """One that holds as many versions as are kept, the newest cleared, and knows no relay yet."""
+    book = Book(Rules(), VOTERS)
+    for n in range(1, versions):
+        rules = Rules({str(n): Destination(rate=1000.0 - n)})
+        assert not book.apply(Propose(n, encoded(rules), "bench", "", 0.0)).refused
+    it = Granting("n0", book, Terms(), FIRST, 0, 0.0)
+    it.fresh = True
+    it.clear(0.0)
+    assert it.cleared == versions
+    return it, [f"n{n}" for n in range(size)]
+
+
+def asked(n: int, seq: int, acts: tuple[int, ...], refuses: int) -> bytes:
+    """A relay's renewal as it comes from the wire."""
+    told = Renew(1, n, seq, FIRST, acts, refuses, Counts(1_000_000 + n, 1_000_100 + n))
+    return sealed(Packet(f"n{n}", n, App(RENEW, msgspec.msgpack.encode(told))), SECRET)
+
+
+def answered(it: Granting, now: float, raw: bytes) -> bytes:
+    """As accord/node.py has it: clears before and after."""
+    packet = opened(raw, SECRET)
+    assert isinstance(packet.body, App)
+    told: Renew = msgspec.msgpack.decode(packet.body.body, type=Renew)
+    it.clear(now)
+    grant = it.renewed(now, packet.sender, told)
+    it.clear(now)
+    return sealed(Packet("n0", 1, App(GRANT, msgspec.msgpack.encode(grant))), SECRET)
+
+
+def round_of(
+    it: Granting, now: float, seq: int, size: int, acts: tuple[int, ...], refuses: int = 1
+) -> tuple[float, int]:
+    """Each relay renews once: processor seconds, and bytes both ways of one."""
+    raws = [asked(n, seq, acts, refuses) for n in range(size)]
+    every = it.terms.renew / size
+    began, answer = time.process_time(), b""
+    for n, raw in enumerate(raws):
+        answer = answered(it, now + n * every, raw)
+    return time.process_time() - began, len(raws[-1]) + len(answer)
+
+
+def renewal(size: int) -> Mapping[str, float]:
+    it, _ = voter(size)
+    newest, times = it.book.newest.number, []
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    round_of(it, 1.0, 1, size, (newest,))
+    memory = (tracemalloc.get_traced_memory()[0] - before) / size
+    tracemalloc.stop()
+    for n in range(ROUNDS):
+        took, both = round_of(it, 2.0 + n, 2 + n, size, (newest,))
+        times.append(took)
+    # A version that one relay, which is cut off, does not let pass: all others renew as before.
+    strict = Rules({ANY: Destination(rate=1.0)})
+    assert not it.book.apply(Propose(newest, encoded(strict), "bench", "", 0.0)).refused
+    waiting = []
+    for n in range(ROUNDS):
+        took, _ = round_of(it, 8.0 + n, 20 + n, size - 1, (newest, newest + 1), 20)
+        waiting.append(took)
+    assert it.blocked == [f"n{size - 1}"]
+    return {"cpu_us": 1e6 * min(times) / size, "waiting_cpu_us": 1e6 * min(waiting) / (size - 1),
+            "bytes": both, "memory_bytes": memory}
+
+
+def clear(size: int) -> Mapping[str, float]:
+    """One look at all: each acts by the version before the one that is to be cleared."""
+    it, _ = voter(size)
+    newest = it.book.newest.number
+    round_of(it, 1.0, 1, size, (newest,))
+    strict = Rules({ANY: Destination(rate=1.0)})
+    assert not it.book.apply(Propose(newest, encoded(strict), "bench", "", 0.0)).refused
+    times = []
+    for n in range(LOOK):
+        it.look_at = 0.0
+        began = time.process_time()
+        it.clear(1.5 + n / 100)
+        times.append(time.process_time() - began)
+    assert len(it.blocked) == size
+    return {"cpu_ms": 1000 * min(times)}
+
+
+def written(size: int, rate: float) -> Rules:
+    return Rules({
+        str(n): Destination(rate=rate, endpoints=frozenset(f"10.0.{n % 250}.{m}:80" for m in range(ENDPOINTS))
+                            if n % 10 == 0 else None)
+        for n in range(size)
+    })
+
+
+def rules(size: int) -> Mapping[str, float]:
+    old, raw = written(size, 200.0), encoded(written(size, 100.0))
+    book = Book(old, VOTERS)
+    began = time.process_time()
+    decoded(raw)
+    assert within(Rules({ANY: Destination(closed=True)}), decoded(raw))  # the floor: accord/node.py, _against
+    assert not book.apply(Propose(1, raw, "bench", "", 0.0)).refused
+    voter_s = time.process_time() - began
+    told = msgspec.msgpack.encode(book.newest)
+    holding = Holding(1, 1, FIRST, Terms())
+    for each in book.versions:
+        holding.know(each)
+    holding.acts = (1,)
+    it = Granting("n0", book, Terms(), FIRST, 1, 0.0)
+    began = time.process_time()
+    version: Version = msgspec.msgpack.decode(told, type=Version)
+    assert digest(decoded(version.rules)) == version.digest
+    holding.seq, holding.asked[1] = 1, (0.0, (1,))
+    holding.heard(0.0, "n0", Grant(1, True, 0, 1, 2))
+    holding.base = 0.0
+    assert holding.acting(0.1).label == "1+2"
+    relay_s = time.process_time() - began
+    began = time.process_time()
+    it.renewed(0.1, "n9", Renew(1, 1, 1, FIRST, (1, 2), 1))  # the first that says so: the others cost nothing
+    it.clear(0.1)
+    return {"bytes": len(told), "voter_cpu_ms": 1000 * voter_s, "relay_cpu_ms": 1000 * relay_s,
+            "first_renewal_cpu_ms": 1000 * (time.process_time() - began)}
+
+
+MEASURES = (
+    Measure(
+        "accord.renewal", "relay", (50, 100, 200, 400, 800, 1600), 3500,
+        {"cpu_us": "us", "waiting_cpu_us": "us", "bytes": "bytes", "memory_bytes": "bytes"},
+        renewal, "linnetstile/accord/granting.py",
+        "one renewal at one voter, opened and sealed, 64 versions kept; no system call; waiting: while a "
+        "version waits for a relay that is cut off",
+    ),
+    Measure(
+        "accord.clear", "relay", (50, 100, 200, 400, 800, 1600), 3500, {"cpu_ms": "ms"},
+        clear, "linnetstile/accord/granting.py", "one look at all relays, each of which is waited for",
+    ),
+    Measure(
+        "accord.rules", "destination", (150, 300, 600, 1200, 2400), 5000,
+        {"bytes": "bytes", "voter_cpu_ms": "ms", "relay_cpu_ms": "ms", "first_renewal_cpu_ms": "ms"},
+        rules, "linnetstile/accord/rules.py",
+        "a version goes whole to each relay; a set names 5,000 destinations at the most (NAMES)", rounds=3,
+    ),
+)
--- a/linnetstile/accord/granting.py
+++ b/linnetstile/accord/granting.py
@@ -32,7 +32,7 @@
 from .terms import Counts, Grant, Renew, Terms
 
 RELAYS_MAX = INSTANCES_MAX  # as many as peers are known: a record of each, and a walk over them to clear
-LOOKS = 16  # in the time of a lease: so often all relays are looked at while a version waits
+LOOKS = 8  # in the time of a lease: so often all relays are looked at while a version waits
 MET = 4096  # answers that are kept: pairs of the versions that relays act by at one time
 
 
