Scale tests of members, renewals and reports, by counts

Bytes and datagrams of a member at 50 to 400 in virtual time; instructions and walks of a renewal, a packet, a turn and a report at 50 and at 3,500.

--- a/benchmarks/capacity/evidence.py
+++ b/benchmarks/capacity/evidence.py
@@ -111,7 +111,7 @@
         {"take_cpu_ms": "ms", "take_bytes": "bytes", "series_cpu_ms": "ms", "demand_cpu_ms": "ms",
          "news_cpu_ms": "ms", "first_look_cpu_ms": "ms", "look_cpu_ms": "ms"},
         total, "linnetstile/failover/decider.py",
-        "each relay calls 20 destinations, each of which ten relays call; take: of one window; look: the turn "
-        "of a decider, once a window, on the loop",
+        "each relay calls 20 destinations, each of which ten relays call; take: of one window; look: the "
+        "turn of a decider, once a window, on the loop",
     ),
 )
--- a/benchmarks/capacity/peers.py
+++ b/benchmarks/capacity/peers.py
@@ -177,8 +177,8 @@
         "peers.members", "member", (50, 100, 200, 400), 800,
         {"bytes_s": "bytes/s", "datagrams_s": "datagrams/s", "cpu_ms_s": "ms/s", "memory_bytes": "bytes"},
         members, "linnetstile/peers/swim.py",
-        "of one member, at rest, with a period of 1 s: there is no news; memory: of each member known; virtual "
-        "time: processor time holds the driver's, and no system call",
+        "of one member, at rest, with a period of 1 s: there is no news; memory: of each member known; "
+        "virtual time: processor time holds the driver's, and no system call",
     ),
     Measure(
         "peers.start", "member", (25, 50, 100, 200), 400,
--- /dev/null
+++ b/tests/scale/test_members.py
@@ -0,0 +1,424 @@
+"""What grows with the number of members and relays, and what does not: by counts of bytes, messages and
+steps, and never by time.
+
+The laws, as benchmarks/capacity/ measures them: at rest a member sends the same whatever their number; while
+a fleet joins it sends in proportion to it, as it has to hear of each; a renewal, a packet and a turn cost the
+same number of steps, and walk over no members.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Callable, Iterator
+from types import FrameType
+from typing import Any
+
+import msgspec
+import pytest
+
+from benchmarks.capacity import accord, peers
+from benchmarks.capacity.evidence import packets, taken as reported
+from linnetstile.accord.book import Propose
+from linnetstile.accord.granting import LOOKS, Granting, Record
+from linnetstile.accord.rules import ANY, Destination, Rules, encoded
+from linnetstile.accord.terms import Renew
+from linnetstile.failover.evidence import Evidence, Report
+from linnetstile.peers.answers import AT_ONCE, SPURT, SPURT_S
+from linnetstile.peers.news import News
+from linnetstile.peers.roll import SLICES, Roll, part
+from linnetstile.peers.swim import Swim
+from linnetstile.peers.wire import App, Body, Claim, Packet, Ping, State, Sync, opened, sealed
+
+SMALL, LARGE = 50, 3500
+
+
+class Walked(dict[str, Any]):
+    """Counts who walks over it: a step in C, as of `sorted`, is seen by no monitor."""
+
+    def __init__(self, *told: Any) -> None:
+        super().__init__(*told)
+        self.walks = 0
+
+    def __iter__(self) -> Iterator[str]:
+        self.walks += 1
+        return super().__iter__()
+
+    def keys(self) -> Any:
+        self.walks += 1
+        return super().keys()
+
+    def values(self) -> Any:
+        self.walks += 1
+        return super().values()
+
+    def items(self) -> Any:
+        self.walks += 1
+        return super().items()
+
+
+def steps(what: Callable[[], object]) -> int:
+    """Instructions of the interpreter that this takes, in whatever function."""
+    count, before = 0, sys.gettrace()
+
+    def one(frame: FrameType, event: str, arg: object) -> Any:
+        nonlocal count
+        frame.f_trace_opcodes = True
+        count += event == "opcode"
+        return one
+
+    sys.settrace(one)
+    try:
+        what()
+    finally:
+        sys.settrace(before)
+    return count
+
+
+# -- what a member sends -----------------------------------------------------------------------------------
+
+
+def test_at_rest_a_member_sends_the_same_whatever_their_number() -> None:
+    """Flat: the law of peers.members. Of four sizes an octave apart the most is within a tenth of the least.
+    """
+    datagrams, sizes = [], []
+    for count in (50, 100, 200, 400):
+        fleet = peers.Fleet(count, settled=True)
+        fleet.run(1.0)
+        sent, of_all = sum(fleet.sent), sum(fleet.bytes)
+        fleet.run(15.0)  # one exchange of all that is known, of each
+        datagrams.append((sum(fleet.sent) - sent) / count / 15.0)
+        sizes.append((sum(fleet.bytes) - of_all) / count / 15.0)
+    assert max(datagrams) < 1.1 * min(datagrams) and max(datagrams) < 2.5
+    assert max(sizes) < 1.1 * min(sizes) and max(sizes) < 150.0  # bytes a second
+
+
+def test_while_a_fleet_joins_a_member_sends_in_proportion_to_their_number() -> None:
+    """Linear: the law of peers.start. Each has to hear of each; a word has some 80 bytes."""
+    for count in (25, 50, 100, 200):
+        fleet = peers.Fleet(count)
+        assert fleet.joined() < 40.0
+        assert sum(fleet.bytes) / count < 6000.0 + 450.0 * count
+        # In an even share, and a seed no more than its spurts are.
+        assert max(fleet.bytes) < SPURT * 1400 * (fleet.now / SPURT_S)
+
+
+def test_one_change_is_told_by_what_differs_and_not_by_all() -> None:
+    """One member of 800 restarts: bytes of an answer to who has not heard of it."""
+    words = [peers.claim(n, State.ALIVE) for n in range(800)]
+    one, other = (Swim(words[n], (), random.Random(n)) for n in (0, 1))
+    for it in (one, other):
+        it.receive(0.0, "n2", 1, Sync(False, tuple(each for each in words if each.name != it.me.name)))
+        it.news.clear()
+    assert not answers(other, one._ask())
+    one.receive(0.0, "n2", 1, Ping(1, "nobody", (peers.claim(7, State.ALIVE, boot=2),)))
+    one.outbox.clear()
+    told = answers(one, other._ask(), 1.0)
+    names = {claim.name for body in told for claim in body.claims}
+    assert "n7" in names and len(names) < 3 * 800 / SLICES
+    for body in told:
+        other.receive(0.0, "n0", 1, body)
+    assert other.members["n7"].boot == 2 and not answers(one, other._ask()) and not answers(other, one._ask())
+
+
+def answers(it: Swim, asked: Sync, now: float = 0.0) -> list[Sync]:
+    """Those of the first spurt."""
+    it.outbox.clear()
+    it.receive(now, asked.claims[0].name, 1, asked)
+    found = [body for _, body in it.outbox if isinstance(body, Sync) and not body.want]
+    it.outbox.clear()
+    return found
+
+
+def test_builds_without_slices_are_answered_and_answer() -> None:
+    """An old build asks with a sum, and is told all unless it is the same; what it does not know it skips."""
+    words = [peers.claim(n, State.ALIVE) for n in range(100)]
+    it = Swim(words[0], (), random.Random(1))
+    it.receive(0.0, "n2", 1, Sync(False, tuple(words[1:])))
+    old = Swim(words[1], (), random.Random(1))
+    old.receive(0.0, "n2", 1, Sync(False, (words[0], *words[2:])))
+    same = old.roll.same(old.me)
+    assert not answers(it, Sync(True, (words[1],), same))
+    assert {each.name for body in answers(it, Sync(True, (words[1],), same ^ 1)) for each in body.claims} == {
+        each.name for each in words
+    }
+
+    class Before(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+        want: bool
+        claims: tuple[Claim, ...]
+        same: int = 0
+
+    raw = msgspec.msgpack.encode(it._ask())
+    assert msgspec.msgpack.decode(raw, type=Before) == Before(True, (it.me,), it.roll.same(it.me))
+    raw = msgspec.msgpack.encode(Before(True, (it.me,), 5))
+    assert msgspec.msgpack.decode(raw, type=Sync) == Sync(True, (it.me,), 5)
+
+
+def test_slices_that_are_no_slices_are_answered_with_all() -> None:
+    words = [peers.claim(n, State.ALIVE) for n in range(30)]
+    it = Swim(words[0], (), random.Random(1))
+    it.receive(0.0, "n2", 1, Sync(False, tuple(words[1:])))
+    told = answers(it, Sync(True, (words[1],), it.roll.same(it.me) ^ 1, b"xyz"))
+    assert {each.name for body in told for each in body.claims} == {each.name for each in words}
+
+
+def test_members_that_change_alike_change_the_sum_of_their_slice() -> None:
+    """Guards against a checksum in place of a digest: those are linear, and two members that go from joining
+    to alive left the sum as it was. A fleet of 100 never came to know each other's states."""
+    roll = Roll()
+    names = [n for n in range(1000) if part(f"n{n}") == 5]
+    me = peers.claim(10_000)
+    for n in names:
+        roll.put(0.0, peers.claim(n, State.JOINING))
+    before = roll.slices(me)
+    for one, other in zip(names[::2], names[1::2], strict=False):
+        roll.put(0.0, peers.claim(one, State.ALIVE))
+        roll.put(0.0, peers.claim(other, State.ALIVE))
+        assert roll.slices(me) != before
+        before = roll.slices(me)
+
+
+def test_a_seed_answers_a_crowd_in_spurts() -> None:
+    """All are answered, few with everything, and no moment has more packets than a socket holds."""
+    it = Swim(peers.claim(0, State.ALIVE), (), random.Random(1))
+    words = [peers.claim(n, State.ALIVE) for n in range(1, 2000)]
+    it.receive(0.0, "n2", 1, Sync(False, tuple(words)))
+    it.news.clear()
+    it.period_at = it.sync_at = 1e9
+    firsts = []
+    for n in range(300):
+        new = peers.claim(5000 + n)
+        it.receive(0.0, new.name, 1, Sync(True, (new,)))
+        firsts.append(len(it.outbox))
+        it.outbox.clear()
+    assert max(firsts) <= SPURT and sum(firsts) == SPURT + 300 - AT_ONCE and len(it.answers.going) == AT_ONCE
+    told: dict[tuple[str, int], set[str]] = {}
+    now = 0.0
+    while it.answers.going:
+        now = it.next_at()
+        it.tick(now)
+        assert len(it.outbox) <= SPURT
+        for to, body in it.outbox:
+            assert isinstance(body, Sync)
+            told.setdefault(to, set()).update(claim.name for claim in body.claims)
+        it.outbox.clear()
+    assert len(told) == AT_ONCE and all(len(names) >= 1999 - SPURT * 25 for names in told.values())
+    assert now <= AT_ONCE * (2300 / 12 / SPURT + 2) * SPURT_S
+
+
+# -- steps of a renewal ------------------------------------------------------------------------------------
+
+
+def voter(count: int) -> tuple[Granting, int]:
+    """All relays have renewed and act by the newest version."""
+    it, _ = accord.voter(count)
+    newest = it.book.newest.number
+    accord.round_of(it, 1.0, 1, count, (newest,))
+    it.records = Walked(it.records)
+    return it, newest
+
+
+def proposed(it: Granting, rate: float) -> None:
+    """A version that forbids what the one before it allows."""
+    raw = encoded(Rules({ANY: Destination(rate=rate)}))
+    assert not it.book.apply(Propose(it.book.newest.number, raw, "test", "", 0.0)).refused
+
+
+def renewed(it: Granting, now: float, seq: int, acts: tuple[int, ...]) -> Callable[[], object]:
+    raw = accord.asked(7, seq, acts, seq)
+    return lambda: accord.answered(it, now, raw)
+
+
+def test_a_renewal_costs_the_same_steps_at_50_and_at_3500_relays() -> None:
+    found = []
+    for count in (SMALL, LARGE):
+        it, newest = voter(count)
+        accord.answered(it, 1.4, accord.asked(7, 5, (newest,), 1))  # what is computed of versions is computed
+        found.append(steps(renewed(it, 1.5, 6, (newest,))))
+        assert isinstance(it.records, Walked) and not it.records.walks
+    assert found[0] == found[1]
+
+
+def test_a_renewal_costs_the_same_while_a_version_waits_for_one_that_is_cut_off() -> None:
+    """Guards against a look at all relays in each renewal: 12,000 times a second, 3 ms each."""
+    found = []
+    for count in (SMALL, LARGE):
+        it, newest = voter(count)
+        proposed(it, 1.0)
+        assert not it.clear(2.0) and isinstance(it.records, Walked)
+        accord.answered(it, 2.0, accord.asked(7, 5, (newest, newest + 1), 5))
+        it.records.walks = 0
+        found.append(steps(renewed(it, 2.01, 6, (newest, newest + 1))))
+        assert it.records.walks == 0 and len(it.blocked) == count - 1 and "n7" not in it.waits
+        # All renew, four times in the time of a lease: the looks at all are as many as that time has.
+        for n in range(4):
+            accord.round_of(it, 2.1 + n * it.terms.renew, 10 + n, count - 1, (newest, newest + 1), 10 + n)
+        assert it.blocked == [f"n{count - 1}"] and it.records.walks <= LOOKS + 2
+    assert found[0] == found[1]
+
+
+def test_the_last_one_that_renews_lets_a_version_be_cleared_at_once() -> None:
+    """What is looked up in between must not make a version wait for the next look."""
+    it, newest = voter(3)
+    proposed(it, 1.0)
+    assert not it.clear(2.0)
+    for n in range(3):
+        it.renewed(2.01, f"n{n}", Renew(1, n, 5, accord.FIRST, (newest, newest + 1), 5))
+        assert it.clear(2.01) is (n == 2)
+    # One that begins to hold something else again is waited for, before the next look too.
+    newest += 1
+    proposed(it, 0.5)
+    for n in range(2):
+        it.renewed(2.02, f"n{n}", Renew(1, n, 6, accord.FIRST, (newest, newest + 1), 6))
+    it.records["n0"].acts = (newest,)
+    it.renewed(2.03, "n2", Renew(1, 2, 6, accord.FIRST, (newest, newest + 1), 6))
+    assert not it.clear(2.03) and it.blocked == ["n0"]
+
+
+# -- steps of membership -----------------------------------------------------------------------------------
+
+
+def settled(count: int) -> Swim:
+    words = [peers.claim(n, State.ALIVE) for n in range(count)]
+    it = Swim(words[0], (), random.Random(1))
+    it.receive(0.0, "n1", 1, Sync(False, tuple(words[1:])))
+    it.news.clear()
+    it.outbox.clear()
+    it.changes.clear()
+    it.sync_at = 1e9  # an exchange looks at all, once in 15 periods
+    it.roll.members = Walked(it.roll.members)
+    it.tick(1.0)  # its ring is made
+    it.outbox.clear()
+    assert isinstance(it.roll.members, Walked)
+    it.roll.members.walks = 0
+    return it
+
+
+def taken(it: Swim, now: float, body: Body) -> Callable[[], object]:
+    """As peers/node.py has it."""
+    raw = sealed(Packet("n1", 1, body), peers.SECRET)
+
+    def what() -> None:
+        packet = opened(raw, peers.SECRET)
+        it.receive(now, packet.sender, packet.nonce, packet.body)
+        it.next_at()
+
+    return what
+
+
+def turned(it: Swim, now: float) -> Callable[[], object]:
+    def what() -> None:
+        it.tick(now)
+        it.next_at()
+
+    return what
+
+
+def ping(it: Swim) -> Ping:
+    return Ping(5, it.me.name, (peers.claim(9, State.ALIVE),))
+
+
+CASES: dict[str, Callable[[Swim], Callable[[], object]]] = {
+    "ping": lambda it: taken(it, 1.1, ping(it)),
+    "datagram": lambda it: taken(it, 1.1, App("renew", b"x" * 60)),
+    "suspect": lambda it: taken(it, 1.1, Ping(5, "n0", (suspect(9),))),
+    "turn": lambda it: turned(it, 1.1),
+    "period": lambda it: turned(it, 2.1),
+}
+
+
+def suspect(n: int) -> Claim:
+    return msgspec.structs.replace(peers.claim(n, State.SUSPECT), by="n3")
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_a_packet_and_a_turn_cost_the_same_steps_at_50_and_at_3500_members(case: str) -> None:
+    found = []
+    for count in (SMALL, LARGE):
+        it = settled(count)
+        found.append(steps(CASES[case](it)))
+        assert isinstance(it.roll.members, Walked) and not it.roll.members.walks
+    assert abs(found[0] - found[1]) <= 0.02 * found[0]  # a suspicion's time has a logarithm in it
+
+
+def test_others_are_asked_without_a_walk_over_all() -> None:
+    found = []
+    for count in (SMALL, LARGE):
+        it = settled(count)
+        assert it.probe is not None
+        probe = it.probe
+        found.append(min(steps(lambda it=it, probe=probe: it._ask_others(probe)) for _ in range(5)))  # type: ignore[misc]
+        assert isinstance(it.roll.members, Walked) and not it.roll.members.walks and probe.helpers == 3
+    assert found[1] <= 1.5 * found[0]  # which three it is decides how often is drawn
+
+
+def test_a_packet_costs_the_same_with_7_suspects_and_with_700() -> None:
+    """A zone's seven hundred are lost at once."""
+    found = []
+    for count in (7, 700):
+        it = settled(LARGE)
+        for n in range(1000, 1000 + count):
+            it.receive(1.0, "n1", 1, Ping(1, "n0", (suspect(n),)))
+        it.news.clear()
+        it.outbox.clear()
+        found.append(steps(taken(it, 1.1, App("renew", b"x" * 60))))
+        assert len(it.suspicions) == count
+    assert found[0] == found[1]
+
+
+def test_a_packet_of_news_costs_what_it_holds_and_not_what_there_is() -> None:
+    found = []
+    for count in (SMALL, LARGE):
+        it = settled(LARGE)
+        for n in range(1, count):
+            it.news.add(f"n{n}")
+        found.append(steps(lambda it=it: it._claims("n1")))  # type: ignore[misc]
+        assert isinstance(it.roll.members, Walked) and not it.roll.members.walks
+    assert found[1] <= 1.1 * found[0]
+
+
+def test_news_are_told_least_first_each_so_often_and_no_more() -> None:
+    it, rng, told = News(), random.Random(3), dict[str, int]()
+    for n in range(100):
+        it.add(f"n{n}")
+    while it:
+        some = it.first(7)
+        assert len({it.times[name] for name in some}) <= 2
+        for name in some:
+            assert it.times[name] == told.get(name, 0)
+            told[name] = told.get(name, 0) + 1
+            it.told(name, 6)
+        if rng.random() < 0.02 and told:
+            again = rng.choice(sorted(told))
+            it.add(again)
+            told[again] = 0
+    assert set(told.values()) == {6} and it.first(5) == []
+
+
+# -- evidence ----------------------------------------------------------------------------------------------
+
+
+def test_a_report_costs_a_decider_the_same_steps_at_50_and_at_3500_relays() -> None:
+    found = []
+    for count in (SMALL, LARGE):
+        it = Evidence()
+        for n in range(count):
+            it.take(1.0, Report(f"n{n}", 1, 1, 0, "zone-0", 0.0, 0.0))
+        it.reports = Walked(it.reports)  # type: ignore[assignment]
+        raws = packets([Report("n7", 1, 2, 0, "zone-0", 0.0, 0.0)])
+        reported(it, 1.4, raws)  # what is loaded at the first use is loaded
+        found.append(steps(lambda it=it, raws=raws: reported(it, 1.5, raws)))  # type: ignore[misc]
+        assert isinstance(it.reports, Walked) and not it.reports.walks
+    assert found[0] == found[1]
+
+
+def test_steps_and_walks_are_seen() -> None:
+    """The counters count: a walk in Python by its steps, one in C by the container."""
+    records = Walked({f"n{n}": Record(1, 1) for n in range(LARGE)})
+    few = Walked({f"n{n}": Record(1, 1) for n in range(SMALL)})
+    assert steps(lambda: [each.boot for each in records.values()]) > 50 * steps(
+        lambda: [each.boot for each in few.values()]
+    )
+    records.walks = 0
+    sorted(records), list(records.items()), {**records}
+    assert records.walks >= 3
