Leases: one that joins while a version changes holds nobody up

Ruled out: the voters' own start (fresh), lost messages (in virtual time there are none). Change: a relay that acts by nothing lets go of its grants once it hears of a later version, and says so. The test fails without the change. Beside it: bytes and numbers of connections are counted by peers' nodes; hollow instances, begun.

--- /dev/null
+++ b/benchmarks/capacity/hollow_instance.py
@@ -0,0 +1,283 @@
+"""Hollow instances, many to a process: the program's own peers, rules and plans (fleet/common.py) with real
+sockets, over a host that takes no messages. Told what to do by lines of JSON, see `Worker`.
+
+    python -m benchmarks.capacity.hollow_instance --operator FILE --config FILE --state FOLDER --address HOST
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import json
+import logging
+import os
+import resource
+import sys
+import time
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from linnetstile.config import Config, load
+from linnetstile.core.host import Host
+from linnetstile.core.seams import Attempt, Key, Result, Update
+from linnetstile.decisions.interface import Outcome
+from linnetstile.failover.node import solver
+from linnetstile.fleet import operator
+from linnetstile.fleet.common import Common
+from linnetstile.fleet.operator import FleetPart, Operator, StatusPart
+from linnetstile.fleet.status import LoopLag
+from linnetstile.garbage import tend
+from linnetstile.http.register import Register
+from linnetstile.peers.wire import Claim, State
+
+from .hollow_figures import Bins
+
+PORT = 7400  # with an instance's number
+LINE_BYTES = 1 << 24  # of an order: names of all that end
+START_S = 0.002  # between two starts in one turn of an order: others have theirs in between
+COUNTED = ("sent", "sent_bytes", "received", "received_bytes", "errors", "unreadable", "refused_streams",
+           "asked", "asked_bytes", "conversations", "conversation_bytes")
+
+
+class Silent:
+    """A transport that is never asked: there are no messages."""
+
+    async def attempt(self, attempt: Attempt) -> Result:
+        return Result(Outcome.NOT_SENT)
+
+    def keep_only(self, listed: set[Key]) -> None:
+        pass
+
+    def changed(self, key: Key, listed: bool) -> None:
+        pass
+
+    def sweep(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+class Watch:
+    """What the instances of this process came to know, and when (time.monotonic, one for the machine)."""
+
+    def __init__(self) -> None:
+        self.acts: dict[int, dict[int, float]] = {}  # instance -> version -> since when it acts by it alone
+        self.deaths: dict[str, Bins] = {}  # of a process: name/boot -> when it was known here, how often
+        self.lives: dict[str, Bins] = {}
+        self.suspects: Counter[str] = Counter()
+
+    def acting(self, number: int, label: str) -> None:
+        if label.isdecimal():
+            self.acts.setdefault(number, {}).setdefault(int(label), time.monotonic())
+
+    def changed(self, claim: Claim) -> None:
+        key = f"{claim.name}/{claim.boot}"
+        if claim.state in (State.DEAD, State.LEFT):
+            self.deaths.setdefault(key, Bins()).add(time.monotonic())
+        elif claim.state is State.SUSPECT:
+            self.suspects[key] += 1
+        else:
+            self.lives.setdefault(key, Bins()).add(time.monotonic())
+
+
+class Hollow:
+    """One instance."""
+
+    def __init__(self, number: int, told: Operator, config: Config, watch: Watch) -> None:
+        self.number, self.watch = number, watch
+        self.host = Host(config)
+        self.host.plug_in({}, Silent(), [])
+        self.common = Common(told, number, config, self.host)
+        if config.known:
+            known: Update = Register(config.discovery, config.settings.relays).known(config.known)
+            self.host.listed(known)
+        self.common.peers.changed.append(watch.changed)
+        accord = self.common.accord
+        assert accord is not None
+        self.accord, retell = accord, accord.retell
+
+        def retold() -> None:
+            if accord.shown is not None:
+                watch.acting(number, accord.shown.label)
+            retell()
+
+        accord.retell = retold
+
+    async def start(self) -> None:
+        await self.common.start()
+
+    async def end(self, word: bool) -> None:
+        """As a process that is killed, or one that says so first."""
+        if word:
+            self.common.close()
+        if self.common.failover is not None:
+            await self.common.failover.tasks.cancel()
+        await self.accord.close()
+        await self.common.peers.close()
+        self.host.journal.close()
+        self.host.lock.release()
+        self.watch.acts.pop(self.number, None)
+
+    @property
+    def there(self) -> int:
+        """Members that it knows to be there, itself included."""
+        return len(self.common.peers.swim.there())
+
+
+class Worker:
+    """Carries out orders, each a line of JSON with `do`, and answers each with a line."""
+
+    def __init__(self, args: argparse.Namespace) -> None:
+        self.args, self.watch, self.lag = args, Watch(), LoopLag()
+        self.instances: dict[int, Hollow] = {}
+        self.ended: Counter[str] = Counter()  # what those counted that have ended
+        self.told: Operator = operator.read(args.operator)
+        config = load({"RELAY_CONFIG": str(args.config), "RELAY_NAME": "x", "RELAY_STATE": args.state})
+        self.config, self.listed = config, config.known
+
+    def _one(self, number: int, of: int, zone: int) -> Hollow:
+        listen = f"{self.args.address}:{PORT}"
+        told = msgspec.structs.replace(
+            self.told,
+            peers=msgspec.structs.replace(self.told.peers, listen=listen, address=""),
+            fleet=FleetPart(instances=of), status=StatusPart(),
+        )
+        state = Path(self.args.state) / str(number)
+        state.mkdir(parents=True, exist_ok=True)
+        settings = replace(self.config.settings, zone=zone)
+        config = Config(
+            name=f"n{number}", listen=("127.0.0.1", 1), discovery=self.config.discovery, state=state,
+            seed=number, sockets=self.config.sockets, disk_bytes=self.config.disk_bytes,
+            known=self.listed, settings=settings, zones=self.config.zones,
+        )
+        return Hollow(number, told, config, self.watch)
+
+    async def start(self, numbers: list[int], zones: dict[str, int], of: int, within_s: float) -> None:
+        """Evenly over so long."""
+        begun = time.monotonic()
+        for n, number in enumerate(numbers):
+            await asyncio.sleep(max(START_S, begun + within_s * n / len(numbers) - time.monotonic()))
+            one = self._one(number, of, zones.get(str(number), 0))
+            await one.start()
+            self.instances[number] = one
+
+    async def end(self, numbers: list[int], word: bool) -> None:
+        """At once, all that are here of them."""
+        gone = [self.instances.pop(number) for number in numbers if number in self.instances]
+        for one in gone:
+            self.ended.update({name: one.common.peers.counts[name] for name in COUNTED})
+        await asyncio.gather(*(one.end(word) for one in gone))
+
+    def counts(self) -> dict[str, Any]:
+        found = Counter(self.ended)
+        for one in self.instances.values():
+            found.update({name: one.common.peers.counts[name] for name in COUNTED})
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        lag = self.lag.told()
+        return {
+            "instances": len(self.instances), "counts": dict(found), "at": time.monotonic(),
+            "cpu_s": used.ru_utime + used.ru_stime, "rss": _rss(),
+            "descriptors": len(os.listdir("/proc/self/fd")), "lag_ms": [lag.median_ms, lag.p99_ms, lag.most_ms],
+        }
+
+    def known(self, version: int) -> dict[str, Any]:
+        """How far they are: members that each knows to be there (least, most), and how many act by that
+        version or a later one."""
+        there = [one.there for one in self.instances.values()]
+        acts = sum(max(self.watch.acts.get(number, {0: 0.0})) >= version for number in self.instances)
+        news = [len(one.common.peers.swim.tell) for one in self.instances.values()]
+        return {"least": min(there, default=0), "most": max(there, default=0), "acts": acts,
+                "news": max(news, default=0)}
+
+    def acted(self, version: int) -> list[float]:
+        """When each began to act by that version or a later one, of those that do."""
+        found = []
+        for number in self.instances:
+            times = [at for each, at in self.watch.acts.get(number, {}).items() if each >= version]
+            if times:
+                found.append(min(times))
+        return found
+
+    async def do(self, order: dict[str, Any]) -> Any:
+        match order["do"]:
+            case "start":
+                await self.start(order["numbers"], order["zones"], order["of"], order["within_s"])
+                return len(self.instances)
+            case "end":
+                await self.end(order["numbers"], order.get("word", False))
+                return len(self.instances)
+            case "counts":
+                return self.counts()
+            case "known":
+                return self.known(order["version"])
+            case "acted":
+                return self.acted(order["version"])
+            case "changes":
+                """What was heard of members since the last question."""
+                watch = self.watch
+                told = {"deaths": {key: bins.counts for key, bins in watch.deaths.items()},
+                        "lives": {key: bins.counts for key, bins in watch.lives.items()},
+                        "suspects": dict(watch.suspects)}
+                watch.deaths, watch.lives, watch.suspects = {}, {}, Counter()
+                return told
+            case "collect":
+                gc.collect()
+                return None
+        raise ValueError(f"do: {order['do']!r} is no order")
+
+    async def run(self) -> None:
+        """Until there are no more orders."""
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(limit=LINE_BYTES)
+        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+        self.lag.start()
+        solver()  # what it imports is the process's, not an instance's
+        tending = loop.create_task(tend(lambda: 0))
+        say({"rss": _rss(), "pid": os.getpid()})
+        while line := await reader.readline():
+            try:
+                say(await self.do(json.loads(line)))
+            except Exception as error:  # told to whoever gave the order
+                logging.exception("an order failed")
+                say({"error": repr(error)})
+        tending.cancel()
+        await asyncio.gather(*(one.end(False) for one in self.instances.values()))
+
+
+def _rss() -> int:
+    return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def say(what: Any) -> None:
+    sys.stdout.write(json.dumps(what) + "\n")
+    sys.stdout.flush()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--operator", type=Path, required=True)
+    parser.add_argument("--config", type=Path, required=True)
+    parser.add_argument("--state", required=True)
+    parser.add_argument("--address", required=True)
+    logging.basicConfig(level=logging.WARNING, stream=sys.stderr,
+                        format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    args = parser.parse_args()
+    if os.environ.get("HOLLOW_PROFILE"):
+        import cProfile
+
+        profile = cProfile.Profile()
+        profile.enable()
+        asyncio.run(Worker(args).run())
+        profile.dump_stats(os.environ["HOLLOW_PROFILE"] + str(os.getpid()))
+        return
+    asyncio.run(Worker(args).run())
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/town.py
+++ b/benchmarks/town.py
@@ -41,6 +41,7 @@
     voters: int = 3
     bound: float = 2.0
     horizon: float = 6.0
+    period: float = 0.5  # of membership
     zones: int = 1
     agreed: bool = True  # without: neither peers nor rules, the same instances alone
     net_seed: int = 1
@@ -181,7 +182,7 @@
             part = (
                 f'[peers]\nlisten = "127.{self.block}.1.{{n}}:{PORT}"\n'
                 f'address = "127.{self.block}.2.{{n}}:{PORT}"\n'
-                f'seeds = [{seeds}]\nsecret_file = "{self.folder}/secret"\nperiod_s = 0.5\n'
+                f'seeds = [{seeds}]\nsecret_file = "{self.folder}/secret"\nperiod_s = {self.period}\n'
                 f"[accord]\nvoters = {list(range(self.voters))}\nbound_s = {self.bound}\n"
                 f"horizon_s = {self.horizon}\n{self.first}"
             )
--- a/linnetstile/accord/holding.py
+++ b/linnetstile/accord/holding.py
@@ -71,6 +71,7 @@
         self.acts: tuple[int, ...] = ()
         self.seq = 0
         self.refuses = 0  # grants that answer an earlier renewal are not taken
+        self.current = 0  # the newest version that a voter has said is agreed on
         self.asked: OrderedDict[int, tuple[float, tuple[int, ...]]] = OrderedDict()
         self.words: dict[str, Word] = {}
         self.base = BEFORE  # when the renewal was sent that a majority noted last
@@ -145,10 +146,25 @@
                 word.granted, word.granted_at = grant.granted, sent
             elif grant.granted == word.granted:
                 word.granted_at = max(word.granted_at, sent)
-        changed = self._narrow(grant) or self._adopt(now)
+        changed = self._overtaken(grant) or self._narrow(grant) or self._adopt(now)
         self._rebase()
         return changed
 
+    def _overtaken(self, grant: Grant) -> bool:
+        """One that acts by nothing yet lets go of what it was granted of an earlier version, and says so:
+        each of its grants was waited for up to the horizon, and so one that joined while a version changed
+        held up all others for that long."""
+        if grant.current <= self.current:
+            return False
+        first = not self.current and grant.seq == 1  # nothing was granted before
+        self.current = grant.current
+        if self.acts or first:
+            return False  # one that acts goes on with that, and keeps to the later one too
+        self.refuses = self.seq + 1
+        for word in self.words.values():
+            word.granted, word.granted_at = 0, BEFORE
+        return True
+
     def _narrow(self, grant: Grant) -> bool:
         """Another version is agreed on, or is to be tried here: keeps to it too."""
         trial = self.versions.get(grant.trial)
--- a/linnetstile/peers/node.py
+++ b/linnetstile/peers/node.py
@@ -262,8 +262,13 @@
             reader, writer = await asyncio.open_connection(*at, local_addr=self.source)
             try:
                 hello = msgspec.msgpack.encode(_Hello(self.swim.me.name, kind))
-                writer.write(framed(hello, self.secret) + framed(raw, self.secret))
-                return await frame(reader, self.secret)
+                told = framed(hello, self.secret) + framed(raw, self.secret)
+                self.counts["asked"] += 1
+                self.counts["asked_bytes"] += len(told)
+                writer.write(told)
+                answer = await frame(reader, self.secret)
+                self.counts["asked_bytes"] += len(answer)
+                return answer
             except asyncio.IncompleteReadError as error:
                 raise OSError(f"{name}: ended without an answer") from error
             finally:
@@ -271,20 +276,24 @@
 
     async def _conversation(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self.conversations) >= STREAMS:
+            self.counts["refused_streams"] += 1
             writer.close()
             return
         self.conversations.add(writer)
+        self.counts["conversations"] += 1
         try:
             async with asyncio.timeout(CONNECT_S):
                 hello: _Hello = msgspec.msgpack.decode(await frame(reader, self.secret), type=_Hello)
             while True:
                 raw = await frame(reader, self.secret)
+                self.counts["conversation_bytes"] += len(raw)
                 take = self.frames.get(hello.kind)  # asked each time: who takes them may have begun anew
                 if take is None:  # not served here, or not yet: who needs it tries again
                     return
                 answer = take(hello.sender, raw)
                 told = await answer if isinstance(answer, Awaitable) else answer
                 if told is not None:
+                    self.counts["conversation_bytes"] += len(told)
                     writer.write(framed(told, self.secret))
                     async with asyncio.timeout(SAY_S):
                         await writer.drain()
--- a/tests/accord/test_leases.py
+++ b/tests/accord/test_leases.py
@@ -84,6 +84,24 @@
     assert it.label == "2"
 
 
+def test_one_that_joins_while_a_version_changes_holds_nobody_up() -> None:
+    """It was granted 1 before it knew what 1 says, and 2 was agreed on then: the voters waited for that grant
+    up to the horizon, and with them all relays (30 s at each start of a fleet whose plans follow its size)."""
+    it = Three()
+    it.relay.versions.clear()
+    it.renew()
+    assert it.label == "floor"  # it does not know version 1 yet
+    it.know("n0")
+    version = it.agree(STRICT)
+    assert it.clear() == [False] * 3
+    it.renew()  # hears of 2, lets go of what it was granted
+    it.renew()  # and says so
+    assert it.clear() == [True] * 3
+    it.relay.know(version)
+    it.renew()
+    assert it.label == "2"
+
+
 def test_one_that_is_cut_off_is_waited_for_as_long_as_it_may_go_on() -> None:
     it = Three()
     it.renew()
