Hollow fleet: instances, fleet, events and rows; a grant that is lost is waited for a lease at most

A voter that is behind may grant a version that is overtaken already, and a grant may be lost on its way; neither was ever refused by a relay that acts by nothing yet. Change: such a relay refuses what answers renewals older than a lease. The test fails without.

--- a/benchmarks/capacity/hollow_fleet.py
+++ b/benchmarks/capacity/hollow_fleet.py
@@ -10,7 +10,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -22,11 +22,6 @@
 from .hollow_figures import Bins, of, rates
 
 ZONES = ("a", "b", "c", "d", "e")
-PARTS = """[failover]
-zones = {{ a = {{ region = "east" }}, b = {{ region = "east" }}, c = {{ region = "east" }}, \
-d = {{ region = "west" }}, e = {{ region = "west" }} }}
-window_s = {window:g}
-"""
 VOTERS, RELAYS = 5, 3
 PERIOD_S, BOUND_S, HORIZON_S, WINDOW_S = 1.0, 2.0, 30.0, 1.0  # of the program's defaults; stretched together
 RATE = 60.0  # messages a second to the real ones
@@ -36,6 +31,14 @@
 ZONE_SHARE = 0.2  # of the hollow ones are in the zone that is lost; more with `zone_of`
 
 
+def parts(zones: Sequence[str], window_s: float) -> str:
+    """Of the operator's file: two regions."""
+    east = (len(zones) + 1) // 2
+    named = ", ".join(f'{zone} = {{ region = "{"east" if n < east else "west"}" }}'
+                      for n, zone in enumerate(zones))
+    return f"[failover]\nzones = {{ {named} }}\nwindow_s = {window_s:g}\n"
+
+
 class Broken(Exception):
     """A worker has ended, or could not do what it was told."""
 
@@ -91,10 +94,14 @@
     def zone(self, number: int) -> int:
         n = number - FIRST
         if not self.zone_of:
-            return n % len(ZONES)
+            return n % self.zones
         step = self.instances / self.zone_of  # spread over all processes
         here = int((n + 1) / step) > int(n / step)
-        return 0 if here else 1 + n % (len(ZONES) - 1)
+        return 0 if here else 1 + n % (self.zones - 1)
+
+    @property
+    def zones(self) -> int:
+        return len(self.it.partners)
 
     async def begin(self) -> None:
         """The processes, without instances yet."""
@@ -237,7 +244,7 @@
         took = after["at"] - before["at"]
         mine = rates(before["counts"], after["counts"], took, self.up)
         voter = rates(before["voter"], after["voter"], took, 1)
-        used = [(after["voters"][n] - before["voters"][n]) / took for n in range(VOTERS)]
+        used = [(after["voters"][n] - before["voters"][n]) / took for n in range(self.it.voters)]
         return {
             "bytes_s": mine["sent_bytes"] + mine["asked_bytes"],
             "bytes_in_s": mine["received_bytes"],
@@ -245,20 +252,23 @@
             "cpu_share": (after["cpu_s"] - before["cpu_s"]) / took / self.up,
             "memory_bytes": after["rss"] / self.up,
             "descriptors": after["descriptors"], "lag_ms": after["lag_ms"],
-            "voter_datagrams_in_s": voter.get("received", 0.0), "voter_bytes_in_s": voter.get("received_bytes", 0.0),
+            "voter_datagrams_in_s": voter.get("received", 0.0),
+            "voter_bytes_in_s": voter.get("received_bytes", 0.0),
             "voter_datagrams_s": voter.get("sent", 0.0), "voter_bytes_s": voter.get("sent_bytes", 0.0),
-            "voter_cpu_share": max(used), "voter_memory_bytes": max(self._memory(n) for n in range(VOTERS)),
+            "voter_cpu_share": max(used),
+            "voter_memory_bytes": max(self._memory(n) for n in range(self.it.voters)),
         }
 
     # -- traffic and changes ---------------------------------------------------------------------------------
 
     def serve(self) -> None:
         """The real relays take traffic from now on."""
-        self.clients = Clients(self.it.port + VOTERS, self.it.instances - VOTERS, deadline_share=0.5)
+        relays = self.it.instances - self.it.voters
+        self.clients = Clients(self.it.port + self.it.voters, relays, deadline_share=0.5)
         self.traffic = asyncio.ensure_future(self.clients.run(RATE, 3600.0))
 
     async def propose(self, rate: float) -> tuple[int, float]:
-        """A version, and when it was proposed. Another proposal, a plan's, may have come first: tried again."""
+        """A version, and when it was proposed. A plan may have come first: tried again."""
         rules = {"destinations": {"1": {"rate": rate}}}
         ends = time.monotonic() + 30.0
         while True:
@@ -300,11 +310,12 @@
 
 @contextlib.asynccontextmanager
 async def hollow_fleet(instances: int, processes: int, stretch: float, zone_of: int = 0,
-                       **more: Any) -> AsyncIterator[HollowFleet]:
+                       voters: int = VOTERS, relays: int = RELAYS, zones: tuple[str, ...] = ZONES,
+                       ) -> AsyncIterator[HollowFleet]:
     async with town(
-        VOTERS + RELAYS, voters=VOTERS, bound=BOUND_S * stretch, horizon=HORIZON_S * stretch,
-        period=PERIOD_S * stretch, zones=len(ZONES), partners=ZONES, deadline_share=0.5,
-        more_parts=PARTS.format(window=WINDOW_S * stretch), **more,
+        voters + relays, voters=voters, bound=BOUND_S * stretch, horizon=HORIZON_S * stretch,
+        period=PERIOD_S * stretch, zones=len(zones), partners=zones, deadline_share=0.5,
+        more_parts=parts(zones, WINDOW_S * stretch),
     ) as it:
         them = HollowFleet(it, instances, processes, stretch, zone_of)
         try:
@@ -312,6 +323,3 @@
             yield them
         finally:
             await them.close()
-
-
-Event = Callable[[HollowFleet], Awaitable[dict[str, float]]]
--- a/benchmarks/capacity/hollow_instance.py
+++ b/benchmarks/capacity/hollow_instance.py
@@ -183,7 +183,8 @@
         return {
             "instances": len(self.instances), "counts": dict(found), "at": time.monotonic(),
             "cpu_s": used.ru_utime + used.ru_stime, "rss": _rss(),
-            "descriptors": len(os.listdir("/proc/self/fd")), "lag_ms": [lag.median_ms, lag.p99_ms, lag.most_ms],
+            "descriptors": len(os.listdir("/proc/self/fd")),
+            "lag_ms": [lag.median_ms, lag.p99_ms, lag.most_ms],
         }
 
     def known(self, version: int) -> dict[str, Any]:
--- a/linnetstile/accord/holding.py
+++ b/linnetstile/accord/holding.py
@@ -58,6 +58,7 @@
     noted_at: float = BEFORE  # when that renewal was sent
     granted: int = 0
     granted_at: float = BEFORE
+    granted_seq: int = 0  # the latest renewal that it answered with that
     cleared: int = 0
     trial: int = 0
     seq: int = 0
@@ -94,8 +95,16 @@
         self.asked[self.seq] = (now, self.acts)
         while len(self.asked) > ASKED:
             self.asked.popitem(last=False)
+        if not self.acts:
+            self._refuse(self._too_old(now))
         return Renew(self.boot, self.nonce, self.seq, self.first, self.acts, self.refuses, counts, leaving)
 
+    def _too_old(self, now: float) -> int:
+        """The first renewal whose grants one that acts by nothing could still begin with: it needs them of a
+        majority within a lease. Of an older one an answer may have been lost, and is waited for in vain."""
+        since = now - self.terms.held(self.terms.lease)
+        return next(seq for seq, (sent, _) in self.asked.items() if sent >= since)
+
     def began(self, boot: int) -> None:
         """Under another boot: it acts by nothing until it has a lease."""
         self.boot, self.acts, self.base, self.refuses = boot, (), BEFORE, self.seq + 1
@@ -143,9 +152,10 @@
             word.noted_at = max(word.noted_at, sent)
         if grant.granted and grant.seq >= self.refuses:
             if grant.granted > word.granted:
-                word.granted, word.granted_at = grant.granted, sent
+                word.granted, word.granted_at, word.granted_seq = grant.granted, sent, grant.seq
             elif grant.granted == word.granted:
                 word.granted_at = max(word.granted_at, sent)
+                word.granted_seq = max(word.granted_seq, grant.seq)
         changed = self._overtaken(grant) or self._narrow(grant) or self._adopt(now)
         self._rebase()
         return changed
@@ -153,18 +163,24 @@
     def _overtaken(self, grant: Grant) -> bool:
         """One that acts by nothing yet lets go of what it was granted of an earlier version, and says so:
         each of its grants was waited for up to the horizon, and so one that joined while a version changed
-        held up all others for that long."""
-        if grant.current <= self.current:
+        held up all others for that long. A voter that is behind may grant such a one later too."""
+        late = 0 < grant.granted < self.current
+        if grant.current <= self.current and not late:
             return False
         first = not self.current and grant.seq == 1  # nothing was granted before
-        self.current = grant.current
+        self.current = max(self.current, grant.current)
         if self.acts or first:
             return False  # one that acts goes on with that, and keeps to the later one too
-        self.refuses = self.seq + 1
-        for word in self.words.values():
-            word.granted, word.granted_at = 0, BEFORE
+        self._refuse(self.seq + 1)
         return True
 
+    def _refuse(self, seq: int) -> None:
+        """What answers an earlier renewal is not taken: nobody has to wait for it once this has been said."""
+        self.refuses = max(self.refuses, seq)
+        for word in self.words.values():
+            if word.granted_seq < seq:
+                word.granted, word.granted_at = 0, BEFORE
+
     def _narrow(self, grant: Grant) -> bool:
         """Another version is agreed on, or is to be tried here: keeps to it too."""
         trial = self.versions.get(grant.trial)
--- a/tests/accord/test_leases.py
+++ b/tests/accord/test_leases.py
@@ -85,8 +85,8 @@
 
 
 def test_one_that_joins_while_a_version_changes_holds_nobody_up() -> None:
-    """It was granted 1 before it knew what 1 says, and 2 was agreed on then: the voters waited for that grant
-    up to the horizon, and with them all relays (30 s at each start of a fleet whose plans follow its size)."""
+    """It was granted 1 before it knew what 1 says, and 2 was agreed on then: the voters waited for that
+    grant up to the horizon, and with them all relays: at each start of a fleet whose plans follow its size."""
     it = Three()
     it.relay.versions.clear()
     it.renew()
@@ -102,6 +102,22 @@
     assert it.label == "2"
 
 
+def test_a_grant_that_got_lost_on_the_way_to_one_that_joins_is_waited_for_no_longer_than_a_lease() -> None:
+    """Also one by a voter that was behind: the relay never hears of it, and can't refuse it by name."""
+    it = Three()
+    told = it.relay.renew(it.now)
+    for name in VOTERS:
+        it.voters[name].renewed(it.now, "n9", told)  # and the answers are lost
+    version = it.agree(STRICT)
+    it.relay.know(version)
+    for _ in range(5):
+        it.now += TERMS.lease / 4
+        told = it.relay.renew(it.now)
+        for name in VOTERS:
+            it.voters[name].renewed(it.now, "n9", told)
+    assert it.clear() == [True] * 3
+
+
 def test_one_that_is_cut_off_is_waited_for_as_long_as_it_may_go_on() -> None:
     it = Three()
     it.renew()
--- /dev/null
+++ b/tests/scale/test_hollow.py
@@ -0,0 +1,68 @@
+"""A small hollow fleet, of the form that thousands are measured with (benchmarks/capacity/hollow.py)."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from benchmarks.capacity.hollow_figures import Bins, of, rates
+from benchmarks.capacity.hollow_fleet import FIRST, HollowFleet, begun, hollow_fleet
+from benchmarks.town import Town
+
+INSTANCES, PROCESSES = 30, 2
+PATIENCE_S = 60.0  # what has not come by then does not come: nothing here takes a tenth of it
+
+
+async def fleet() -> None:
+    async with hollow_fleet(INSTANCES, PROCESSES, 1.0, voters=3, relays=0, zones=("a", "b")) as them:
+        told = await begun(them, 1.0, PATIENCE_S)
+        assert not any(map(math.isnan, told.values())), told
+        before = await them.change(900.0, PATIENCE_S)
+        assert before["acting"] == INSTANCES
+        third = them.numbers[::3]
+        await them.heard()
+        await them.end(third)
+        during = await them.change(895.0, PATIENCE_S)
+        assert during["acting"] == during["of"] == INSTANCES - len(third)
+        assert not math.isnan(await them.all_known(PATIENCE_S)), "the dead are known as dead"
+        await them.start(third, 0.5)
+        assert not math.isnan(await them.all_known(PATIENCE_S)), "and known as back"
+        assert not math.isnan(await them.all_act(PATIENCE_S)), "who came back acts by the rules"
+        await them.heard()
+        assert {key for key in them.expected} == {f"n{n}/1" for n in third}
+        counts = await them.counts()
+        assert counts["counts"]["sent"] > 0 and counts["counts"]["received_bytes"] > 0
+        assert counts["counts"]["asked"] >= INSTANCES  # each has asked for a version once at the least
+        assert counts["rss"] > 0 and counts["cpu_s"] > 0
+        assert counts["descriptors"] < 20 * INSTANCES
+
+
+def test_a_small_hollow_fleet_agrees_hears_and_outlives_the_end_of_a_third() -> None:
+    asyncio.run(asyncio.wait_for(fleet(), 5 * PATIENCE_S))
+
+
+def test_times_in_bins_keep_their_order_and_number() -> None:
+    bins = of([0.01, 0.02, 1.0, 9.99])
+    assert len(bins) == 4 and bins.quantile(0.5) == pytest.approx(0.05)
+    assert bins.quantile(1.0, since=9.0) == pytest.approx(1.0)
+    other = Bins()
+    other.merge({str(n): count for n, count in bins.counts.items()})  # as JSON has it
+    assert other.counts == bins.counts
+    assert math.isnan(Bins().quantile(0.99))
+
+
+def test_what_is_counted_is_told_per_instance_and_second() -> None:
+    assert rates(Counter(sent=10), Counter(sent=110), 10.0, 5) == {"sent": 2.0}
+
+
+def test_zones_are_spread_and_one_may_be_larger() -> None:
+    it = Town(Path("."), 8, 1.0, False, partners=("a", "b", "c", "d", "e"))
+    them = HollowFleet(it, 3000, 8, 1.0, zone_of=700)
+    counts = Counter(them.zone(n) for n in them.numbers)
+    assert counts[0] == 700 and min(counts.values()) > 500 and len(counts) == 5
+    even = HollowFleet(it, 100, 8, 1.0)
+    assert Counter(even.zone(FIRST + n) for n in range(100)) == dict.fromkeys(range(5), 20)
