Peers: a renewal walks over no members, is sealed once for all voters, and a burst has room

Cause: each datagram of another part (renewals, grants, evidence) had membership look for what is due next, a walk over all suspicions, and every recipient had the same words sealed anew. A hint to 3,500 relays brings 3,500 renewals at once to each voter: the kernel's default buffer of 212,992 bytes holds 277 small ones. Change: those datagrams go to their part alone; the latest words are kept as sealed; SO_RCVBUF is asked for. Each of the three tests fails without its part.

--- a/benchmarks/capacity/hollow_instance.py
+++ b/benchmarks/capacity/hollow_instance.py
@@ -269,14 +269,6 @@
     logging.basicConfig(level=logging.WARNING, stream=sys.stderr,
                         format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     args = parser.parse_args()
-    if os.environ.get("HOLLOW_PROFILE"):
-        import cProfile
-
-        profile = cProfile.Profile()
-        profile.enable()
-        asyncio.run(Worker(args).run())
-        profile.dump_stats(os.environ["HOLLOW_PROFILE"] + str(os.getpid()))
-        return
     asyncio.run(Worker(args).run())
 
 
--- a/linnetstile/peers/node.py
+++ b/linnetstile/peers/node.py
@@ -30,6 +30,7 @@
 SAY_S = 5.0  # a connection that takes nothing for so long is ended
 CONNECT_S = 1.0  # it comes up so soon, or not
 STREAMS = 64  # connections from others at once
+RECEIVE_BYTES = 2 << 20  # twice that in the kernel: renewals of 4,096 relays at once, at 768 bytes each
 BACKLOG_BYTES = FRAME_BYTES  # that wait for one connection: later ones are dropped, as a network may
 
 Datagram = Callable[[str, bytes], None]  # a sender's name, and what it says
@@ -130,6 +131,7 @@
         self.frames: dict[str, Frame] = {}
         self.changed: list[Callable[[Claim], None]] = []
         self.counts: Counter[str] = Counter()
+        self.said: tuple[tuple[str, bytes, int], bytes] = ("", b"", 0), b""  # the latest, as it went out
         self.tasks = Tasks()
         self.timer: asyncio.TimerHandle | None = None
         self.transport: asyncio.DatagramTransport | None = None
@@ -140,6 +142,8 @@
         """Raises OSError where the place can't be had."""
         at = self.part.at(self.number)
         self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, at)
+        own: socket.socket = self.transport.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)  # as much of it as the host allows
         self.server = await asyncio.start_server(self._conversation, *at, limit=FRAME_BYTES)
         self._tick()
 
@@ -225,7 +229,9 @@
             hear(self.identity)
 
     def _out(self, to: Address, body: Body) -> None:
-        raw = sealed(Packet(self.swim.me.name, self.swim.me.nonce, body), self.secret)
+        self._send(to, sealed(Packet(self.swim.me.name, self.swim.me.nonce, body), self.secret))
+
+    def _send(self, to: Address, raw: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.counts["sent"] += 1
             self.counts["sent_bytes"] += len(raw)
@@ -241,12 +247,13 @@
             return
         self.counts["received"] += 1
         self.counts["received_bytes"] += len(data)
+        body = packet.body
         try:
-            app = self.swim.receive(
-                asyncio.get_running_loop().time(), packet.sender, packet.nonce, packet.body
-            )
-            if app is not None and app.kind in self.datagrams:
-                self.datagrams[app.kind](packet.sender, app.body)
+            if isinstance(body, App):  # changes nothing of membership: no walk over it for each renewal
+                if body.kind in self.datagrams:
+                    self.datagrams[body.kind](packet.sender, body.body)
+                return
+            self.swim.receive(asyncio.get_running_loop().time(), packet.sender, packet.nonce, body)
         except Exception:
             log.exception("a packet of %s failed", packet.sender)
         self._flush()
@@ -261,7 +268,15 @@
         """One datagram; it may be lost, come twice or late."""
         at = self.where(name)
         if at is not None:
-            self._out(at, App(kind, body))
+            self._send(at, self._told(kind, body))
+
+    def _told(self, kind: str, body: bytes) -> bytes:
+        """Sealed once for all to whom the same is said: a renewal to each voter, a hint to each relay."""
+        key = kind, body, self.swim.me.nonce
+        if key != self.said[0]:
+            packet = Packet(self.swim.me.name, self.swim.me.nonce, App(kind, body))
+            self.said = key, sealed(packet, self.secret)
+        return self.said[1]
 
     async def ask(self, name: str, kind: str, raw: bytes, seconds: float = 2.0) -> bytes:
         """One message and its answer on a connection of its own. Raises OSError or TimeoutError."""
--- a/tests/accord/test_leases.py
+++ b/tests/accord/test_leases.py
@@ -86,7 +86,7 @@
 
 def test_one_that_joins_while_a_version_changes_holds_nobody_up() -> None:
     """It was granted 1 before it knew what 1 says, and 2 was agreed on then: the voters waited for that
-    grant up to the horizon, and with them all relays: at each start of a fleet whose plans follow its size."""
+    grant up to the horizon, and with them all relays: at each start of a fleet whose plans follow it."""
     it = Three()
     it.relay.versions.clear()
     it.renew()
--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import socket
 from collections import Counter
 from pathlib import Path
 
@@ -11,7 +12,12 @@
 
 from benchmarks.capacity.hollow_figures import Bins, of, rates
 from benchmarks.capacity.hollow_fleet import FIRST, HollowFleet, begun, hollow_fleet
+from benchmarks.processes import free_ports
 from benchmarks.town import Town
+from linnetstile.peers import node as peers
+from linnetstile.peers.identity import Identity
+from linnetstile.peers.settings import PeersPart
+from linnetstile.peers.wire import App, Claim, Packet, State, opened, sealed
 
 INSTANCES, PROCESSES = 30, 2
 PATIENCE_S = 60.0  # what has not come by then does not come: nothing here takes a tenth of it
@@ -66,3 +72,55 @@
     assert counts[0] == 700 and min(counts.values()) > 500 and len(counts) == 5
     even = HollowFleet(it, 100, 8, 1.0)
     assert Counter(even.zone(FIRST + n) for n in range(100)) == dict.fromkeys(range(5), 20)
+
+
+def node(tmp_path: Path, port: int = 7400) -> peers.Node:
+    identity = Identity("n0", "id0", 1, 0, 0)
+    return peers.Node(PeersPart(listen=f"127.0.0.1:{port}"), identity, tmp_path, 0, "z", 0)
+
+
+def test_a_datagram_of_another_part_walks_over_no_members(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Renewals come 12,600 times a second to a voter of 3,500 relays: what is due next in membership, a walk
+    over all suspicions, is none of their business."""
+    it, heard = node(tmp_path), list[tuple[str, bytes]]()
+    it.datagrams["renew"] = lambda sender, raw: heard.append((sender, raw))
+    monkeypatch.setattr(it.swim, "next_at", lambda: pytest.fail("what is due next was looked for"))
+    it.datagram_received(sealed(Packet("n1", 5, App("renew", b"x")), b""), ("127.0.0.1", 1))
+    assert heard == [("n1", b"x")] and it.counts["received"] == 1
+
+
+def test_the_same_word_to_many_is_sealed_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    it, sent = node(tmp_path), list[bytes]()
+    for n in range(1, 6):
+        it.swim.members[f"n{n}"] = Claim(f"n{n}", f"id{n}", 1, n, 0, State.ALIVE, "127.0.0.1", 7400 + n)
+    seals = 0
+
+    def counted(packet: Packet, secret: bytes) -> bytes:
+        nonlocal seals
+        seals += 1
+        return sealed(packet, secret)
+
+    monkeypatch.setattr(peers, "sealed", counted)
+    monkeypatch.setattr(it, "_send", lambda to, raw: sent.append(raw))
+    for n in range(1, 6):
+        it.say(f"n{n}", "renew", b"one")
+    it.say("n1", "renew", b"two")
+    it.say("n2", "grant", b"two")
+    assert seals == 3 and len(sent) == 7 and len(set(sent)) == 3
+    told = [opened(raw, b"").body for raw in sent]
+    assert told[-2:] == [App("renew", b"two"), App("grant", b"two")]
+
+
+def test_a_burst_of_renewals_has_room_in_the_kernel(tmp_path: Path) -> None:
+    async def room() -> int:
+        it = node(tmp_path, free_ports(1))
+        await it.start()
+        assert it.transport is not None
+        found: int = it.transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        await it.close()
+        return found
+
+    allowed = 2 * int(Path("/proc/sys/net/core/rmem_max").read_text())
+    assert asyncio.run(room()) >= min(allowed, 4096 * 768)  # a small datagram is 768 bytes to the kernel
