Membership: one that joins asks one seed at a time

Cause: each seed answers with all that it knows; a fleet of 3,000 that joins at once had five seeds send each instance all claims five times over, every half second until the first came (swim.py, tick). Change: the seeds are asked in turn, from a random one on. The test fails without it.

--- a/linnetstile/peers/swim.py
+++ b/linnetstile/peers/swim.py
@@ -112,6 +112,7 @@
         self.period_at = self.sync_at = self.due = 0.0
         self.surplus, self.turned_away = 0, ""  # words on members past the most there may be; the latest name
         self.synced = not self.seeds
+        self.seed = self.rng.randrange(len(self.seeds)) if self.seeds else 0  # which was asked last
         self.tell[self.me.name] = 0
 
     # -- time ------------------------------------------------------------------------------------------------
@@ -122,8 +123,9 @@
             self._stood_still(now)
         if not self.synced and now >= self.sync_at:
             self.sync_at = now + JOIN_S * self.rng.uniform(0.8, 1.2)
-            for seed in self.seeds:
-                self._out(seed, Sync(True, (self.me,)))  # all of it, whatever that is
+            # One at a time: each answers with all that it knows, and thousands may be joining.
+            self.seed = (self.seed + 1) % len(self.seeds)
+            self._out(self.seeds[self.seed], Sync(True, (self.me,)))  # all of it, whatever that is
         elif self.synced and now >= self.sync_at:
             self._sync(now)
         for seq, errand in list(self.errands.items()):
--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import random
 import socket
 from collections import Counter
 from pathlib import Path
@@ -17,14 +18,15 @@
 from linnetstile.peers import node as peers
 from linnetstile.peers.identity import Identity
 from linnetstile.peers.settings import PeersPart
+from linnetstile.peers.swim import Swim
 from linnetstile.peers.wire import App, Claim, Packet, State, opened, sealed
 
-INSTANCES, PROCESSES = 30, 2
+INSTANCES, PROCESSES, STRETCH = 30, 2, 0.5
 PATIENCE_S = 60.0  # what has not come by then does not come: nothing here takes a tenth of it
 
 
 async def fleet() -> None:
-    async with hollow_fleet(INSTANCES, PROCESSES, 1.0, voters=3, relays=0, zones=("a", "b")) as them:
+    async with hollow_fleet(INSTANCES, PROCESSES, STRETCH, voters=3, relays=0, zones=("a", "b")) as them:
         told = await begun(them, 1.0, PATIENCE_S)
         assert not any(map(math.isnan, told.values())), told
         before = await them.change(900.0, PATIENCE_S)
@@ -91,6 +93,20 @@
     assert heard == [("n1", b"x")] and it.counts["received"] == 1
 
 
+def test_one_that_joins_asks_one_seed_at_a_time_and_each_in_turn() -> None:
+    """Each answers with all that it knows: 3,000 that join at once had five seeds send each of them 210
+    packets, five times over."""
+    seeds = tuple(("127.0.0.1", 7400 + n) for n in range(5))
+    me = Claim("n9", "id9", 1, 9, 0, State.JOINING, "127.0.0.1", 7409)
+    it, asked = Swim(me, seeds, random.Random(1)), list[tuple[str, int]]()
+    for turn in range(10):
+        it.tick(1.0 * turn)
+        out, it.outbox = it.outbox, []
+        assert len(out) == 1
+        asked.append(out[0][0])
+    assert sorted(asked) == sorted(2 * seeds) and len(set(asked[:5])) == 5
+
+
 def test_the_same_word_to_many_is_sealed_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     it, sent = node(tmp_path), list[bytes]()
     for n in range(1, 6):
