--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import math
 import random
 from collections import Counter
 from pathlib import Path
 
+import msgspec
 import pytest
 
+from benchmarks.capacity.hollow import facts, fit, slopes
 from benchmarks.capacity.hollow_figures import Bins, of, rates
 from benchmarks.capacity.hollow_fleet import FIRST, HollowFleet, begun, hollow_fleet
 from benchmarks.town import Town
+from emulator.capacity.slopes import Report
 from linnetstile.peers import node as peers
 from linnetstile.peers.identity import Identity
 from linnetstile.peers.settings import PeersPart
@@ -125,3 +129,29 @@
     assert seals == 3 and len(sent) == 7 and len(set(sent)) == 3
     told = [opened(raw, b"").body for raw in sent]
     assert told[-2:] == [App("renew", b"two"), App("grant", b"two")]
+
+
+def rows() -> list[dict[str, float]]:
+    return [{"instances": n, "stretch": 10.0, "bytes_s": 100.0 + n, "memory_bytes": 1000.0 * n,
+             "return_200_s": 5.0 + n / 1000} for n in (188, 375, 750, 1500, 3000)]
+
+
+def test_the_largest_fleet_is_in_no_fit_and_its_figures_are_facts() -> None:
+    found = {each.name: each for each in slopes(rows())}
+    assert set(found) == {"hollow.bytes_s", "hollow.memory_bytes"}
+    one = found["hollow.bytes_s"]
+    assert [each.size for each in one.samples] == [188, 375, 750, 1500] and one.largest == 3000
+    assert one.predicted == pytest.approx(3100.0) and one.measured == 3100.0
+    assert facts(rows())["hollow.return_200_s"] == 8.0
+
+
+def test_rows_of_another_stretch_and_others_slopes_are_left_alone(tmp_path: Path) -> None:
+    told = [*rows(), {"instances": 30, "stretch": 1.0, "bytes_s": 1e9}]
+    (tmp_path / "rows").write_text("".join(json.dumps(row) + "\n" for row in told))
+    other = msgspec.structs.replace(slopes(rows())[0], name="store.start")
+    before = Report("m", 1.0, 2.0, 3, [other], {"x": 1.0})
+    (tmp_path / "report").write_bytes(msgspec.json.encode(before))
+    fit(tmp_path / "rows", tmp_path / "report")
+    after = msgspec.json.decode((tmp_path / "report").read_bytes(), type=Report)
+    assert {each.name for each in after.slopes} == {"store.start", "hollow.bytes_s", "hollow.memory_bytes"}
+    assert after.facts["x"] == 1.0 and after.facts["hollow.instances"] == 3000 and after.machine == "m"
