--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -152,6 +152,6 @@
     before = Report("m", 1.0, 2.0, 3, [other], {"x": 1.0})
     (tmp_path / "report").write_bytes(msgspec.json.encode(before))
     fit(tmp_path / "rows", tmp_path / "report")
-    after = msgspec.json.decode((tmp_path / "report").read_bytes(), type=Report)
+    after: Report = msgspec.json.decode((tmp_path / "report").read_bytes(), type=Report)
     assert {each.name for each in after.slopes} == {"store.start", "hollow.bytes_s", "hollow.memory_bytes"}
     assert after.facts["x"] == 1.0 and after.facts["hollow.instances"] == 3000 and after.machine == "m"
