--- a/benchmarks/capacity/hollow_instance.py
+++ b/benchmarks/capacity/hollow_instance.py
@@ -192,7 +192,7 @@
         version or a later one."""
         there = [one.there for one in self.instances.values()]
         acts = sum(max(self.watch.acts.get(number, {0: 0.0})) >= version for number in self.instances)
-        news = [len(one.common.peers.swim.tell) for one in self.instances.values()]
+        news = [len(one.common.peers.swim.news) for one in self.instances.values()]
         late = [f"{one.accord.me}: {one.accord.acting().label} {one.accord.holding.why}"
                 for number, one in self.instances.items()
                 if max(self.watch.acts.get(number, {0: 0.0})) < version]
