--- a/linnetstile/peers/node.py
+++ b/linnetstile/peers/node.py
@@ -130,6 +130,7 @@
         self.frames: dict[str, Frame] = {}
         self.changed: list[Callable[[Claim], None]] = []
         self.counts: Counter[str] = Counter()
+        self.said: tuple[tuple[str, bytes, int], bytes] = ("", b"", 0), b""  # the latest, as it went out
         self.tasks = Tasks()
         self.timer: asyncio.TimerHandle | None = None
         self.transport: asyncio.DatagramTransport | None = None
@@ -225,7 +226,9 @@
             hear(self.identity)
 
     def _out(self, to: Address, body: Body) -> None:
-        raw = sealed(Packet(self.swim.me.name, self.swim.me.nonce, body), self.secret)
+        self._send(to, sealed(Packet(self.swim.me.name, self.swim.me.nonce, body), self.secret))
+
+    def _send(self, to: Address, raw: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.counts["sent"] += 1
             self.counts["sent_bytes"] += len(raw)
@@ -241,12 +244,13 @@
             return
         self.counts["received"] += 1
         self.counts["received_bytes"] += len(data)
+        body = packet.body
         try:
-            app = self.swim.receive(
-                asyncio.get_running_loop().time(), packet.sender, packet.nonce, packet.body
-            )
-            if app is not None and app.kind in self.datagrams:
-                self.datagrams[app.kind](packet.sender, app.body)
+            if isinstance(body, App):  # changes nothing of membership: no walk over it for each renewal
+                if body.kind in self.datagrams:
+                    self.datagrams[body.kind](packet.sender, body.body)
+                return
+            self.swim.receive(asyncio.get_running_loop().time(), packet.sender, packet.nonce, body)
         except Exception:
             log.exception("a packet of %s failed", packet.sender)
         self._flush()
@@ -261,7 +265,15 @@
         """One datagram; it may be lost, come twice or late."""
         at = self.where(name)
         if at is not None:
-            self._out(at, App(kind, body))
+            self._send(at, self._told(kind, body))
+
+    def _told(self, kind: str, body: bytes) -> bytes:
+        """Sealed once for all to whom the same is said: a renewal to each voter, a hint to each relay."""
+        key = kind, body, self.swim.me.nonce
+        if key != self.said[0]:
+            packet = Packet(self.swim.me.name, self.swim.me.nonce, App(kind, body))
+            self.said = key, sealed(packet, self.secret)
+        return self.said[1]
 
     async def ask(self, name: str, kind: str, raw: bytes, seconds: float = 2.0) -> bytes:
         """One message and its answer on a connection of its own. Raises OSError or TimeoutError."""
@@ -272,8 +284,13 @@
             reader, writer = await asyncio.open_connection(*at, local_addr=self.source)
             try:
                 hello = msgspec.msgpack.encode(_Hello(self.swim.me.name, kind))
-                writer.write(framed(hello, self.secret) + framed(raw, self.secret))
-                return await frame(reader, self.secret)
+                told = framed(hello, self.secret) + framed(raw, self.secret)
+                self.counts["asked"] += 1
+                self.counts["asked_bytes"] += len(told)
+                writer.write(told)
+                answer = await frame(reader, self.secret)
+                self.counts["asked_bytes"] += len(answer)
+                return answer
             except asyncio.IncompleteReadError as error:
                 raise OSError(f"{name}: ended without an answer") from error
             finally:
@@ -281,20 +298,24 @@
 
     async def _conversation(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self.conversations) >= STREAMS:
+            self.counts["refused_streams"] += 1
             writer.close()
             return
         self.conversations.add(writer)
+        self.counts["conversations"] += 1
         try:
             async with asyncio.timeout(CONNECT_S):
                 hello: _Hello = msgspec.msgpack.decode(await frame(reader, self.secret), type=_Hello)
             while True:
                 raw = await frame(reader, self.secret)
+                self.counts["conversation_bytes"] += len(raw)
                 take = self.frames.get(hello.kind)  # asked each time: who takes them may have begun anew
                 if take is None:  # not served here, or not yet: who needs it tries again
                     return
                 answer = take(hello.sender, raw)
                 told = await answer if isinstance(answer, Awaitable) else answer
                 if told is not None:
+                    self.counts["conversation_bytes"] += len(told)
                     writer.write(framed(told, self.secret))
                     async with asyncio.timeout(SAY_S):
                         await writer.drain()
--- /dev/null
+++ b/tests/scale/test_hollow.py
@@ -0,0 +1,157 @@
+"""A small hollow fleet, of the form that thousands are measured with (benchmarks/capacity/hollow.py)."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import random
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from benchmarks.capacity.hollow import facts, fit, slopes
+from benchmarks.capacity.hollow_figures import Bins, of, rates
+from benchmarks.capacity.hollow_fleet import FIRST, HollowFleet, begun, hollow_fleet
+from benchmarks.town import Town
+from emulator.capacity.slopes import Report
+from linnetstile.peers import node as peers
+from linnetstile.peers.identity import Identity
+from linnetstile.peers.settings import PeersPart
+from linnetstile.peers.swim import Swim
+from linnetstile.peers.wire import App, Claim, Packet, State, opened, sealed
+
+INSTANCES, PROCESSES, STRETCH = 30, 2, 0.5
+PATIENCE_S = 60.0  # what has not come by then does not come: nothing here takes a tenth of it
+
+
+async def fleet() -> None:
+    async with hollow_fleet(INSTANCES, PROCESSES, STRETCH, voters=3, relays=0, zones=("a", "b")) as them:
+        told = await begun(them, 1.0, PATIENCE_S)
+        assert not any(map(math.isnan, told.values())), told
+        before = await them.change(900.0, PATIENCE_S)
+        assert before["acting"] == INSTANCES
+        third = them.numbers[::3]
+        await them.heard()
+        await them.end(third)
+        during = await them.change(895.0, PATIENCE_S)
+        assert during["acting"] == during["of"] == INSTANCES - len(third)
+        assert not math.isnan(await them.all_known(PATIENCE_S)), "the dead are known as dead"
+        await them.start(third, 0.5)
+        assert not math.isnan(await them.all_known(PATIENCE_S)), "and known as back"
+        assert not math.isnan(await them.all_act(PATIENCE_S)), "who came back acts by the rules"
+        await them.heard()
+        assert {key for key in them.expected} == {f"n{n}/1" for n in third}
+        counts = await them.counts()
+        assert counts["counts"]["sent"] > 0 and counts["counts"]["received_bytes"] > 0
+        assert counts["counts"]["asked"] >= INSTANCES  # each has asked for a version once at the least
+        assert counts["rss"] > 0 and counts["cpu_s"] > 0
+        assert counts["descriptors"] < 20 * INSTANCES
+
+
+def test_a_small_hollow_fleet_agrees_hears_and_outlives_the_end_of_a_third() -> None:
+    asyncio.run(asyncio.wait_for(fleet(), 5 * PATIENCE_S))
+
+
+def test_times_in_bins_keep_their_order_and_number() -> None:
+    bins = of([0.01, 0.02, 1.0, 9.99])
+    assert len(bins) == 4 and bins.quantile(0.5) == pytest.approx(0.05)
+    assert bins.quantile(1.0, since=9.0) == pytest.approx(1.0)
+    other = Bins()
+    other.merge({str(n): count for n, count in bins.counts.items()})  # as JSON has it
+    assert other.counts == bins.counts
+    assert math.isnan(Bins().quantile(0.99))
+
+
+def test_what_is_counted_is_told_per_instance_and_second() -> None:
+    assert rates(Counter(sent=10), Counter(sent=110), 10.0, 5) == {"sent": 2.0}
+
+
+def test_zones_are_spread_and_one_may_be_larger() -> None:
+    it = Town(Path("."), 8, 1.0, False, partners=("a", "b", "c", "d", "e"))
+    them = HollowFleet(it, 3000, 8, 1.0, zone_of=700)
+    counts = Counter(them.zone(n) for n in them.numbers)
+    assert counts[0] == 700 and min(counts.values()) > 500 and len(counts) == 5
+    even = HollowFleet(it, 100, 8, 1.0)
+    assert Counter(even.zone(FIRST + n) for n in range(100)) == dict.fromkeys(range(5), 20)
+
+
+def node(tmp_path: Path, port: int = 7400) -> peers.Node:
+    identity = Identity("n0", "id0", 1, 0, 0)
+    return peers.Node(PeersPart(listen=f"127.0.0.1:{port}"), identity, tmp_path, 0, "z", 0)
+
+
+def test_a_datagram_of_another_part_walks_over_no_members(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Renewals come 12,600 times a second to a voter of 3,500 relays: what is due next in membership, a walk
+    over all suspicions, is none of their business."""
+    it, heard = node(tmp_path), list[tuple[str, bytes]]()
+    it.datagrams["renew"] = lambda sender, raw: heard.append((sender, raw))
+    monkeypatch.setattr(it.swim, "next_at", lambda: pytest.fail("what is due next was looked for"))
+    it.datagram_received(sealed(Packet("n1", 5, App("renew", b"x")), b""), ("127.0.0.1", 1))
+    assert heard == [("n1", b"x")] and it.counts["received"] == 1
+
+
+def test_one_that_joins_asks_one_seed_at_a_time_and_each_in_turn() -> None:
+    """Each answers with all that it knows: 3,000 that join at once had five seeds send each of them 210
+    packets, five times over."""
+    seeds = tuple(("127.0.0.1", 7400 + n) for n in range(5))
+    me = Claim("n9", "id9", 1, 9, 0, State.JOINING, "127.0.0.1", 7409)
+    it, asked = Swim(me, seeds, random.Random(1)), list[tuple[str, int]]()
+    for turn in range(10):
+        it.tick(1.0 * turn)
+        out, it.outbox = it.outbox, []
+        assert len(out) == 1
+        asked.append(out[0][0])
+    assert sorted(asked) == sorted(2 * seeds) and len(set(asked[:5])) == 5
+
+
+def test_the_same_word_to_many_is_sealed_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    it, sent = node(tmp_path), list[bytes]()
+    for n in range(1, 6):
+        it.swim.members[f"n{n}"] = Claim(f"n{n}", f"id{n}", 1, n, 0, State.ALIVE, "127.0.0.1", 7400 + n)
+    seals = 0
+
+    def counted(packet: Packet, secret: bytes) -> bytes:
+        nonlocal seals
+        seals += 1
+        return sealed(packet, secret)
+
+    monkeypatch.setattr(peers, "sealed", counted)
+    monkeypatch.setattr(it, "_send", lambda to, raw: sent.append(raw))
+    for n in range(1, 6):
+        it.say(f"n{n}", "renew", b"one")
+    it.say("n1", "renew", b"two")
+    it.say("n2", "grant", b"two")
+    assert seals == 3 and len(sent) == 7 and len(set(sent)) == 3
+    told = [opened(raw, b"").body for raw in sent]
+    assert told[-2:] == [App("renew", b"two"), App("grant", b"two")]
+
+
+def rows() -> list[dict[str, float]]:
+    return [{"instances": n, "stretch": 10.0, "bytes_s": 100.0 + n, "memory_bytes": 1000.0 * n,
+             "return_200_s": 5.0 + n / 1000} for n in (188, 375, 750, 1500, 3000)]
+
+
+def test_the_largest_fleet_is_in_no_fit_and_its_figures_are_facts() -> None:
+    found = {each.name: each for each in slopes(rows())}
+    assert set(found) == {"hollow.bytes_s", "hollow.memory_bytes"}
+    one = found["hollow.bytes_s"]
+    assert [each.size for each in one.samples] == [188, 375, 750, 1500] and one.largest == 3000
+    assert one.predicted == pytest.approx(3100.0) and one.measured == 3100.0
+    assert facts(rows())["hollow.return_200_s"] == 8.0
+
+
+def test_rows_of_another_stretch_and_others_slopes_are_left_alone(tmp_path: Path) -> None:
+    told = [*rows(), {"instances": 30, "stretch": 1.0, "bytes_s": 1e9}]
+    (tmp_path / "rows").write_text("".join(json.dumps(row) + "\n" for row in told))
+    other = msgspec.structs.replace(slopes(rows())[0], name="store.start")
+    before = Report("m", 1.0, 2.0, 3, [other], {"x": 1.0})
+    (tmp_path / "report").write_bytes(msgspec.json.encode(before))
+    fit(tmp_path / "rows", tmp_path / "report")
+    after: Report = msgspec.json.decode((tmp_path / "report").read_bytes(), type=Report)
+    assert {each.name for each in after.slopes} == {"store.start", "hollow.bytes_s", "hollow.memory_bytes"}
+    assert after.facts["x"] == 1.0 and after.facts["hollow.instances"] == 3000 and after.machine == "m"
