--- a/linnetstile/shards/audience.py
+++ b/linnetstile/shards/audience.py
@@ -37,6 +37,7 @@
     def __init__(self, shards: int, rng: random.Random) -> None:
         self.rng = rng
         self.masks = [0] * shards  # of each shard: by slot, who holds it
+        self.marks = array("Q", map(shard_mark, range(shards)))
         self.readers: dict[str, Seen] = {}
         self.slots: list[Seen | None] = []
         self.free: list[int] = []
@@ -69,7 +70,7 @@
             sign = 1 if holds >> shard & 1 else -1
             self.masks[shard] ^= mark
             reader.sum += sign * sums[shard]
-            reader.set_sum += sign * shard_mark(shard)
+            reader.set_sum += sign * self.marks[shard]
         reader.sum &= SUM_MASK
         reader.set_sum &= SUM_MASK
         reader.holds = holds
