--- a/tests/shards/test_keeping.py
+++ b/tests/shards/test_keeping.py
@@ -370,3 +370,24 @@
 
 SHARDS = [3289, 6446, 579, 2309]
 RANKED = ["n3", "n1", "n7", "n2", "n6", "n4", "n5", "n8"]
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_what_was_made_ready_is_compared_anew_if_something_else_was_taken_meanwhile(
+    whole: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(staging, "STEP_ROWS", 1)
+    monkeypatch.setattr(staging, "STEP_SHARDS", 1)
+    before = [row(f"e{i}", i) for i in range(40)]
+    after = [row(f"e{i}", i, 1) for i in range(40)]
+    keeper = filled(LAYOUT, before)
+    staged = keeper.begin(1.0, (1, 9)) if whole else keeper.change(1.0, 9)
+    staged.add(after)
+    assert staged.end(1.0)
+    for _ in range(3):  # most shards have been compared
+        assert not staged.step()
+    assert keeper.changed(1.0, 4, [row(f"e{i}", i + 1, mark=4.0) for i in range(40)], [("e3", GONE)])
+    while not staged.step():
+        pass
+    assert staged.taken and keeper.version == (1, 9)
+    check_table(keeper, by_shard({each.name: each for each in after}, 4))
--- a/tests/shards/test_reading.py
+++ b/tests/shards/test_reading.py
@@ -424,8 +424,10 @@
     world.settle(15.0)
     world.want(a)
     world.settle(0.2)
-    assert [name for name, _ in world.served][:2] == [FIRST, SECOND]  # its first answer told its age
+    # Its first answer told its age, and what it gave was left for another to say.
+    assert [(name, len(told.wants)) for name, told in world.served][:2] == [(FIRST, 1), (SECOND, 1)]
     assert world.reader.knows(a)
+    world.settle(3.0)
     world.served.clear()
     world.want(b)
     world.settle(0.2)
@@ -993,3 +995,24 @@
     assert world.reader.unasked == 0 and not world.reader.current(world.now, 1)
     world.settle()
     assert world.reader.current(world.now, 1) and world.has("a").listing is Listing.DRAINING
+
+
+def test_an_answer_speaks_for_what_was_held_when_it_was_asked_and_not_for_what_came_since() -> None:
+    a, b, c = (in_shard(shard, 1)[0] for shard in (0, 1, 2))
+    world = World([row("x", a), row("y", b), row("z", c)])
+    world.want(b)
+    world.settle(1.0)
+    world.want(a)
+    (first,) = world.turn()
+    world.want(c)
+    (second,) = world.turn()
+    assert {first[0], second[0]} == {FIRST, SECOND}
+    world.serve([first])
+    assert world.reader.here(a)
+    world.changed(9, [row("x", a, DRAINING, mark=9.0)])
+    parts = [Whole(2, (row("z", c),))]
+    world.reader.answered(world.now, second[0], answer_to(second, (1, 9), parts, True, world.now))
+    world.apply()
+    assert world.reader.told(world.now).version == (1, 1)  # a is as of that still
+    world.settle(4.0)
+    assert world.has("x").listing is Listing.DRAINING and world.reader.told(world.now).version == (1, 9)
