--- a/tests/shards/test_reading.py
+++ b/tests/shards/test_reading.py
@@ -91,7 +91,7 @@
                 sent = read(packed(told))
                 assert isinstance(sent, Ask)
                 word = read(packed(self.keepers[name].asked(self.now, "n100", sent)))
-                assert isinstance(word, (Answer, Busy, Other))
+                assert isinstance(word, Answer | Busy | Other)
                 self.reader.answered(self.now, name, word)
             self.apply()
 
@@ -135,12 +135,13 @@
     world.want(a, c)
     assert not world.reader.here(a) and not world.reader.current(world.now, a)
     world.settle()
-    assert [name for name, _ in world.served] == [FIRST]
+    # The second one is only told what is held, so that it tells digests as well.
+    assert [(name, len(told.wants)) for name, told in world.served] == [(FIRST, 1), (SECOND, 0)]
     assert set(world.directory.by_name) == {"a", "a2"} and world.absent == [c]
     assert world.reader.here(a) and world.reader.knows(a) and world.reader.current(world.now, a)
     assert not world.reader.here(b) and not world.reader.knows(b)
     world.want(b)  # its shard is here: at once
-    assert set(world.directory.by_name) == {"a", "a2", "b"} and len(world.served) == 1
+    assert set(world.directory.by_name) == {"a", "a2", "b"} and len(world.served) == 2
     assert world.reader.here(b) and world.reader.told(world.now).endpoints == 3
 
 
@@ -390,6 +391,20 @@
     assert world.reader.current(world.now, 1)
 
 
+def test_a_keeper_whose_source_lags_without_knowing_is_found_out_by_the_other() -> None:
+    """As with a file that is copied late: it says that it is up to date."""
+    for late in (FIRST, SECOND):
+        world = World([row("a", 1)], ONE)
+        world.want(1)
+        world.settle(1.0)
+        changed_at = world.now
+        world.changed(2, [], [("a", DRAINING)], *({FIRST, SECOND, THIRD} - {late}))
+        world.settle(4.0)
+        assert world.has("a").listing is Listing.DRAINING and world.now - changed_at < 12.0
+        world.settle(20.0)
+        assert world.has("a").listing is Listing.DRAINING and world.reader.current(world.now, 1)
+
+
 def test_all_behind_serve_what_is_known_and_give_what_is_wanted() -> None:
     world = World([row("a", 1), row("b", 2)])
     world.want(1)
@@ -730,3 +745,251 @@
     assert drawn.reader.told(drawn.now).endpoints == len(has)
 
 
+
+
+# -- what a keeper that errs may say -------------------------------------------------------------------------
+
+
+def answer_to(told: tuple[str, Ask], version: tuple[int, int], parts: Any = (), complete: bool = True,
+              now: float = 0.0) -> Answer:
+    """Of a keeper that does not look at what it is asked."""
+    return Answer(told[1].number, version, tuple(parts), complete, (1, 0), 0.0, 1, now * 1e3)
+
+
+def test_a_shard_that_is_not_here_is_refused_below_the_latest_version() -> None:
+    a, b = in_shard(0, 1)[0], in_shard(1, 1)[0]
+    world = World([row("a", a), row("b", b)])
+    world.changed(5, [], [("b", DRAINING)])
+    world.want(a)
+    world.settle()
+    world.want(b)
+    (told,) = world.turn()
+    old = Whole(shard_of(b, 4), (row("b", b),))
+    world.reader.answered(world.now, told[0], answer_to(told, (1, 4), [old]))
+    world.apply()
+    assert world.has("b") is None and world.reader.told(world.now).stale_refused == 2
+    asks = world.turn()
+    assert [name for name, _ in asks] == [SECOND]  # another is asked, at once
+    world.serve(asks)
+    assert world.has("b").listing is Listing.DRAINING
+
+
+def test_what_was_given_up_sets_the_floor_also_when_nothing_else_is_here() -> None:
+    """A shard that came in pieces, as of a later version than all else, is given up: it does not come back
+    older, from a keeper that does not look at what it is asked."""
+    world = World([row("a", 1)], ONE, idle_s=20.0)
+    world.changed(5, [], [("a", DRAINING)])
+    world.want(1)
+    world.settle(30.0)
+    assert world.reader.told(world.now).shards == 0
+    world.want(1)
+    (told,) = world.turn()
+    world.reader.answered(world.now, told[0], answer_to(told, (1, 4), [Whole(0, (row("a", 1),))]))
+    world.apply()
+    assert world.has("a") is None
+
+
+def test_an_older_digest_confirms_nothing_and_asks_nothing() -> None:
+    world = World([row("a", 1)], ONE)
+    world.changed(5, [], [("a", DRAINING)])
+    world.want(1)
+    world.settle(1.0)
+    keeper = world.keepers[FIRST]
+    old = Digest(layout_sum(ONE), (1, 4), world.reader.store.set_sum, 7, 0.0, keeper.boot, world.now * 1e3)
+    world.reader.digest(world.now, FIRST, old)
+    assert world.reader.told(world.now).stale_refused == 1
+    assert not world.turn() and not world.reader.compare
+
+
+def test_an_older_answer_is_counted_and_its_keeper_asked_last() -> None:
+    world = World([row("a", 1)], ONE)
+    world.changed(5, [], [("a", DRAINING)])
+    world.want(1)
+    world.settle(1.0)
+    world.now += 7.0
+    (told,) = world.turn()
+    world.reader.answered(world.now, told[0], answer_to(told, (1, 4), [Whole(0, (row("a", 1),))]))
+    world.apply()
+    assert world.has("a").listing is Listing.DRAINING
+    assert world.reader.told(world.now).stale_refused == 2  # the shard, and the answer
+    assert world.reader.told(world.now).version == (1, 5)
+    assert not world.reader.current(world.now + 6.0, 1)
+    assert world.turn()[0][0] == SECOND
+
+
+def test_a_shard_is_told_for_the_first_time_only_as_of_the_latest_version() -> None:
+    """B was here as of version 1 when A came as of 2: a name that left A's neighbour meanwhile must not be
+    told from B before B has caught up."""
+    a, b, c = (in_shard(shard, 1)[0] for shard in (0, 1, 2))
+    world = World([row("x", b, mark=1.0), row("y", in_shard(1, 2)[1]), row("z", c)])
+    world.want(in_shard(1, 2)[1])
+    world.settle(1.0)
+    world.changed(2, [row("x", a, mark=2.0)])
+    world.want(a)
+    (told,) = world.turn()
+    whole = Whole(shard_of(a, 4), (row("x", a, mark=2.0),))
+    world.reader.answered(world.now, told[0], answer_to(told, (1, 2), [whole], False, world.now))
+    world.apply()
+    assert world.has("x").rate == 2.0
+    world.reader.use(world.now, b)
+    world.apply()
+    assert world.has("x").rate == 2.0 and not world.reader.here(b)
+    world.settle(1.0)
+    assert world.has("x").rate == 2.0 and world.absent == [b]
+
+
+def test_a_new_row_of_a_shard_that_lags_waits_until_it_has_caught_up() -> None:
+    a, b = in_shard(0, 1)[0], in_shard(1, 1)[0]
+    world = World([row("q", b)])
+    world.want(b)
+    world.settle(1.0)
+    world.want(a)
+    (told,) = world.turn()
+    parts = [Whole(shard_of(a, 4), (row("p", a, mark=9.0),))]
+    world.reader.answered(world.now, told[0], answer_to(told, (1, 9), parts, False, world.now))
+    world.now += 0.5
+    (told,) = world.turn()
+    parts_ = [Changes(shard_of(b, 4), (row("p", b, mark=8.0), row("q", b, DRAINING, mark=8.0)))]
+    world.reader.answered(world.now, told[0], answer_to(told, (1, 8), parts_, False, world.now))
+    world.apply()
+    assert world.has("p").rate == 9.0  # not from b, which is as of 8
+    assert world.has("q").listing is Listing.DRAINING  # but what was told of it goes on
+
+
+def partly(world: World, version: tuple[int, int], *parts: Any) -> None:
+    """The next ask is answered by this much, and more is to come."""
+    told = world.turn()[0]
+    world.reader.answered(world.now, told[0], answer_to(told, version, parts, False, world.now))
+    world.apply()
+    world.now += 0.6
+
+
+def test_a_name_that_was_taken_over_does_not_come_back_from_the_shard_that_it_left() -> None:
+    """x went from b to a destination that is in no use, in the shard of a; b's shard hears of other things
+    first."""
+    (a, unused), b = in_shard(0, 2), in_shard(1, 1)[0]
+    world = World([row("x", b, mark=1.0), row("y", b)])
+    world.want(b)
+    world.settle(1.0)
+    world.want(a)
+    partly(world, (1, 9), Whole(0, (row("x", unused, mark=9.0),)))
+    assert world.has("x") is None  # it is elsewhere by now
+    partly(world, (1, 8), Changes(1, (row("y", b, DRAINING, mark=8.0),)))
+    assert world.has("y").rate == 8.0 and world.has("x") is None
+
+
+def test_a_name_is_told_from_where_it_went_though_the_shard_that_it_left_has_not_heard() -> None:
+    a, b = in_shard(0, 1)[0], in_shard(1, 1)[0]
+    world = World([row("x", b, mark=1.0)])
+    world.want(b)
+    world.settle(1.0)
+    world.want(a)
+    partly(world, (1, 9), Whole(0, (row("x", a, mark=9.0),)))
+    assert (world.has("x").destination, world.has("x").rate) == (a, 9.0)
+    partly(world, (1, 8), Changes(1, (row("x", b, GONE, mark=1.0),)))
+    assert world.has("x").destination == a
+
+
+def test_a_shard_in_an_answer_that_comes_in_pieces_sets_the_floor_for_others() -> None:
+    a, b, c = (in_shard(shard, 1)[0] for shard in (0, 1, 2))
+    world = World([row("y", b)])
+    world.want(b)
+    world.settle(1.0)
+    world.want(a)
+    partly(world, (1, 9), Whole(0, (row("x", a),)))
+    world.want(c)
+    partly(world, (1, 8), Whole(2, (row("z", c),)))
+    assert not world.reader.here(c) and world.has("z") is None
+
+
+def test_an_ask_that_was_out_while_it_was_frozen_does_not_count_as_tried() -> None:
+    world = World([row("a", 1)], Layout(1, (1,)))
+    world.want(1)
+    world.settle(1.0)
+    world.now += 7.0
+    (told,) = world.turn()
+    world.now += 30.0
+    world.reader.failed(world.now, told[0])  # its time ran out while this process stood
+    assert not world.reader.current(world.now, 1)
+    world.down = {"n1"}
+    world.settle(2.0)
+    assert world.reader.current(world.now, 1)
+
+
+def test_what_a_keeper_is_known_to_have_newer_holds_calls_back_until_it_came_or_it_fails() -> None:
+    """Its source is silent, and it has no time for us: but it can be reached, and has said what it has."""
+    world = World([row("a", 1)], Layout(1, (1,)))
+    world.want(1)
+    world.settle(1.0)
+    world.changed(2, [row("a", 1, DRAINING)])
+    keeper, began = world.keepers["n1"], world.now
+    while world.now < began + 20.0:
+        for _, digest in keeper.digests(world.now):
+            world.reader.digest(world.now, "n1", digest)
+        for name, told in world.turn():
+            world.reader.answered(world.now, name, Busy(told.number, 500.0))
+        world.now += 0.1
+        assert world.reader.current(world.now, 1) == (world.now < began + 12.0) or world.now < began + 12.0
+    world.down = {"n1"}
+    world.settle(3.0)
+    assert world.reader.current(world.now, 1)
+
+
+def test_an_answer_to_an_earlier_ask_is_not_taken_for_that_to_the_one_that_is_out() -> None:
+    """It would date what it says by an ask that went out after it was said."""
+    world = World([row("a", 1)], Layout(1, (1,)))
+    world.want(1)
+    world.settle(1.0)
+    world.now += 7.0
+    (told,) = world.turn()
+    late = asked(world.keepers["n1"], told[1], world.now)
+    world.reader.failed(world.now, "n1")
+    world.now += 20.0
+    world.changed(2, [row("a", 1, DRAINING)])
+    assert world.turn()
+    world.now += 20.0
+    world.reader.answered(world.now, "n1", late)
+    assert world.reader.unasked == 1 and not world.reader.current(world.now, 1)
+
+
+def test_readers_that_lose_their_keepers_together_do_not_come_back_together() -> None:
+    readers = []
+    for number in range(60):
+        reader = Reader(f"n{100 + number}", LAYOUT, random.Random(number))
+        reader.want(100.0, 1, 200.0)
+        readers.append(reader)
+    asked_at: list[float] = []
+    for step in range(300):
+        now = 100.0 + step / 10.0
+        for reader in readers:
+            reader.tick(now, lambda destination: False)
+            for name, _ in reader.asks:
+                reader.failed(now, name)
+                asked_at.append(now)
+            reader.asks.clear()
+    late = [at for at in asked_at if at > 115.0]
+    assert len(late) > 60 * 3
+    assert max(map(late.count, set(late))) < len(late) / 15  # of 150 steps
+    now = 140.0
+    for reader in readers:
+        reader.reachable(now, [])
+        for keeper in reader.keepers.values():
+            keeper.paused_until = now + 60.0
+        reader.reachable(now, reader.keepers)
+    back = sorted(min(keeper.paused_until for keeper in reader.keepers.values()) - now for reader in readers)
+    assert back[-1] <= reading.RETURN_S and back[15] > 0.1 and back[45] > 0.4
+
+
+def test_an_answer_that_lay_in_a_buffer_is_as_old_as_its_ask() -> None:
+    world = World([row("a", 1)], Layout(1, (1,)))
+    world.want(1)
+    world.settle(1.0)
+    world.now += 7.0
+    (told,) = world.turn()
+    answer = asked(world.keepers["n1"], told[1], world.now)
+    world.now += 30.0  # frozen, with the answer in its socket's buffer
+    world.changed(2, [row("a", 1, DRAINING)])
+    world.reader.answered(world.now, told[0], answer)
+    assert world.reader.unasked == 0 and not world.reader.current(world.now, 1)
+    world.settle()
+    assert world.reader.current(world.now, 1) and world.has("a").listing is Listing.DRAINING
