--- a/emulator/capacity/agreement.py
+++ b/emulator/capacity/agreement.py
@@ -9,12 +9,13 @@
 
 from . import budgets as b
 from .rows import Formula, Kind, Reckoner, Role, Unit, When
-from .steps import ASSIGN, CAP, COUNTING, LAYERS, PARTS, PLANNER
-from .terms import DAY_S, changes_s, datagrams_s, members, needed, renewals_s, stretch
+from .steps import ASSIGN, BESIDE, CAP, COUNTING, LAYERS, PARTS, PLANNER
+from .terms import DAY_S, changes_s, datagrams_s, members, needed, renewals_s, stretch, told_of
 
 GRANTING, RULES = "linnetstile/accord/granting.py", "linnetstile/accord/rules.py"
 NODE, LOG = "linnetstile/accord/node.py", "linnetstile/accord/log.py"
 HEARTBEAT_S, ELECTION_S = 0.15, 1.2  # as accord/log.py has them, which needs the extra `fleet`
+DECIDES = "linnetstile/failover/decider.py"
 FAILOVER = "linnetstile/failover/node.py"
 
 
@@ -35,7 +36,7 @@
     """All of one voter's process but the log."""
     relays = m.size.fleet.relays
     return (relays * renewals_s(m) * m.part("accord.renewal.cpu_us", relays)
-            + reported(m) * m.part("evidence.report.cpu_ms", relays)
+            + reported(m) * m.part("evidence.report.cpu_ms", told_of(m))
             + m.part("peers.members.cpu_ms_s", members(m)))
 
 
@@ -48,7 +49,8 @@
     Formula("voter.answers", Role.VOTER, When.REST, Kind.OUT, "answers to renewals", Unit.EACH_S, datagrams_s,
             "as many as renewals", NODE, step=LAYERS),
     Formula("voter.memory", Role.VOTER, When.REST, Kind.MEMORY, "records of relays", Unit.BYTES,
-            lambda m: m.at("accord.renewal.memory_bytes", m.size.fleet.relays), "memory at so many relays",
+            lambda m: m.size.fleet.relays * m.at("accord.renewal.memory_bytes", m.size.fleet.relays),
+            "relays x memory of one",
             GRANTING, b.MACHINE),
     Formula("voter.disk", Role.VOTER, When.CHANGES, Kind.DISK, "versions written to its log", Unit.RATE,
             lambda m: changes_s(m) * version_bytes(m), "changes x bytes of a version",
@@ -76,13 +78,13 @@
             lambda m: changes_s(m) * m.at("accord.clear.cpu_ms", m.size.fleet.relays),
             "changes x processor time at so many relays", GRANTING, b.PROCESS),
     Formula("voter.evidence", Role.VOTER, When.HOUR, Kind.IN, "reports", Unit.RATE,
-            lambda m: reported(m) * m.at("evidence.report.bytes", m.size.fleet.relays),
+            lambda m: reported(m) * m.at("evidence.report.bytes", told_of(m)),
             "relays x bytes of a window's reports", COUNTING, b.LINK, ASSIGN),
     Formula("voter.evidence_relays", Role.VOTER, When.HOUR, Kind.STATE, "relays whose reports it keeps",
             Unit.COUNT,
             lambda m: float(m.size.fleet.relays), "relays", COUNTING, b.EVIDENCE, CAP),
     Formula("voter.evidence_processor", Role.VOTER, When.HOUR, Kind.PROCESSOR, "taking reports in", Unit.CORE,
-            lambda m: reported(m) * m.at("evidence.report.cpu_ms", m.size.fleet.relays),
+            lambda m: reported(m) * m.at("evidence.report.cpu_ms", told_of(m)),
             "relays x processor time of a window's reports", COUNTING, b.PROCESS, LAYERS),
     Formula("voter.all", Role.VOTER, When.HOUR, Kind.PROCESSOR, "renewals, evidence and membership",
             Unit.CORE,
@@ -113,7 +115,7 @@
             b.MACHINE),
     Formula("voter.seed", Role.VOTER, When.BACK, Kind.TIME,
             "words to all as a seed, when all start together, link full", Unit.SECONDS,
-            lambda m: m.at("peers.members.start_seed_bytes", members(m)) / (m.assume("link_mb_s") * b.MB),
+            lambda m: m.at("peers.start.seed_bytes", members(m)) / (m.assume("link_mb_s") * b.MB),
             "bytes of a seed among so many / link", "linnetstile/peers/swim.py", b.FORCE, LAYERS),
     Formula("voter.apart", Role.VOTER, When.APART, Kind.IN, "renewals on one side", Unit.EACH_S,
             lambda m: datagrams_s(m) / m.size.fleet.regions, "renewals / regions", NODE),
@@ -127,6 +129,8 @@
 
 
 LEADER = [
+    Formula("leader.names", Role.LEADER, When.CHANGES, Kind.STATE, "destinations that rules would name",
+            Unit.COUNT, lambda m: float(m.size.fleet.destinations), "destinations", RULES, b.NAMED, PARTS),
     Formula("leader.heartbeats", Role.LEADER, When.REST, Kind.OUT, "heartbeats", Unit.EACH_S,
             lambda m: (m.assume("voters") - 1) / HEARTBEAT_S, "other voters / time between two", LOG),
     Formula("leader.lost", Role.LEADER, When.MACHINE, Kind.TIME, "its machine: until another leads, at most",
@@ -144,7 +148,7 @@
             "a version with a rate for each destination", Unit.BYTES, version_bytes,
             "bytes of a version at so many destinations", RULES, step=PARTS),
     Formula("leader.version_turn", Role.LEADER, When.CHANGES, Kind.TIME, "checking and packing a version",
-            Unit.SECONDS, lambda m: m.at("accord.rules.cpu_ms", m.size.fleet.destinations),
+            Unit.SECONDS, lambda m: m.at("accord.rules.voter_cpu_ms", m.size.fleet.destinations),
             "processor time of a version at so many destinations", RULES, b.TURN, PARTS),
     Formula("leader.log", Role.LEADER, When.CHANGES, Kind.OUT, "versions to the other voters", Unit.RATE,
             lambda m: changes_s(m) * version_bytes(m) * (m.assume("voters") - 1),
@@ -164,26 +168,36 @@
     Formula("decider.destinations", Role.DECIDER, When.HOUR, Kind.STATE, "destinations called in a window",
             Unit.COUNT,
             lambda m: min(float(m.size.fleet.destinations), m.size.fleet.events_s * m.assume("window_s")),
-            "the fewer of destinations and calls", "linnetstile/failover/decider.py", step=PARTS),
+            "the fewer of destinations and calls", DECIDES, step=PARTS),
     Formula("decider.named", Role.DECIDER, When.HOUR, Kind.STATE,
             "calls of a window that get no cell of their own",
             Unit.SHARE, lambda m: max(0.0, 1 - CELLS / needed(m, m.assume("window_s"))),
             "1 - cells of a report / destinations called", COUNTING, step=ASSIGN),
     Formula("decider.reports", Role.DECIDER, When.HOUR, Kind.IN, "reports of all relays", Unit.RATE,
-            lambda m: reported(m) * m.at("evidence.report.bytes", m.size.fleet.relays),
+            lambda m: reported(m) * m.at("evidence.report.bytes", told_of(m)),
             "relays x bytes of a window's reports", COUNTING, b.LINK, ASSIGN),
-    Formula("decider.sum", Role.DECIDER, When.HOUR, Kind.TIME, "summing a window", Unit.SECONDS,
-            lambda m: m.at("evidence.sum.cpu_ms", m.size.fleet.relays),
-            "processor time at so many relays",
-            COUNTING, b.WINDOW, LAYERS),
+    Formula("decider.look", Role.DECIDER, When.HOUR, Kind.TIME, "its look at a window, in one turn",
+            Unit.SECONDS, lambda m: m.at("evidence.sum.look_cpu_ms", m.size.fleet.relays),
+            "processor time at so many relays, 20 destinations of each", DECIDES, b.TURN, PARTS),
+    Formula("decider.first", Role.DECIDER, When.MACHINE, Kind.TIME, "a new leader's first look, in one turn",
+            Unit.SECONDS, lambda m: m.at("evidence.sum.first_look_cpu_ms", m.size.fleet.relays),
+            "processor time at so many relays, 20 destinations of each", DECIDES, b.TURN, PARTS),
+    Formula("decider.keepers", Role.DECIDER, When.HOUR, Kind.STATE,
+            "destinations that plans need to know beside keepers", Unit.COUNT,
+            lambda m: float(m.size.fleet.destinations), "destinations", "missing", step=BESIDE),
     Formula("decider.rooms", Role.DECIDER, When.HOUR, Kind.TIME, "going through the list once a window",
             Unit.SECONDS, lambda m: m.at("failover.rooms.cpu_ms", m.size.fleet.destinations),
             "processor time at so many destinations", FAILOVER, b.TURN, PARTS),
-    Formula("decider.plan", Role.DECIDER, When.ZONE, Kind.TIME, "one plan of one destination", Unit.SECONDS,
-            lambda m: m.at("planner.plan.cpu_ms", m.size.fleet.zones), "processor time at so many zones",
-            PLANNER, b.WINDOW),
-    Formula("decider.plans", Role.DECIDER, When.ZONE, Kind.TIME, "plans for all destinations of a zone",
-            Unit.SECONDS,
-            lambda m: m.assume("storm") * m.at("planner.plan.cpu_ms", m.size.fleet.zones),
-            "entries that change x processor time of a plan", FAILOVER, b.FORCE, PARTS),
+    Formula("decider.plan", Role.DECIDER, When.ZONE, Kind.TIME, "one plan of one destination, solved",
+            Unit.SECONDS, lambda m: m.at("planner.zones.solved_cpu_ms", m.size.fleet.zones),
+            "processor time at so many zones", "linnetstile/failover/solver.py", b.WINDOW),
+    Formula("decider.greedy", Role.DECIDER, When.ZONE, Kind.TIME,
+            "one plan of one destination, the greedy way",
+            Unit.SECONDS, lambda m: m.at("planner.zones.greedy_cpu_ms", m.size.fleet.zones),
+            "processor time at so many zones", PLANNER, b.WINDOW),
+    Formula("decider.plans", Role.DECIDER, When.ZONE, Kind.TIME, "plans for all that a zone's loss changes",
+            Unit.SECONDS, lambda m: m.at("planner.plan.cpu_ms", m.assume("storm")),
+            "processor time at so many destinations, the greedy way past the solver's time", FAILOVER,
+            b.FORCE,
+            PARTS),
 ]
--- a/emulator/capacity/budgets.py
+++ b/emulator/capacity/budgets.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from linnetstile.accord.granting import RELAYS_MAX
+from linnetstile.accord.rules import NAMES
 from linnetstile.accord.settings import AccordPart
 from linnetstile.failover.evidence import CELLS, RELAYS
 from linnetstile.fleet.operator import FleetPart
@@ -62,5 +63,6 @@
 GRANTED = Budget("cap: RELAYS_MAX", lambda it: RELAYS_MAX)
 EVIDENCE = Budget("cap: evidence.RELAYS", lambda it: RELAYS)
 CELLS_OF = Budget("cap: evidence.CELLS", lambda it: CELLS)
+NAMED = Budget("cap: rules.NAMES", lambda it: NAMES)
 INSTANCES = Budget("cap: fleet.instances", lambda it: bound(FleetPart, "instances"))
 NUMBERS = Budget("cap: accord.voters", lambda it: bound(AccordPart, "voters"))
--- a/emulator/capacity/control.py
+++ b/emulator/capacity/control.py
@@ -16,6 +16,7 @@
     of_zone,
     renewals_s,
     stretch,
+    told_of,
 )
 
 HOST = "linnetstile/core/host.py"
@@ -36,12 +37,11 @@
 
 
 def report_bytes(m: Reckoner) -> float:
-    return m.assume("voters") / m.assume("window_s") * m.part("evidence.report.bytes",
-    m.size.fleet.relays)
+    return m.assume("voters") / m.assume("window_s") * m.part("evidence.report.bytes", told_of(m))
 
 
 def report_core(m: Reckoner) -> float:
-    return m.part("evidence.report.cpu_ms", m.size.fleet.relays) / m.assume("window_s")
+    return m.part("evidence.tell.cpu_ms", told_of(m)) / m.assume("window_s")
 
 
 def change_core(m: Reckoner) -> float:
@@ -49,18 +49,16 @@
 
 
 def total_memory(m: Reckoner, directory: float) -> float:
-    return directory + m.part("peers.members.memory_bytes", members(m))
+    return directory + members(m) * m.part("peers.members.memory_bytes", members(m))
 
 
 def total_bytes(m: Reckoner, directory: float) -> float:
     """Sent and received. What one sends of membership it receives too, on average."""
-    return (directory + 2 * m.part("peers.members.bytes_s", members(m)) + renewal_bytes(m)
-            + report_bytes(m))
+    return directory + 2 * m.part("peers.members.bytes_s", members(m)) + renewal_bytes(m)
 
 
 def total_core(m: Reckoner, directory: float) -> float:
-    return (directory + m.part("peers.members.cpu_ms_s", members(m)) + renewal_core(m)
-            + report_core(m))
+    return directory + m.part("peers.members.cpu_ms_s", members(m)) + renewal_core(m)
 
 
 RELAY_CONTROL = [
@@ -106,7 +104,7 @@
     Formula("relay.members", Role.CONTROL, When.REST, Kind.STATE, "members known", Unit.COUNT, members,
             "relays + machines of control", SWIM, b.MEMBERS, CAP),
     Formula("relay.members_memory", Role.CONTROL, When.REST, Kind.MEMORY, "members", Unit.BYTES,
-            lambda m: m.at("peers.members.memory_bytes", members(m)), "memory of one among so many",
+            lambda m: members(m) * m.at("peers.members.memory_bytes", members(m)), "members x memory of each",
             SWIM, b.MEMORY, LAYERS),
     Formula("relay.members_bytes", Role.CONTROL, When.REST, Kind.OUT, "membership, sent and received",
             Unit.RATE,
@@ -122,16 +120,16 @@
             SWIM, b.CORE, LAYERS),
     Formula("relay.members_start", Role.CONTROL, When.BACK, Kind.PROCESSOR,
             "first words when all start together", Unit.SECONDS,
-            lambda m: m.at("peers.members.start_cpu_ms", members(m)),
+            lambda m: m.at("peers.start.cpu_ms", members(m)),
             "processor time of one among so many",
             SWIM, step=LAYERS),
     Formula("relay.members_start_bytes", Role.CONTROL, When.BACK, Kind.IN,
             "first words when all start together", Unit.BYTES,
-            lambda m: m.at("peers.members.start_bytes", members(m)), "bytes of one among so many", SWIM,
+            lambda m: m.at("peers.start.bytes", members(m)), "bytes of one among so many", SWIM,
             step=LAYERS),
     Formula("relay.members_start_s", Role.CONTROL, When.BACK, Kind.TIME,
             "until all know all, when all start together", Unit.SECONDS,
-            lambda m: m.at("peers.members.start_s", members(m)),
+            lambda m: m.at("peers.start.seconds", members(m)),
             "time among so many, without the processor's",
             SWIM, b.FORCE, LAYERS),
     Formula("relay.renewals", Role.CONTROL, When.REST, Kind.OUT, "renewals to the voters", Unit.EACH_S,
@@ -142,7 +140,7 @@
             "renewals x bytes of one", HOLDING, b.BYTES),
     Formula("relay.report_bytes", Role.CONTROL, When.HOUR, Kind.OUT, "evidence to the voters", Unit.RATE,
             lambda m: m.assume("voters") / m.assume("window_s")
-            * m.at("evidence.report.bytes", m.size.fleet.relays),
+            * m.at("evidence.report.bytes", told_of(m)),
             "voters x bytes of a window's reports", COUNTING, b.BYTES, ASSIGN),
     Formula("relay.report_cells", Role.CONTROL, When.HOUR, Kind.STATE, "destinations called in a window",
             Unit.COUNT, lambda m: needed(m, m.assume("window_s")),
@@ -153,7 +151,7 @@
             "changes x bytes of a version", RULES, b.BYTES, PARTS),
     Formula("relay.rules_processor", Role.CONTROL, When.CHANGES, Kind.PROCESSOR,
             "each change as a version of rules with a rate for each destination", Unit.CORE,
-            lambda m: changes_s(m) * m.at("accord.rules.cpu_ms", m.size.fleet.destinations),
+            lambda m: changes_s(m) * m.at("accord.rules.relay_cpu_ms", m.size.fleet.destinations),
             "changes x processor time of a version", RULES, b.CORE, PARTS),
     Formula("relay.control_memory", Role.CONTROL, When.REST, Kind.MEMORY, "all of control, whole list",
             Unit.BYTES,
@@ -166,22 +164,23 @@
             b.MEMORY,
             LAYERS),
     Formula("relay.control_bytes", Role.CONTROL, When.HOUR, Kind.OUT, "all of control, whole list", Unit.RATE,
-            lambda m: total_bytes(m, changes_s(m) * m.part("directory.list.json_bytes",
-                                                           m.size.fleet.destinations)
-                                  / m.size.fleet.destinations),
+            lambda m: report_bytes(m) + total_bytes(
+                m, changes_s(m) * m.part("directory.list.json_bytes", m.size.fleet.destinations)
+                / m.size.fleet.destinations),
             "changes + membership + renewals + evidence", SWIM, b.BYTES, LAYERS),
     Formula("relay.control_bytes_shards", Role.CONTROL, When.HOUR, Kind.OUT, "all of control, with keepers",
             Unit.RATE,
-            lambda m: total_bytes(m, digest_bytes(m)), "digests + membership + renewals + evidence",
+            lambda m: total_bytes(m, digest_bytes(m)), "digests + membership + renewals",
             READING, b.BYTES, LAYERS),
     Formula("relay.control_processor", Role.CONTROL, When.HOUR, Kind.PROCESSOR, "all of control, whole list",
             Unit.CORE,
-            lambda m: total_core(m, change_core(m)), "changes + membership + renewals + evidence", SWIM,
+            lambda m: report_core(m) + total_core(m, change_core(m)),
+            "changes + membership + renewals + evidence", SWIM,
             b.CORE,
             LAYERS),
     Formula("relay.control_processor_shards", Role.CONTROL, When.HOUR, Kind.PROCESSOR,
             "all of control, with keepers",
-            Unit.CORE, lambda m: total_core(m, read_core(m)), "changes + membership + renewals + evidence",
+            Unit.CORE, lambda m: total_core(m, read_core(m)), "shards in use + membership + renewals",
             READING, b.CORE, LAYERS),
     Formula("relay.day_changes", Role.CONTROL, When.DAY, Kind.IN, "members that go and come back",
             Unit.EACH_S,
--- a/emulator/capacity/roles.py
+++ b/emulator/capacity/roles.py
@@ -36,7 +36,7 @@
     Role.DECIDER: {
         "no calls, so no evidence": (When.REST,),
         "as at an ordinary hour: the windows of relays that are gone run out, the others' sums cost the same":
-            (When.DAY, When.CHANGES, When.MACHINE, When.RACK, When.DRAIN),
+            (When.DAY, When.CHANGES, When.RACK, When.DRAIN),
         "as a zone: plans for all that changes": (When.STORM, When.BACK),
         "as at an ordinary hour on the side that has the leader; the other keeps its plan": (When.APART,),
     },
--- a/emulator/capacity/steps.py
+++ b/emulator/capacity/steps.py
@@ -10,6 +10,7 @@
 PARTS = "rules and changes by the destinations in use"
 CAP = "raise the cap"
 ANSWERS = "more of keepers' answers a second"
+BESIDE = "plans beside keepers"
 ALL = "commands over all machines"
 
 COUNTING = "linnetstile/failover/evidence.py"
--- a/emulator/capacity/terms.py
+++ b/emulator/capacity/terms.py
@@ -5,6 +5,7 @@
 import math
 
 from linnetstile.accord.terms import Terms
+from linnetstile.failover.evidence import CELLS
 
 from .rows import Reckoner
 
@@ -61,6 +62,11 @@
     return fleet.relays * fleet.destinations / fleet.events_s
 
 
+def told_of(m: Reckoner) -> float:
+    """Destinations that a relay's reports of one window name: no more than there are cells for."""
+    return min(float(CELLS), needed(m, m.assume("window_s")))
+
+
 def stretch(m: Reckoner) -> float:
     """How many times as long as usual the hollow fleet's periods were."""
     return max(1.0, m.fact("hollow.stretch"))
