--- a/emulator/capacity/control.py
+++ b/emulator/capacity/control.py
@@ -155,14 +155,13 @@
             "changes x processor time of a version", RULES, b.CORE, PARTS),
     Formula("relay.control_memory", Role.CONTROL, When.REST, Kind.MEMORY, "all of control, whole list",
             Unit.BYTES,
-            lambda m: total_memory(m, m.part("directory.list.memory_bytes",
-            m.size.fleet.destinations)),
+            lambda m: total_memory(
+                m, m.part("directory.list.memory_bytes", m.size.fleet.destinations)),
             "whole list + members", LIST, b.MEMORY, INTEREST),
     Formula("relay.control_memory_shards", Role.CONTROL, When.HOUR, Kind.MEMORY,
             "all of control, with keepers",
             Unit.BYTES, lambda m: total_memory(m, read_memory(m)), "shards in use + members", READING,
-            b.MEMORY,
-            LAYERS),
+            b.MEMORY, LAYERS),
     Formula("relay.control_bytes", Role.CONTROL, When.HOUR, Kind.OUT, "all of control, whole list", Unit.RATE,
             lambda m: report_bytes(m) + total_bytes(
                 m, changes_s(m) * m.part("directory.list.json_bytes", m.size.fleet.destinations)
@@ -176,8 +175,7 @@
             Unit.CORE,
             lambda m: report_core(m) + total_core(m, change_core(m)),
             "changes + membership + renewals + evidence", SWIM,
-            b.CORE,
-            LAYERS),
+            b.CORE, LAYERS),
     Formula("relay.control_processor_shards", Role.CONTROL, When.HOUR, Kind.PROCESSOR,
             "all of control, with keepers",
             Unit.CORE, lambda m: total_core(m, read_core(m)), "shards in use + membership + renewals",
@@ -217,6 +215,11 @@
             lambda m: stretch(m) * (m.at("hollow.bytes_s", m.size.fleet.relays)
                                                   + m.at("hollow.bytes_in_s", m.size.fleet.relays)),
             "as run among so many x stretch", SWIM, b.BYTES, LAYERS),
+    Formula("relay.hollow_datagrams", Role.CONTROL, When.REST, Kind.OUT,
+            "datagrams sent and received by a hollow instance, usual periods", Unit.EACH_S,
+            lambda m: stretch(m) * (m.at("hollow.datagrams_s", m.size.fleet.relays)
+                                    + m.at("hollow.datagrams_in_s", m.size.fleet.relays)),
+            "as run among so many x stretch", SWIM, step=LAYERS),
     Formula("relay.hollow_processor", Role.CONTROL, When.REST, Kind.PROCESSOR,
             "of a hollow instance, usual periods", Unit.CORE,
             lambda m: stretch(m) * m.at("hollow.cpu_share", m.size.fleet.relays),
