--- a/benchmarks/capacity/decisions.py
+++ b/benchmarks/capacity/decisions.py
@@ -54,5 +54,5 @@
             f"turn_ms: the longest of {MESSAGES}", 1),
     Measure("decisions.held", "message", (2_500, 5_000, 10_000, 20_000), 80_000,
             {"memory_bytes": "bytes"}, held, "linnetstile/decisions/state.py",
-            f"for {DESTS} destinations, whose own part is in the base; without the body and the journal's entry"),
+            f"for {DESTS} destinations, whose part is in the base; without body and journal entry"),
 )
