Directory: what is left of a change's walk, a difference of sets over all that are listed

At fault: few - all.keys() in Host._take goes through all, and gathers nothing, so that neither steps nor bytes showed it. Change: a look at each that is concerned. The scale test puts counting maps in the place of those over all destinations: seen to fail with the difference of sets put back.

--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -89,7 +89,7 @@
     async def start(self, known: Update | None = None) -> None:
         """With the members as they were last known, if any; from its end on messages are taken."""
         self._take(known or Update(whole=False))
-        self.messages.still_know({entry.dest for entry in self.messages.left} - self.directory.listed.keys())
+        self._know({entry.dest for entry in self.messages.left})
         self.messages.pass_on_ends()
         self._watch()
         # A shared register counts as having told what it answered, and may be busy with a whole fleet's
@@ -238,6 +238,12 @@
                 self.turns.feed(lane)
             self.messages.resume(self.directory.number)
 
+    def _know(self, dests: set[int]) -> None:
+        """Not by a difference of sets: that walks over all that are listed."""
+        here = {dest for dest in dests if dest in self.directory.listed}
+        self.messages.know(here)
+        self.messages.still_know(dests - here)
+
     def _take(self, update: Update) -> None:
         if self.merge is not None:
             merged = self.merge.take(update, asyncio.get_running_loop().time())
@@ -245,8 +251,7 @@
                 return
             update = merged
         event, changed, concerned = self.directory.apply(update)
-        self.messages.know(concerned & self.directory.listed.keys())
-        self.messages.still_know(concerned - self.directory.listed.keys())
+        self._know(concerned)
         if update.whole:
             here = self.directory.by_number.values()
             self.transport.keep_only({known.key for known in here if known.ready})
--- a/tests/scale/counting.py
+++ b/tests/scale/counting.py
@@ -2,7 +2,8 @@
 
 `steps` are the interpreter's instructions, in all functions that it calls. A walk inside the interpreter's
 own code (`set(all.values())`) makes few of them, but room for what it gathers: so `bytes` are counted beside
-them, the most at once beyond what was there before.
+them, the most at once beyond what was there before. Where it gathers nothing (`few.difference_update(all)`),
+neither shows it: `Walked` does, in the place of a map.
 """
 
 from __future__ import annotations
@@ -11,10 +12,36 @@
 import statistics
 import sys
 import tracemalloc
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, ItemsView, Iterable, Iterator, KeysView, ValuesView
 from dataclasses import dataclass
 from types import FrameType
-from typing import Any
+from typing import Any, TypeVar
+
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class Walked(dict[K, V]):
+    """Counts how often somebody may have gone through all of it."""
+
+    walks = 0
+
+    def __iter__(self) -> Iterator[K]:
+        self.walks += 1
+        return super().__iter__()
+
+    def keys(self) -> KeysView[K]:  # type: ignore[override]
+        self.walks += 1
+        return super().keys()
+
+    def values(self) -> ValuesView[V]:  # type: ignore[override]
+        self.walks += 1
+        return super().values()
+
+    def items(self) -> ItemsView[K, V]:  # type: ignore[override]
+        self.walks += 1
+        return super().items()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/scale/test_state.py
+++ b/tests/scale/test_state.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 from benchmarks.capacity.directory import answer, in_service, item, take
 from benchmarks.decisions import Load
@@ -16,7 +17,7 @@
 from linnetstile.membership.merge import Merge
 from linnetstile.store.journal import Entry, Journal
 
-from .counting import Work, counted, usual
+from .counting import Walked, Work, counted, usual
 
 FEW, MANY = 1_000, 20_000  # destinations
 TIMES = 9  # of each, the median counts
@@ -61,6 +62,26 @@
     flat(at(FEW, seconds), at(MANY, seconds))
 
 
+def test_no_change_and_no_second_goes_through_all_that_is_listed() -> None:
+    def there(built: Assembly) -> dict[str, float]:
+        host, members = built.host, built.host.relay.members
+        take(built, answer(FEW))
+        host.tidy()
+        maps: dict[str, Walked[Any, Any]] = {}
+        for owner, name in ((host.directory, "by_name"), (host.directory, "by_number"),
+                            (host.directory, "listed"), (host.messages, "dests"), (members, "lanes"),
+                            (members, "doors")):
+            maps[name] = Walked(getattr(owner, name))
+            setattr(owner, name, maps[name])
+        host.relay.lanes, host.relay.doors = maps["lanes"], maps["doors"]
+        changes(built, FEW)
+        seconds(built, FEW)
+        assert {name: each.walks for name, each in maps.items() if each.walks} == {}
+        return {}
+
+    asyncio.run(in_service(there))
+
+
 def test_a_change_told_by_one_of_several_sources_costs_the_same_beside_1_000_and_20_000() -> None:
     def told(size: int) -> Work:
         merge = Merge(["a", "b"])
