--- a/linnetstile/core/host.py
+++ b/linnetstile/core/host.py
@@ -107,8 +107,7 @@
         """With the members as they were last known, if any; from its end on messages are taken."""
         self._take(known if known and self.interest is None else Update(whole=False))
         if self.interest is None:
-            left = {entry.dest for entry in self.messages.left}
-            self.messages.still_know(left - self.directory.listed.keys())
+            self._know({entry.dest for entry in self.messages.left})
         self.messages.ask_for_left()
         self.messages.pass_on_ends()
         self._watch()
@@ -267,6 +266,12 @@
                     self.interest.want(lane.destination, float("inf"))
             self.messages.resume(self.directory.number)
 
+    def _know(self, dests: set[int]) -> None:
+        """Not by a difference of sets: that walks over all that are listed."""
+        here = {dest for dest in dests if dest in self.directory.listed}
+        self.messages.know(here)
+        self.messages.still_know(dests - here)
+
     def _take(self, update: Update) -> None:
         if self.merge is not None:
             merged = self.merge.take(update, asyncio.get_running_loop().time())
@@ -274,8 +279,7 @@
                 return
             update = merged
         event, changed, concerned = self.directory.apply(update)
-        self.messages.know(concerned & self.directory.listed.keys())
-        self.messages.still_know(concerned - self.directory.listed.keys())
+        self._know(concerned)
         if update.whole:
             here = self.directory.by_number.values()
             self.transport.keep_only({known.key for known in here if known.ready})
