--- a/emulator/capacity/data_path.py
+++ b/emulator/capacity/data_path.py
@@ -20,6 +20,7 @@
 )
 from .terms import again_s, in_use, needed, of_rack, of_zone, rate
 
+MEASURED_BODY = 300  # bytes, of each measure of the store: benchmarks/capacity/store.py
 HORIZON_S = Terms().horizon  # as deploy/relay.toml has it
 CONTROL, STATE = "linnetstile/decisions/control.py", "linnetstile/decisions/state.py"
 
@@ -49,9 +50,14 @@
     return math.exp(-m.assume("idle_s") / again_s(m))
 
 
-def backlog_memory(m: Reckoner) -> float:
-    count = backlog(m)
-    return m.at("decisions.held.memory_bytes", count) + m.at("store.start.memory_bytes", count)
+def bodies(m: Reckoner, count: float) -> float:
+    """What so many bodies take beyond those that were measured; less where they are smaller."""
+    return count * (m.assume("body_bytes") - MEASURED_BODY)
+
+
+def held_memory(m: Reckoner, count: float) -> float:
+    return max(0.0, m.at("decisions.held.memory_bytes", count) + m.at("store.start.memory_bytes", count)
+               + bodies(m, count))
 
 
 def drains_s(m: Reckoner, spare: float) -> float:
@@ -96,9 +102,8 @@
             lambda m: rate(m) * m.at("decisions.message.cpu_us", in_use(m, True)),
             "events x processor time of one at so many destinations", CONTROL, b.PROCESS, ASSIGN),
     Formula("relay.held_memory", Role.DATA, When.HOUR, Kind.MEMORY, "events held", Unit.BYTES,
-            lambda m: m.at("decisions.held.memory_bytes", held(m))
-            + m.at("store.start.memory_bytes", held(m)),
-            "held x (in the decisions + in the journal's memory)", STATE, b.DATA_MEMORY),
+            lambda m: held_memory(m, held(m)), "held x (in the decisions + in the journal's memory)", STATE,
+            b.DATA_MEMORY),
     Formula("relay.journal_bytes", Role.DATA, When.HOUR, Kind.DISK, "written to the journal", Unit.RATE,
             lambda m: rate(m) * m.at("store.message.disk_bytes", held(m)),
             "events x bytes of one beside what is held", JOURNAL),
@@ -147,10 +152,12 @@
             "backlog / relays", JOURNAL),
     Formula("relay.backlog_memory", Role.DATA, When.DRAIN, Kind.MEMORY, "full backlog, held as today",
             Unit.BYTES,
-            backlog_memory, "backlog x (in the decisions + in the journal's memory)", STATE, b.DATA_MEMORY,
+            lambda m: held_memory(m, backlog(m)), "backlog x (in the decisions + in the journal's memory)",
+            STATE, b.DATA_MEMORY,
             BACKLOG),
     Formula("relay.backlog_disk", Role.DATA, When.DRAIN, Kind.DISK, "full backlog in the journal", Unit.BYTES,
-            lambda m: m.at("store.start.disk_bytes", backlog(m)), "disk of so many records",
+            lambda m: max(0.0, m.at("store.start.disk_bytes", backlog(m)) + bodies(m, backlog(m))),
+            "disk of so many records",
             JOURNAL, b.DATA_DISK),
     Formula("relay.backlog_processor", Role.DATA, When.DRAIN, Kind.PROCESSOR,
             "taking and delivering beside it",
--- a/tests/emulator/test_capacity.py
+++ b/tests/emulator/test_capacity.py
@@ -181,6 +181,29 @@
     assert markdown(told) and msgspec.json.decode(as_json(told))
 
 
+FIELDS = [(table, field) for table, fields in plan().items() if isinstance(fields, dict) for field in fields]
+
+
+@pytest.mark.parametrize("table, field", FIELDS)
+def test_no_field_of_the_size_is_there_for_nothing(table: str, field: str) -> None:
+    def figures(raw: dict[str, Any]) -> list[tuple[str, float | None, float | None]]:
+        size = decoded(raw, "x")
+        return [(each.name, each.value, each.budget) for each in rows(FORMULAS, size, costs)]
+
+    costs = whole(decoded(plan(), "x"), 1.0)
+    before, raw = figures(plan()), plan()
+    value = raw[table][field]
+    for changed in (value * 2, value / 2, value + 2, value - 2):
+        raw[table][field] = type(value)(changed)
+        try:
+            after = figures(raw)
+        except SizeError:
+            continue
+        if after != before:
+            return
+    raise AssertionError(f"{table}.{field} moves no figure and no budget")
+
+
 def test_what_a_real_relay_took_is_told_less_one_without_keepers() -> None:
     found = {"budget": {
         "destinations": 360_000, "without": {"core %": 2.0, "bytes/s": 0, "RSS MB": 30.0},
