--- a/linnetstile/failover/evidence.py
+++ b/linnetstile/failover/evidence.py
@@ -131,6 +131,8 @@
 def total(row: Iterable[Seen]) -> Seen:
     found = Seen()
     for seen in row:
+        if not seen.calls and not seen.shunning:
+            continue  # windows in which nothing was seen are most of them
         found.calls += seen.calls
         found.good += seen.good
         found.proven += seen.proven
@@ -138,7 +140,8 @@
         found.relays |= seen.relays
         for origin, failed in seen.shunning.items():
             found.shunning[origin] = max(failed, found.shunning.get(origin, 0))
-        found.sketch.update(seen.sketch)
+        for at, n in seen.sketch.items():
+            found.sketch[at] += n
     return found
 
 
