Shards: of keepers that fail the one left alone the longest is asked next, and trying begins in time

And where all of eight hang at once, not all were tried within the bound, so that calls waited for a moment though what is known should serve.

--- a/linnetstile/shards/reading.py
+++ b/linnetstile/shards/reading.py
@@ -43,7 +43,9 @@
 
 OUT_MOST = 2  # asks at once, of different keepers: one that hangs does not stop the other
 ROOM_S = 1.0  # of the bound: a call's first byte after the check, and clocks that run apart by 30 ms a minute
-REFRESH = 2.0  # digests' time without a word, after which a keeper is asked: one may be lost
+REFRESH = 2.0  # digests' time without a word, after which a keeper is asked: one of each keeper may be lost
+REFRESH_LEAST = 1.2  # likewise, where so many keepers have to be tried that it has to begin sooner
+TRY_S = 1.2  # two keepers that hang, asked at once: a second, and what it takes to notice
 KEEP_S = 30.0  # at least so often the first two keepers are asked, which forget readers after 60 s: both tell
 # digests, so that one whose source lags without knowing (a file that is copied late) is found out
 BEHIND_S = 10.0  # a keeper whose source is silent for so long is asked last
@@ -118,7 +120,10 @@
     def __init__(self, me: str, layout: Layout, rng: random.Random, bound_s: float = 12.0,
                  idle_s: float = 300.0, digest_s: float = 3.0) -> None:
         self.me, self.layout, self.rng = me, layout, rng
-        self.bound_s, self.refresh_s = bound_s, min(REFRESH * digest_s, bound_s / 2)
+        # Where all hang at once, all have to be tried within the bound, or calls wait for that.
+        trying = ROOM_S + TRY_S * (len(layout.keepers) / 2 + 1)
+        self.bound_s = bound_s
+        self.refresh_s = min(REFRESH * digest_s, max(REFRESH_LEAST * digest_s, bound_s - trying))
         self.layout_sum = layout_sum(layout)
         names = ranked(me, (f"n{number}" for number in layout.keepers))
         self.keepers = {name: Keeper(name, rank, rng) for rank, name in enumerate(names)}
@@ -376,8 +381,11 @@
         self.tokens = min(BYTES_BURST, self.tokens + max(0.0, now - self.tokens_at) * BYTES_S)
         self.tokens_at = now
         self.due = now + 1.0
+        # Of those that fail the one that was left alone the longest: else the first few, whose time runs out
+        # again and again, keep the last from being tried, and that may be the one that is back.
         order = sorted(self.keepers.values(), key=lambda each: (
-            each.failing, each.behind_until > now, each.name not in self.here_now, each.rank))
+            each.failing, each.behind_until > now, each.name not in self.here_now,
+            each.asked_at if each.failing else BEFORE, each.rank))
         for place, keeper in enumerate(order):
             if sum(each.out is not None for each in order) >= OUT_MOST:
                 return
--- a/tests/shards/test_reading.py
+++ b/tests/shards/test_reading.py
@@ -583,13 +583,13 @@
 def test_its_own_traffic_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(reading, "BYTES_S", 20_000.0)
     monkeypatch.setattr(reading, "BYTES_BURST", 50_000.0)
-    layout = Layout(64, (1, 2, 3))
-    world = World([row(f"a-name-of-usual-length-{i}", i) for i in range(64 * 44)], layout)
-    world.reader.tokens = 0.0
-    world.want(*range(200))
+    layout = Layout(256, (1, 2, 3))
+    world = World([row(f"a-name-of-usual-length-{i}", i) for i in range(256 * 44)], layout)
+    world.want(*range(800))
     world.settle(2.0)
     assert world.reader.told(world.now).bytes_in <= 2 * 20_000 + 50_000 + 2 * 48_000
-    world.settle(20.0)
+    world.settle(40.0)
+    assert world.reader.told(world.now).bytes_in > 500_000
     assert world.reader.told(world.now).waiting == 0
 
 
@@ -1016,3 +1016,29 @@
     assert world.reader.told(world.now).version == (1, 1)  # a is as of that still
     world.settle(4.0)
     assert world.has("x").listing is Listing.DRAINING and world.reader.told(world.now).version == (1, 9)
+
+
+@pytest.mark.parametrize("back", range(8))
+def test_whichever_keeper_comes_back_is_found_soon(back: int) -> None:
+    """Of eight that all hang, a second each, whatever its rank."""
+    world = World([row("a", 1)], Layout(1, tuple(range(1, 9))))
+    world.want(1)
+    world.settle(1.0)
+    alive = ranked("n100", world.keepers)[back]
+    began = world.now
+    out: list[tuple[float, str]] = []
+    while world.now < began + 60.0:
+        world.now = round(world.now + 0.1, 1)
+        for keeper in world.keepers.values():
+            keeper.confirmed(world.now)
+        for at, name in [each for each in out if world.now - each[0] >= 1.0]:
+            out.remove((at, name))
+            world.reader.failed(world.now, name)
+        for name, told in world.turn():
+            if name == alive and world.now > began + 40.0:
+                world.serve([(name, told)])
+                assert world.now < began + 48.0
+                return
+            out.append((world.now, name))
+        assert world.reader.current(world.now, 1)  # what is known serves, all being tried in turn
+    raise AssertionError("never asked")
