Shards: a keeper that was never asked has its turn while all hang

Seen in a new test of 16 keepers that all hang: the third by rank, first in the order as it had not failed yet, was passed over for as long as another ask was out, so that not all were tried and calls were held back for good. The check for that looked for an idle moment and returned instead of going on.

--- a/linnetstile/shards/reading.py
+++ b/linnetstile/shards/reading.py
@@ -424,8 +424,9 @@
             return True  # when its pause is over: whether it is back
         if place == 0 and self.compare:
             return True
-        if place < 2 and now - keeper.asked_at >= KEEP_S:
-            return not any(each.out is not None for each in self.keepers.values())
+        idle = all(each.out is None for each in self.keepers.values())
+        if place < 2 and now - keeper.asked_at >= KEEP_S and idle:
+            return True
         old = now - self.fresh.confirmed(self.store.base) >= self.refresh_s
         tried = now - self.fresh.tried[keeper.name][0]
         if old and tried >= self.refresh_s:
--- a/tests/shards/test_reading.py
+++ b/tests/shards/test_reading.py
@@ -17,7 +17,7 @@
 from linnetstile.shards import reading
 from linnetstile.shards.keeping import Keeper
 from linnetstile.shards.reading import Reader
-from linnetstile.shards.ring import ranked, shard_of
+from linnetstile.shards.ring import KEEPERS_MOST, ranked, shard_of
 from linnetstile.shards.wire import (
     DRAINING,
     GONE,
@@ -1042,3 +1042,24 @@
             out.append((world.now, name))
         assert world.reader.current(world.now, 1)  # what is known serves, all being tried in turn
     raise AssertionError("never asked")
+
+
+def test_as_many_keepers_as_there_may_be_are_all_tried_within_the_bound() -> None:
+    """All hang, for long: each has its turn, so that what is known serves."""
+    world = World([row("a", 1)], Layout(1, tuple(range(1, KEEPERS_MOST + 1))))
+    world.want(1)
+    world.settle(1.0)
+    began = world.now
+    out: list[tuple[float, str]] = []
+    last = dict.fromkeys(world.keepers, began + 20.0)
+    while world.now < began + 120.0:
+        world.now = round(world.now + 0.1, 1)
+        for at, name in [each for each in out if world.now - each[0] >= 1.0]:
+            out.remove((at, name))
+            world.reader.failed(world.now, name)
+        for name, _ in world.turn():
+            out.append((world.now, name))
+            assert world.now - last[name] < 11.0
+            last[name] = max(last[name], world.now)
+        if world.now > began + 20.0:
+            assert world.reader.current(world.now, 1)
