--- a/tests/shards/test_schedules.py
+++ b/tests/shards/test_schedules.py
@@ -73,6 +73,6 @@
 
 @pytest.mark.parametrize("seed", (1015, 1193, 1337))
 def test_a_keeper_that_is_back_is_tried_though_others_hang(seed: int) -> None:
-    """Three of 400 in which calls were held back for a second, though a keeper that knew all had been there for
-    10 s: the first of those that hang were asked again and again before it."""
+    """Three of 400 in which calls were held back for a second, though a keeper that knew all had been there
+    for 10 s: the first of those that hang were asked again and again before it."""
     sound(played(Plan(seed, readers=12)))
