Shards: many changes are sorted in steps, so that a storm needs no whole list

A storm of 72,000 changes within 30 s at 360,000 destinations: keepers followed 30.6 s after its end, since an answer with more than 2,000 changes made them ask for the whole list. Change._sort took all in one turn, so the cap was low; it takes STEP_ROWS a step now, and the cap is 50,000.

--- a/linnetstile/shards/source.py
+++ b/linnetstile/shards/source.py
@@ -34,7 +34,7 @@
 ITEM_BYTES = 64 << 10  # of one entry, or of what stands beside the entries: a usual one has 150
 PIECE_BYTES = 16 << 10  # read at once: some hundred entries
 ENTRIES_A_TURN = 256  # taken up at once: some milliseconds
-CHANGES_MOST = 2_000  # in one answer, sorted in one turn; more: the whole list is asked for
+CHANGES_MOST = 50_000  # in one answer, some 15 MB until they are in force; more: all is asked for, by pieces
 SILENCE_S = 3.0  # a source that says nothing more for so long is given up
 WHOLE_S = 120.0  # one list takes no longer
 # A watch, at most. What it tells counts as of when it was asked, as the answer may have lain unread while
--- a/linnetstile/shards/staging.py
+++ b/linnetstile/shards/staging.py
@@ -70,7 +70,7 @@
         self.by_shard: dict[int, dict[str, Row | int]] = {}
         self.names: dict[int, int | None] = {}
         self.left: list[int] = []
-        self.sorted = False
+        self.sorted = 0  # of what was told
 
     def add(self, rows: Iterable[Row], lives: Iterable[tuple[str, int]] = ()) -> None:
         if self.allowed:
@@ -80,10 +80,10 @@
     def restart(self) -> None:
         self.by_shard.clear()
         self.names.clear()
-        self.sorted = False
+        self.sorted = 0
 
-    def _sort(self) -> None:
-        for row, name, listing in self.told:
+    def _sort(self, some: list[tuple[Row | None, str, int]]) -> None:
+        for row, name, listing in some:
             mark = name_mark(name)
             at = self.names[mark] if mark in self.names else self.table.names.get(mark)
             if row is None or listing == GONE:
@@ -104,11 +104,14 @@
                     self.by_shard.setdefault(at, {})[name] = GONE
                 self.by_shard.setdefault(shard, {})[name] = row
                 self.names[mark] = shard
-        self.left, self.sorted = list(self.by_shard), True
 
     def work(self) -> bool:
-        if not self.sorted:
-            self._sort()
+        if self.sorted < len(self.told):
+            self._sort(self.told[self.sorted:self.sorted + STEP_ROWS])
+            self.sorted += STEP_ROWS
+            self.left = list(self.by_shard)
+            if self.sorted < len(self.told):
+                return False
         rows = 0
         while self.left and rows < STEP_ROWS:
             shard = self.left.pop()
--- a/tests/shards/test_source.py
+++ b/tests/shards/test_source.py
@@ -171,6 +171,30 @@
     run(work())
 
 
+def test_many_changes_are_taken_in_steps_and_come_into_force_in_one() -> None:
+    from linnetstile.shards.staging import STEP_ROWS
+
+    it, count = keeper(8192), 5 * STEP_ROWS
+    change = it.change(1.0, 2)
+    assert not change.end(1.0)  # there is no list yet
+    load = it.begin(1.0, (1, 1))
+    load.add([Row(f"e{n}", n, 0, "h", 1) for n in range(count)])
+    assert load.end(1.0)
+    while not load.step():
+        pass
+    change = it.change(1.0, 2)
+    change.add([Row(f"e{n}", n + 1, 0, "h", 2) for n in range(count)], [("e5", 2)])
+    assert change.end(1.0)
+    steps, looked = 0, 0
+    while not change.step():
+        steps += 1
+        assert change.sorted - looked <= STEP_ROWS and it.version == (1, 1)
+        looked = change.sorted
+    assert steps >= 5 and change.taken and it.version == (1, 2)
+    found = rows(it)
+    assert len(found) == count - 1 and found["e7"] == Row("e7", 8, 0, "h", 2)
+
+
 def test_a_generation_that_goes_back_is_refused() -> None:
     async def work() -> None:
         it = keeper()
