--- a/tests/shards/test_reading.py
+++ b/tests/shards/test_reading.py
@@ -17,7 +17,7 @@
 from linnetstile.shards import reading
 from linnetstile.shards.keeping import Keeper
 from linnetstile.shards.reading import Reader
-from linnetstile.shards.ring import ranked, shard_of
+from linnetstile.shards.ring import KEEPERS_MOST, ranked, shard_of
 from linnetstile.shards.wire import (
     DRAINING,
     GONE,
@@ -424,8 +424,10 @@
     world.settle(15.0)
     world.want(a)
     world.settle(0.2)
-    assert [name for name, _ in world.served][:2] == [FIRST, SECOND]  # its first answer told its age
+    # Its first answer told its age, and what it gave was left for another to say.
+    assert [(name, len(told.wants)) for name, told in world.served][:2] == [(FIRST, 1), (SECOND, 1)]
     assert world.reader.knows(a)
+    world.settle(3.0)
     world.served.clear()
     world.want(b)
     world.settle(0.2)
@@ -581,13 +583,13 @@
 def test_its_own_traffic_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(reading, "BYTES_S", 20_000.0)
     monkeypatch.setattr(reading, "BYTES_BURST", 50_000.0)
-    layout = Layout(64, (1, 2, 3))
-    world = World([row(f"a-name-of-usual-length-{i}", i) for i in range(64 * 44)], layout)
-    world.reader.tokens = 0.0
-    world.want(*range(200))
+    layout = Layout(256, (1, 2, 3))
+    world = World([row(f"a-name-of-usual-length-{i}", i) for i in range(256 * 44)], layout)
+    world.want(*range(800))
     world.settle(2.0)
     assert world.reader.told(world.now).bytes_in <= 2 * 20_000 + 50_000 + 2 * 48_000
-    world.settle(20.0)
+    world.settle(40.0)
+    assert world.reader.told(world.now).bytes_in > 500_000
     assert world.reader.told(world.now).waiting == 0
 
 
@@ -993,3 +995,71 @@
     assert world.reader.unasked == 0 and not world.reader.current(world.now, 1)
     world.settle()
     assert world.reader.current(world.now, 1) and world.has("a").listing is Listing.DRAINING
+
+
+def test_an_answer_speaks_for_what_was_held_when_it_was_asked_and_not_for_what_came_since() -> None:
+    a, b, c = (in_shard(shard, 1)[0] for shard in (0, 1, 2))
+    world = World([row("x", a), row("y", b), row("z", c)])
+    world.want(b)
+    world.settle(1.0)
+    world.want(a)
+    (first,) = world.turn()
+    world.want(c)
+    (second,) = world.turn()
+    assert {first[0], second[0]} == {FIRST, SECOND}
+    world.serve([first])
+    assert world.reader.here(a)
+    world.changed(9, [row("x", a, DRAINING, mark=9.0)])
+    parts = [Whole(2, (row("z", c),))]
+    world.reader.answered(world.now, second[0], answer_to(second, (1, 9), parts, True, world.now))
+    world.apply()
+    assert world.reader.told(world.now).version == (1, 1)  # a is as of that still
+    world.settle(4.0)
+    assert world.has("x").listing is Listing.DRAINING and world.reader.told(world.now).version == (1, 9)
+
+
+@pytest.mark.parametrize("back", range(8))
+def test_whichever_keeper_comes_back_is_found_soon(back: int) -> None:
+    """Of eight that all hang, a second each, whatever its rank."""
+    world = World([row("a", 1)], Layout(1, tuple(range(1, 9))))
+    world.want(1)
+    world.settle(1.0)
+    alive = ranked("n100", world.keepers)[back]
+    began = world.now
+    out: list[tuple[float, str]] = []
+    while world.now < began + 60.0:
+        world.now = round(world.now + 0.1, 1)
+        for keeper in world.keepers.values():
+            keeper.confirmed(world.now)
+        for at, name in [each for each in out if world.now - each[0] >= 1.0]:
+            out.remove((at, name))
+            world.reader.failed(world.now, name)
+        for name, told in world.turn():
+            if name == alive and world.now > began + 40.0:
+                world.serve([(name, told)])
+                assert world.now < began + 48.0
+                return
+            out.append((world.now, name))
+        assert world.reader.current(world.now, 1)  # what is known serves, all being tried in turn
+    raise AssertionError("never asked")
+
+
+def test_as_many_keepers_as_there_may_be_are_all_tried_within_the_bound() -> None:
+    """All hang, for long: each has its turn, so that what is known serves."""
+    world = World([row("a", 1)], Layout(1, tuple(range(1, KEEPERS_MOST + 1))))
+    world.want(1)
+    world.settle(1.0)
+    began = world.now
+    out: list[tuple[float, str]] = []
+    last = dict.fromkeys(world.keepers, began + 20.0)
+    while world.now < began + 120.0:
+        world.now = round(world.now + 0.1, 1)
+        for at, name in [each for each in out if world.now - each[0] >= 1.0]:
+            out.remove((at, name))
+            world.reader.failed(world.now, name)
+        for name, _ in world.turn():
+            out.append((world.now, name))
+            assert world.now - last[name] < 11.0
+            last[name] = max(last[name], world.now)
+        if world.now > began + 20.0:
+            assert world.reader.current(world.now, 1)
