--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -178,29 +178,32 @@
     async with hollow_fleet(args.instances, args.processes, args.stretch, args.zone_of) as them:
         them.say(f"{args.instances}: real ones up after {time.monotonic() - began:.1f} s")
         them.serve()
-        row |= await begun(them, args.within or args.instances / 100, args.patience)
-        for event in args.events:
-            if time.monotonic() - began > args.budget:
-                row.setdefault("not_played", []).append(event)
-                continue
-            if event == "rest":
-                row |= await them.rest(REST_S)
-            else:
-                happens = {"changes": changes, "storm": storm, "return": returning, "zone": zone,
-                           "frozen": frozen, "deaths": deaths}[event]
-                try:
-                    row |= await happens(them, args.patience)
-                except Broken as error:
-                    row[f"{event}_failed"] = str(error)
-            them.say(f"  {event} done after {time.monotonic() - began:.1f} s")
-        await them.heard()
-        row |= {"wrong_deaths": len(them.wrong), "wrong_deaths_heard": sum(them.wrong.values()),
-                "suspected": len(them.suspected), "conflicts": them.conflicts}
-        if them.clients is not None:
-            row["real_taken"] = len(them.clients.taken)
-            row["real_asked"] = len(them.clients.asked)
-        row["seconds"] = time.monotonic() - began
-        keep(args, row)  # before the end of all, which may fail too
+        try:
+            row |= await begun(them, args.within or args.instances / 100, args.patience)
+            for event in args.events:
+                if time.monotonic() - began > args.budget:
+                    row.setdefault("not_played", []).append(event)
+                    continue
+                if event == "rest":
+                    row |= await them.rest(REST_S)
+                else:
+                    happens = {"changes": changes, "storm": storm, "return": returning, "zone": zone,
+                               "frozen": frozen, "deaths": deaths}[event]
+                    try:
+                        row |= await happens(them, args.patience)
+                    except Broken as error:
+                        row[f"{event}_failed"] = str(error)
+                them.say(f"  {event} done after {time.monotonic() - began:.1f} s")
+            await them.heard()
+            row |= {"wrong_deaths": len(them.wrong), "wrong_deaths_heard": sum(them.wrong.values()),
+                    "suspected": len(them.suspected), "conflicts": them.conflicts}
+            if them.clients is not None:
+                row["real_taken"] = len(them.clients.taken)
+                row["real_asked"] = len(them.clients.asked)
+            row["seconds"] = time.monotonic() - began
+            row["whole"] = True
+        finally:  # also of a play that is ended by its time limit, and before the end of all, which may fail
+            keep(args, row)
     return row
 
 
