--- a/benchmarks/shards_budget.py
+++ b/benchmarks/shards_budget.py
@@ -73,7 +73,7 @@
     return time.monotonic() - begun
 
 
-async def stormed(it: ShardsTown) -> dict[str, float]:
+async def stormed(it: ShardsTown) -> dict[str, Any]:
     rng, begun = random.Random(6), time.monotonic()
     before = await taken(it)
     dests = rng.sample(range(1, it.dests + 1), min(STORM, it.dests))
@@ -89,7 +89,8 @@
             await asyncio.sleep(0.05)
     return {"changes": len(dests), "within s": STORM_S, "keepers follow after s": round(kept, 1),
             "the relay follows after s": round(time.monotonic() - ended, 1),
-            **between(before, await taken(it))}
+            **between(before, await taken(it)), "reader": await it.role(it.relays[0], "reader"),
+            "keepers": [await it.role(n, "keeper") for n in range(it.keepers)]}
 
 
 async def budget(sizes: list[int], known: int, parts: set[str]) -> dict[str, Any]:
