Capacity: what does not measurably grow is predicted as its mean

Need: a change of one endpoint, flat, was predicted at -0.39 ms for 360,000 by the noise of small sizes (0.12 measured). Change: where the interval of the slope holds 0, the weighted mean is the prediction; slope and interval stay as fitted.

--- a/emulator/capacity/slopes.py
+++ b/emulator/capacity/slopes.py
@@ -134,9 +134,15 @@
     y = np.array([each.value for each in samples], dtype=float)
     floor = max(float(np.max(np.abs(y))) * 1e-6, 1e-12)  # a cost of 0 has no relative residual
     base, each, half = _line(x, y, 1.0 / np.maximum(np.abs(y), floor))
+    if each - half <= 0.0 <= each + half:
+        # Guards a prediction many sizes away against noise: what does not measurably grow is its mean.
+        weights = 1.0 / np.maximum(np.abs(y), floor) ** 2
+        predicted = float(np.average(y, weights=weights))
+    else:
+        predicted = base + each * largest.size
     _, power, give = _line(np.log(x), np.log(np.maximum(y, floor)), np.ones_like(x))
     return Slope(
         name, per, unit, list(samples), base, each, each - half, each + half,
         power, power - give, power + give,
-        largest.size, base + each * largest.size, largest.value, mechanism, note,
+        largest.size, predicted, largest.value, mechanism, note,
     )
--- a/tests/emulator/test_capacity.py
+++ b/tests/emulator/test_capacity.py
@@ -537,3 +537,15 @@
     _, inside, _ = between(PAGE.read_text(), "docs/CAPACITY.md")
     assert inside == result.output, ("python -m emulator capacity --size deploy/sizes/two-years.toml "
                                      "--write docs/CAPACITY.md")
+
+
+def test_a_cost_that_does_not_measurably_grow_is_predicted_as_its_mean() -> None:
+    """By its line the noise of small sizes, taken nine times as far, would be a finding of its own."""
+    samples = [Sample(size, value, value, value) for size, value in
+               ((2500, 1.1), (5000, 0.9), (10000, 1.05), (20000, 0.95), (40000, 0.9))]
+    slope = fitted("a.b", "x", "ms", samples, Sample(360_000, 1.0, 1.0, 1.0), "f")
+    assert slope.each_low < 0 < slope.each_high and abs(slope.base + slope.each * 360_000 - 1.0) > 0.5
+    assert abs(slope.predicted - 0.97) < 0.03 and not slope.finding
+    grows = [Sample(size, 2.0 + size, 2.0 + size, 2.0 + size) for size in (10, 20, 40, 80)]
+    line = fitted("a.c", "x", "ms", grows, Sample(160, 162.0, 162.0, 162.0), "f")
+    assert abs(line.predicted - 162.0) < 1e-6
