--- a/emulator/capacity/slopes.py
+++ b/emulator/capacity/slopes.py
@@ -16,6 +16,7 @@
 
 FLOOR = 1e-12  # a cost of 0 has no logarithm
 LOG_MOST = 600.0  # of a cost: beyond it a float ends
+FLAT = 0.25  # an exponent below which a cost grows by less than a fifth where the size doubles
 OFF = 0.25  # a prediction that is off by more is a finding
 # Two-sided 95% of Student's t by degrees of freedom (sizes less the two fitted).
 T95 = {2: 4.303, 3: 3.182, 4: 2.776, 5: 2.571, 6: 2.447, 7: 2.365, 8: 2.306}
@@ -134,13 +135,11 @@
     y = np.array([each.value for each in samples], dtype=float)
     floor = max(float(np.max(np.abs(y))) * 1e-6, 1e-12)  # a cost of 0 has no relative residual
     base, each, half = _line(x, y, 1.0 / np.maximum(np.abs(y), floor))
-    if each - half <= 0.0 <= each + half:
-        # Guards a prediction many sizes away against noise: what does not measurably grow is its mean.
-        weights = 1.0 / np.maximum(np.abs(y), floor) ** 2
-        predicted = float(np.average(y, weights=weights))
-    else:
-        predicted = base + each * largest.size
     _, power, give = _line(np.log(x), np.log(np.maximum(y, floor)), np.ones_like(x))
+    predicted = base + each * largest.size
+    if power < FLAT and each - half <= 0.0 <= each + half:
+        # Guards a prediction many sizes away against noise: what does not measurably grow is its mean.
+        predicted = float(np.average(y, weights=1.0 / np.maximum(np.abs(y), floor) ** 2))
     return Slope(
         name, per, unit, list(samples), base, each, each - half, each + half,
         power, power - give, power + give,
