Shards: a log that begins reaches back to its shard's last change, so that a storm isn't told whole

Seen: in a storm of 72,000 changes a relay with 1,000 destinations in use took 844 KB/s. Counted in virtual time: where a shard's first change since the load (or since its log was given up) came, its log counted as complete since the table's latest generation only (Table._log), so every reader that was two or more generations behind was told the shard whole. Such an answer takes many pieces; where a new generation comes before the last one, what came is as of an older version than `top`, and it all begins anew: 351 asks, 12 complete answers, 8,905 whole shards, 518 KB/s with 20 ms each way. Ruled out: asks and their bitmaps (10 of 518 KB/s), sums (none), repeated news (338 of 351 asks were for the next piece).

A log now begins where its shard changed last, or where the table does.

A reader counted a whole shard's bytes for each change of one row, against what it may ask for, too: it counts the rows. Both are guarded by tests/shards/test_storm.py, seen to fail without.

--- a/linnetstile/shards/holding.py
+++ b/linnetstile/shards/holding.py
@@ -104,15 +104,17 @@
         return self._put(shard, self.held[shard], list(rows), version)
 
     def change(self, shard: int, rows: Iterable[Row], version: Version) -> int:
-        """Its rows that are new since a version that it is as of, or later."""
-        held = self.held[shard]
+        """Its rows that are new since a version that it is as of, or later. Their bytes, as they came: not
+        the shard's, which would use up in a storm what a reader may ask for."""
+        held, rows = self.held[shard], list(rows)
         known = {row.name: row for row in self._read(held)}
         for row in rows:
             if row.listing == GONE:
                 known.pop(row.name, None)
             else:
                 known[row.name] = row
-        return self._put(shard, held, list(known.values()), version)
+        self._put(shard, held, list(known.values()), version)
+        return len(_ENCODER.encode(rows))
 
     def _put(self, shard: int, held: Held, rows: list[Row], version: Version) -> int:
         before = held.sum
--- a/linnetstile/shards/table.py
+++ b/linnetstile/shards/table.py
@@ -145,11 +145,11 @@
 
     def _log(self, generation: int, edits: dict[int, Edit]) -> None:
         for shard, edit in edits.items():
+            log = self.logs.get(shard)
+            if log is None:  # it is complete since the shard's last change, not since the table's
+                log = self.logs[shard] = Log(self.changed.get(shard, self.start))
             self.changed[shard] = generation
             self.changed.move_to_end(shard)
-            log = self.logs.get(shard)
-            if log is None:
-                log = self.logs[shard] = Log(self.generation)
             self.log_rows -= len(log.rows)
             log.add(generation, edit.rows)
             self.log_rows += len(log.rows)
--- /dev/null
+++ b/tests/shards/test_storm.py
@@ -0,0 +1,173 @@
+"""A storm of changes beside one reader, in virtual time: what goes between it and its keepers, by counts."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from functools import partial
+from itertools import count
+
+import msgspec
+import pytest
+
+from linnetstile.shards import table
+from linnetstile.shards.keeping import Keeper
+from linnetstile.shards.reading import Reader
+from linnetstile.shards.ring import shard_of
+from linnetstile.shards.wire import Answer, Ask, Changes, Digest, Layout, Row, Whole, packed
+
+from .common import ask, asked, by_shard, filled, followed, row
+
+DESTS, SHARDS, USED = 20_000, 512, 600  # some 39 destinations a shard
+STORM, PIECES, STORM_S = 4_000, 60, 30.0  # changes, in so many steps: for each shard as 72,000 in 8,192
+WAY_S = 0.02  # of a word, one way
+BOUND_S = 12.0
+WITHOUT_S = 20.0  # at rest, before
+ME = "n100"
+
+
+class Storm:
+    """Two keepers and a reader that has USED destinations in use."""
+
+    def __init__(self) -> None:
+        self.now, self.order = 0.0, count()
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.layout = Layout(SHARDS, (0, 1))
+        self.rows = {f"e{n}": row(f"e{n}", n) for n in range(DESTS)}
+        self.keepers = {f"n{n}": filled(self.layout, self.rows.values(), seed=n) for n in (0, 1)}
+        self.reader = Reader(ME, self.layout, random.Random(9), BOUND_S, 3600.0)
+        self.reader.reachable(0.0, self.keepers)
+        self.used = random.Random(5).sample(range(DESTS), USED)
+        self.generations = count(2)
+        self.asks: list[Ask] = []
+        self.answers: list[Answer] = []
+        self.digests = 0
+        self.old_s = 0.0  # how old what is known was, at most
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self.due, (when, next(self.order), act))
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        self.at(self.now, lambda: self.turn(until))
+        while self.due and self.due[0][0] <= until:
+            self.now, _, act = heapq.heappop(self.due)
+            act()
+        self.now = until
+
+    def turn(self, until: float) -> None:
+        reader, now = self.reader, self.now
+        for name, keeper in self.keepers.items():
+            keeper.confirmed(now)
+            for _, digest in keeper.digests(now):
+                self.digests += 1
+                self.at(now + WAY_S, partial(self.said, name, digest))
+        reader.tick(now, lambda destination: True)
+        for name, told in reader.asks:
+            self.asks.append(told)
+            self.at(now + WAY_S, partial(self.answer, name, told))
+        reader.asks.clear()
+        self.old_s = max(self.old_s, reader.told(now).age_s)
+        if now + 0.01 <= until:
+            self.at(now + 0.01, lambda: self.turn(until))
+
+    def said(self, name: str, digest: Digest) -> None:
+        self.reader.digest(self.now, name, digest)
+
+    def wants(self, destination: int) -> None:
+        self.reader.want(self.now, destination, self.now + 30.0)
+
+    def hears(self, keeper: Keeper, generation: int, rows: list[Row]) -> None:
+        keeper.changed(self.now, generation, rows)
+
+    def answer(self, name: str, told: Ask) -> None:
+        word = asked(self.keepers[name], told, self.now, ME)
+        self.answers.append(word)
+        self.at(self.now + WAY_S, lambda: self.reader.answered(self.now, name, word))
+
+    def change(self, dests: list[int]) -> None:
+        """One step of the register's; the second keeper hears of it later."""
+        generation = next(self.generations)
+        rows = [row(f"e{n}", n, mark=float(generation)) for n in dests]
+        self.rows |= {each.name: each for each in rows}
+        for late, keeper in enumerate(self.keepers.values()):
+            self.at(self.now + 0.1 * late, partial(self.hears, keeper, generation, rows))
+
+    def play(self) -> list[int]:
+        """Which destinations changed."""
+        for n, destination in enumerate(self.used):
+            self.at(n * 0.01, partial(self.wants, destination))
+        self.run(WITHOUT_S)
+        assert self.reader.told(self.now).waiting == 0
+        self.asks, self.answers, self.digests, self.old_s = [], [], 0, 0.0
+        changed = random.Random(6).sample(range(DESTS), STORM)
+        for n in range(PIECES):
+            self.at(self.now + n * STORM_S / PIECES, partial(self.change, changed[n::PIECES]))
+        self.run(STORM_S + 4.0)
+        return changed
+
+
+def test_a_storm_costs_a_reader_what_changed_in_its_shards_and_few_asks() -> None:
+    it = Storm()
+    changed = it.play()
+    held = it.reader.store.held
+    here = [n for n in changed if shard_of(n, SHARDS) in held]
+    assert len(held) > 300 and len(here) > 2_000
+    parts = [part for answer in it.answers for part in answer.parts]
+    assert all(isinstance(part, Changes) for part in parts)  # no shard is told as a whole
+    told = [each.name for part in parts if isinstance(part, Changes) for each in part.rows]
+    assert sorted(told) == sorted(f"e{n}" for n in here)  # each change once
+    # Bytes: the rows, and beside them 8 a part and 64 an answer; asks: the bitmap, and 64 each.
+    least = sum(len(msgspec.msgpack.encode(it.rows[name])) for name in told)
+    assert sum(len(packed(answer)) for answer in it.answers) <= least + 8 * len(parts) + 64 * len(it.answers)
+    assert sum(len(packed(each)) for each in it.asks) <= len(it.asks) * (SHARDS // 8 + 16 + 64)
+    assert len(it.asks) <= it.digests <= 2 * (STORM_S + 4.0) / 2.7 + 2  # one for a digest, at most
+    assert it.old_s < BOUND_S
+    # And the reader has it all.
+    truth = by_shard(it.rows, SHARDS)
+    assert it.reader.store.base == (1, PIECES + 1)
+    for shard, each in held.items():
+        shard_rows: list[Row] = msgspec.msgpack.decode(each.blob, type=list[Row])
+        assert {one.name: one for one in shard_rows} == truth[shard]
+
+
+def test_bytes_in_are_those_of_what_changed_and_not_of_the_whole_shards() -> None:
+    it = Storm()
+    it.play()
+    before = it.reader.bytes_in
+    it.change([it.used[0]])
+    it.run(4.0)
+    assert 0 < it.reader.bytes_in - before < 100
+
+
+def test_a_shards_first_change_is_told_as_a_change_also_to_who_is_generations_behind() -> None:
+    layout = Layout(SHARDS, (1,))
+    rows = {f"e{n}": row(f"e{n}", n) for n in range(2_000)}
+    keeper = filled(layout, rows.values())
+    for generation in range(2, 12):
+        new = row(f"e{generation}", generation, mark=float(generation))
+        rows[new.name] = new
+        keeper.changed(0.0, generation, [new])
+    answer = asked(keeper, ask(layout, (1, 1), range(SHARDS)))
+    assert answer.complete and {type(part) for part in answer.parts} == {Changes}
+    mine = dict(enumerate(by_shard({f"e{n}": row(f"e{n}", n) for n in range(2_000)}, SHARDS)))
+    followed(mine, answer)
+    assert mine == dict(enumerate(by_shard(rows, SHARDS)))
+
+
+def test_a_log_that_was_given_up_begins_anew_where_its_shard_changed_last(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(table, "LOG_ROWS", 1)
+    layout = Layout(SHARDS, (1,))
+    keeper = filled(layout, (row(f"e{n}", n) for n in range(2_000)))
+    other = next(n for n in range(2_000) if shard_of(n, SHARDS) != shard_of(0, SHARDS))
+    keeper.changed(0.0, 2, [row("e0", 0, mark=2.0)])
+    keeper.changed(0.0, 3, [row(f"e{other}", other, mark=3.0)])  # the first one's log is given up
+    keeper.changed(0.0, 4, [row(f"e{other}", other, mark=4.0)])
+    keeper.changed(0.0, 5, [row("e0", 0, mark=5.0)])
+    shard = shard_of(0, SHARDS)
+    (before,) = asked(keeper, ask(layout, (1, 1), [shard])).parts
+    (after,) = asked(keeper, ask(layout, (1, 2), [shard])).parts
+    assert isinstance(before, Whole)
+    assert after == Changes(shard, (row("e0", 0, mark=5.0),))
