Shards: an answer in pieces goes on where it was, though versions come faster than pieces

Seen, in virtual time: a reader cut off for 15 s in the middle of a storm of 72,000 changes, whose keepers' logs no longer reach back, took 176 asks, 6 complete answers and 2,939 whole shards of 939 (246 KB/s over 33 s). Cause: `further` had only shards as of `top`, which rises with each generation (Holdings.ahead), so what had come as of the one before was asked for again from `base`; and the keeper told the newest first.

The mark that shards are compared with stays until all have reached it; the keeper tells first what lacks the most, and says how far all is then (`Answer.reached`, a last field with a default: either side may be older).

--- a/linnetstile/shards/holding.py
+++ b/linnetstile/shards/holding.py
@@ -71,6 +71,7 @@
         self.bits = self.sum = self.set_sum = 0
         self.base = NONE  # all are as of this or a later version
         self.top = NONE
+        self.mark = NONE  # of an answer in pieces: shards that have reached it aren't asked from `base`
         self.names: dict[str, int] = {}  # that the directory has: from which shard
         self.updates: list[Update] = []
         self.checks: deque[tuple[float, int]] = deque()  # (when, shard) to look whether it is idle, in order
@@ -158,10 +159,13 @@
         return [shard for shard, held in self.held.items() if self.as_of(held) < version]
 
     def ahead(self) -> int:
-        """Shards that are as of `top`, where not all are: likewise."""
+        """Shards that are as of `mark` or later, where not all are: likewise. The mark stays until all have
+        reached it: by one that rose with each piece, all would begin anew where versions come faster."""
         if self.base >= self.top:
             return 0
-        found = [shard for shard, held in self.held.items() if held.as_of >= self.top]
+        if self.base >= self.mark:
+            self.mark = self.top
+        found = [shard for shard, held in self.held.items() if held.as_of >= self.mark]
         return sum(1 << shard for shard in found)
 
     def _read(self, held: Held) -> list[Row]:
--- a/linnetstile/shards/keeping.py
+++ b/linnetstile/shards/keeping.py
@@ -171,7 +171,7 @@
         if after is not None:
             self.busy += 1
             return Busy(ask.number, after * 1e3)
-        parts, complete, size = self._parts(ask, holds, further)
+        parts, complete, reached, size = self._parts(ask, holds, further)
         for part in parts:
             holds |= 1 << part.shard  # it will: if this answer is lost, the sets differ, and it asks
         self.audience.seen(now, reader, holds, self.table.sums)
@@ -180,14 +180,14 @@
         self.tokens -= 1.0
         self.bytes_left -= size
         return Answer(ask.number, self.version, tuple(parts), complete, (self.epoch, self.table.start),
-                      self._age_ms(now), self.boot, now * 1e3)
+                      self._age_ms(now), self.boot, now * 1e3, reached)
 
-    def _parts(self, ask: Ask, holds: int, further: int) -> tuple[list[Part], bool, int]:
-        """What it gets, whether that is all, and how many bytes that is about."""
+    def _parts(self, ask: Ask, holds: int, further: int) -> tuple[list[Part], bool, Version, int]:
+        """What it gets, whether that is all, how far all is then, and how many bytes that is about."""
         parts: list[Part] = []
         if self.version < ask.version:
             self.behind += 1  # it would refuse all
-            return parts, True, 0
+            return parts, True, NONE, 0
         size, told = 0, 0
         for want in sorted(ask.wants, key=lambda each: each.due_ms):
             bit = 1 << want.shard
@@ -211,18 +211,23 @@
             told |= bit
             size += more
         if ask.version < since:
-            return parts, not holds & ~told, size
-        skipped = further if ask.ahead[0] == self.epoch else 0
-        for shard in self.table.since(ask.version[1]):
-            bit = 1 << shard
-            if told & bit or not holds & bit or (skipped & bit and self.table.changed[shard] <= ask.ahead[1]):
-                continue
-            part, more = self._news(shard, ask.ahead[1] if skipped & bit else ask.version[1])
-            if parts and size + more > ANSWER_BYTES:
-                return parts, False, size
-            parts.append(part)
-            size += more
-        return parts, True, size
+            return parts, not holds & ~told, NONE, size
+        skipped = further & holds if ask.ahead[0] == self.epoch else 0
+        # First what lacks the most: else, where changes come faster than pieces, the same new ones are told
+        # in each piece and the rest never.
+        reached = NONE
+        for some, generation in ((holds & ~skipped, ask.version[1]), (skipped, ask.ahead[1])):
+            for shard in self.table.since(generation) if some else ():
+                bit = 1 << shard
+                if told & bit or not some & bit:
+                    continue
+                part, more = self._news(shard, generation)
+                if parts and size + more > ANSWER_BYTES:
+                    return parts, False, reached, size
+                parts.append(part)
+                size += more
+            reached = ask.ahead if skipped and self.version >= ask.ahead else NONE
+        return parts, True, reached, size
 
     def _news(self, shard: int, generation: int) -> tuple[Part, int]:
         rows = self.table.changes(shard, generation)
--- a/linnetstile/shards/reading.py
+++ b/linnetstile/shards/reading.py
@@ -29,6 +29,7 @@
     Answer,
     Ask,
     Busy,
+    NONE,
     Digest,
     Layout,
     Other,
@@ -274,6 +275,8 @@
             self.compare.update(dict.fromkeys(older))
             if not older:
                 store.rebase()
+            if answer.reached > store.base:
+                store.confirm_all(answer.reached, out.holds)
             keeper.news = True
             keeper.paused_until = now + (SHORT_S if taken else PAUSE_S)
         if out.sums:
@@ -450,7 +453,7 @@
             holds=packed_bits(store.bits, self.layout.shards),
             wants=tuple(Want(shard, self._due_ms(now, shard)) for shard in wants),
             sums=tuple(sums.items()),
-            ahead=store.top,
+            ahead=store.mark if ahead else NONE,
             further=packed_bits(ahead, self.layout.shards) if ahead else b"",
         )))
 
--- a/linnetstile/shards/wire.py
+++ b/linnetstile/shards/wire.py
@@ -63,7 +63,7 @@
     holds: bytes  # shards that it holds: a bitmap of layout.shards bits, zlib
     wants: tuple[Want, ...] = ()
     sums: tuple[tuple[int, int], ...] = ()  # (shard, its sum): to compare, a slice at a time
-    ahead: Version = NONE  # shards of `further` are as of this already: of an answer in pieces
+    ahead: Version = NONE  # shards of `further` are as of this or later: of an answer in pieces
     further: bytes = b""  # as `holds`; empty: none
 
 
@@ -104,6 +104,7 @@
     source_age_ms: float  # since the keeper's own source last said that this is all
     boot: int  # of the keeper's process, by chance: its clock is compared with itself only
     clock_ms: float
+    reached: Version = NONE  # where it isn't complete: all that the reader holds is as of this or later now
 
 
 class Busy(msgspec.Struct, frozen=True, array_like=True, tag="B"):
--- a/tests/shards/test_storm.py
+++ b/tests/shards/test_storm.py
@@ -4,6 +4,7 @@
 
 import heapq
 import random
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from itertools import count
@@ -15,7 +16,18 @@
 from linnetstile.shards.keeping import Keeper
 from linnetstile.shards.reading import Reader
 from linnetstile.shards.ring import shard_of
-from linnetstile.shards.wire import Answer, Ask, Changes, Digest, Layout, Row, Whole, packed
+from linnetstile.shards.wire import (
+    NONE,
+    Answer,
+    Ask,
+    Changes,
+    Digest,
+    Layout,
+    Row,
+    Whole,
+    packed,
+    packed_bits,
+)
 
 from .common import ask, asked, by_shard, filled, followed, row
 
@@ -43,6 +55,7 @@
         self.asks: list[Ask] = []
         self.answers: list[Answer] = []
         self.digests = 0
+        self.cut = False
         self.old_s = 0.0  # how old what is known was, at most
 
     def at(self, when: float, act: Callable[[], None]) -> None:
@@ -73,7 +86,8 @@
             self.at(now + 0.01, lambda: self.turn(until))
 
     def said(self, name: str, digest: Digest) -> None:
-        self.reader.digest(self.now, name, digest)
+        if not self.cut:
+            self.reader.digest(self.now, name, digest)
 
     def wants(self, destination: int) -> None:
         self.reader.want(self.now, destination, self.now + 30.0)
@@ -82,6 +96,9 @@
         keeper.changed(self.now, generation, rows)
 
     def answer(self, name: str, told: Ask) -> None:
+        if self.cut:
+            self.at(self.now + 1.0, lambda: self.reader.failed(self.now, name))
+            return
         word = asked(self.keepers[name], told, self.now, ME)
         self.answers.append(word)
         self.at(self.now + WAY_S, lambda: self.reader.answered(self.now, name, word))
@@ -94,8 +111,8 @@
         for late, keeper in enumerate(self.keepers.values()):
             self.at(self.now + 0.1 * late, partial(self.hears, keeper, generation, rows))
 
-    def play(self) -> list[int]:
-        """Which destinations changed."""
+    def play(self, cut_s: float = 0.0) -> list[int]:
+        """Which destinations changed. `cut_s`: so long nothing comes through, in the middle of it."""
         for n, destination in enumerate(self.used):
             self.at(n * 0.01, partial(self.wants, destination))
         self.run(WITHOUT_S)
@@ -104,7 +121,11 @@
         changed = random.Random(6).sample(range(DESTS), STORM)
         for n in range(PIECES):
             self.at(self.now + n * STORM_S / PIECES, partial(self.change, changed[n::PIECES]))
-        self.run(STORM_S + 4.0)
+        self.run(10.0)
+        self.cut = cut_s > 0.0
+        self.run(cut_s)
+        self.cut, self.old_s = False, self.old_s if not cut_s else 0.0
+        self.run(STORM_S + 4.0 - 10.0 - cut_s)
         return changed
 
 
@@ -171,3 +192,40 @@
     (after,) = asked(keeper, ask(layout, (1, 2), [shard])).parts
     assert isinstance(before, Whole)
     assert after == Changes(shard, (row("e0", 0, mark=5.0),))
+
+
+def test_an_answer_in_many_pieces_goes_on_where_it_was_though_versions_come_faster(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(table, "LOG_ROWS", 600)  # nine generations: who was cut off longer gets wholes
+    it = Storm()
+    it.play(cut_s=10.0)
+    wholes = Counter(part.shard for answer in it.answers for part in answer.parts if isinstance(part, Whole))
+    assert len(wholes) > 250  # many pieces of 18 or so
+    assert max(wholes.values()) <= 2  # at most once of each keeper
+    assert it.reader.store.base == (1, PIECES + 1)
+
+
+def test_what_a_reader_lacks_the_most_is_told_first_and_how_far_all_is_then() -> None:
+    layout = Layout(SHARDS, (1,))
+    rows = [row(f"e{n}", n) for n in range(DESTS)]
+    keeper = filled(layout, rows)
+    for generation in (2, 3, 4):  # all shards, each time by so many rows that no answer has them all
+        keeper.changed(0.0, generation, [row(f"e{n}", n, mark=float(generation)) for n in range(6_000)])
+    half = list(range(SHARDS // 2))
+    further = packed_bits(sum(1 << shard for shard in half), SHARDS)
+    told = msgspec.structs.replace(ask(layout, (1, 1), range(SHARDS)), ahead=(1, 3), further=further)
+    answer = asked(keeper, told)
+    assert not answer.complete and answer.reached == NONE
+    assert not {part.shard for part in answer.parts} & set(half)
+    lacks = set(range(SHARDS)) - {part.shard for part in answer.parts} - set(half)
+    keeps = packed_bits(sum(1 << shard for shard in range(SHARDS) if shard not in lacks), SHARDS)
+    answer = asked(keeper, msgspec.structs.replace(told, further=keeps))
+    while not answer.complete and answer.reached == NONE:
+        lacks -= {part.shard for part in answer.parts}
+        keeps = packed_bits(sum(1 << shard for shard in range(SHARDS) if shard not in lacks), SHARDS)
+        answer = asked(keeper, msgspec.structs.replace(told, further=keeps))
+    assert lacks <= {part.shard for part in answer.parts}
+    assert answer.reached == (1, 3)
+    behind = filled(layout, rows)
+    behind.changed(0.0, 2, [row("e0", 0, mark=2.0)])
+    assert asked(behind, told).reached == NONE  # it has not come so far itself
