Tests: a run's Ctrl-C is tested with the disposition that it needs, and begun deaf to it

Shown: `trap '' INT` before pytest fails it each time (1 of 1), without it it passes (1 of 1). Ruled out: the program's handling of the interrupt (emulator/commands.py), load. At fault is the test (tests/emulator/test_runs.py, its Popen), which took the disposition from whoever ran it. Change: the test starts the run with the default one, asks that some of the runs and not all were made, and a second test starts it deaf and asks that it goes on to its end, as a job in the background has to.

--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import math
 import signal
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -79,26 +81,48 @@
         manifest(tmp_path / "none")
 
 
-def test_a_ctrl_c_leaves_what_is_done_and_resume_goes_on(tmp_path: Path) -> None:
-    file, out = tmp_path / "x.toml", tmp_path / "out"
+@contextlib.contextmanager
+def begun(folder: Path, seeds: int, interrupts: signal.Handlers) -> Iterator[subprocess.Popen[str]]:
+    """A run of its own, which has made three runs at the least. Whether Ctrl-C is heard is handed down from
+    whoever starts a process: a shell's job in the background begins deaf to it, and so does all it starts."""
+    file = folder / "x.toml"
     file.write_text(
-        'name = "x"\nseeds = 400\n[traffic]\nrate = 20.0\nseconds = 5.0\nwarm_s = 1.0\n'
+        f'name = "x"\nseeds = {seeds}\n[traffic]\nrate = 20.0\nseconds = 5.0\nwarm_s = 1.0\n'
         "[[partners]]\nslots = 4\n[fleet]\nrelays = 2\n"
     )
-    command = [sys.executable, "-m", "emulator", "run", str(file), "--out", str(out), "--processes", "2"]
-    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
-    ends = time.monotonic() + 60
-    while len(list(out.glob("runs/*/*"))) < 3 and time.monotonic() < ends:
-        time.sleep(0.02)
-    process.send_signal(signal.SIGINT)
-    assert process.stderr is not None
-    told = process.stderr.read()
-    assert process.wait(30) == 130 and "go on with --resume" in told
-    assert all(
-        json.loads(path.read_bytes())["variant"] == "A"
-        for path in out.glob("runs/A/*")
-        if path.name.isdecimal()
-    )
+    out = ["--out", str(folder / "out"), "--processes", "2"]
+    command = [sys.executable, "-m", "emulator", "run", str(file), *out]
+    before = signal.signal(signal.SIGINT, interrupts)
+    try:
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    finally:
+        signal.signal(signal.SIGINT, before)
+    try:
+        ends = time.monotonic() + 60
+        while len(list(folder.glob("out/runs/*/*"))) < 3 and time.monotonic() < ends:
+            time.sleep(0.02)
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_a_ctrl_c_leaves_what_is_done_and_resume_goes_on(tmp_path: Path) -> None:
+    with begun(tmp_path, 400, signal.SIG_DFL) as process:
+        process.send_signal(signal.SIGINT)
+        _, told = process.communicate(timeout=30)
+    assert process.returncode == 130 and "go on with --resume" in told
+    done = [path for path in tmp_path.glob("out/runs/A/*") if path.name.isdecimal()]
+    assert 0 < len(done) < 400
+    assert all(json.loads(path.read_bytes())["variant"] == "A" for path in done)
+
+
+def test_a_run_that_was_begun_deaf_to_ctrl_c_is_made_whole(tmp_path: Path) -> None:
+    with begun(tmp_path, 12, signal.SIG_IGN) as process:
+        process.send_signal(signal.SIGINT)
+        _, told = process.communicate(timeout=60)
+    assert process.returncode == 0 and "12 seeds of 1 variants" in told
+    assert len((tmp_path / "out" / "results.jsonl").read_text().splitlines()) == 12
 
 
 def test_sequential_stopping_takes_no_more_seeds_than_the_width_asks_for(tmp_path: Path) -> None:
