Voters: one that asks again for its folder's boot is not told of itself, and keeps its vote

Cause, by reading and by a test that makes it happen: a voter that starts asks the others for the highest boot seen of its folder (accord/node.py, _seen); each question is noted (_boot). One whose answer takes over ASK_S, 1 s, as while all start on one disk and each note is synced, is asked again, and the second answer told the asker its own boot of the first: it took its folder for an older one and voted no more. Two of three such voters, and there is no majority until an operator comes. Change: accord/boots.py keeps beside the boot which process told it, by the nonce that the first words on each connection now carry (peers.node.Hello; an older build's has none and counts as any process). Another process of the same boot is told as before. Frames hear the Hello instead of the sender's name; the tests that call them directly follow.

--- a/linnetstile/accord/log.py
+++ b/linnetstile/accord/log.py
@@ -23,7 +23,7 @@
 
 from ..core.tasks import Tasks, woken
 from ..logs import Note
-from ..peers.node import Node, Stream
+from ..peers.node import Hello, Node, Stream
 from .book import Answer, Book, Command, command
 from .disk import DUMP, JOURNAL, Disk, check, sealed, unsealed
 
@@ -106,8 +106,8 @@
         if node is not None:
             (self._onNodeConnected if up else self._onNodeDisconnected)(node)
 
-    def _frame(self, sender: str, raw: bytes) -> None:
-        self.inbox.append((sender, raw))
+    def _frame(self, hello: Hello, raw: bytes) -> None:
+        self.inbox.append((hello.sender, raw))
         self.news.set()
 
     def deliver(self) -> None:
--- a/linnetstile/accord/node.py
+++ b/linnetstile/accord/node.py
@@ -18,7 +18,7 @@
 from ..decisions import interface as api
 from ..logs import Note
 from ..peers.identity import Identity, written
-from ..peers.node import Node
+from ..peers.node import Hello, Node
 from ..peers.wire import Claim
 from . import caps
 from .book import (
@@ -35,6 +35,7 @@
     Withdraw,
     command,
 )
+from .boots import Boots
 from .clock import Clock
 from .control import Question
 from .disk import JOURNAL, removed
@@ -119,6 +120,7 @@
         zone = zones[settings.zone] if settings.zone < len(zones) else ""
         self.gate = Gate(self.acting, instances, lambda: time.time() * 1000, self.me, zone)
         self.standing = self._stood()
+        self.boots = Boots(self.standing.boots)
         self.granting: Granting | None = None
         # When the voters last changed: their proposer's stamp, and when this process saw it by its own clock.
         # Only the second is reckoned with: a wall clock may step, and a relay's majority hangs on the wait.
@@ -291,18 +293,18 @@
             await asyncio.sleep(0.05)
         return max(told.values(), default=0)
 
-    def _boot(self, sender: str, raw: bytes) -> bytes:
-        """The highest boot that was seen of an identity before this question."""
+    def _boot(self, hello: Hello, raw: bytes) -> bytes:
+        """The highest boot that was seen of an identity before the process that asks."""
         told: tuple[str, int] = msgspec.msgpack.decode(raw, type=tuple[str, int])
         ident, boot = told
-        before = self.standing.boots.get(ident, 0)
-        if boot > before:
-            self.standing.boots[ident] = boot
+        kept = self.standing.boots.get(ident)
+        before = self.boots.told(ident, boot, hello.nonce)
+        if self.standing.boots.get(ident) != kept:
             try:
                 self._keep()
             except OSError as error:
                 log.error(Note("the boot of a peer is not written", why=error))
-                self.standing.boots[ident] = before
+                self.boots.back(ident, kept)
         return msgspec.msgpack.encode(before)
 
     def _applied(self) -> None:
@@ -350,7 +352,7 @@
         self._clear()
         return grant
 
-    def _version(self, sender: str, raw: bytes) -> bytes:
+    def _version(self, hello: Hello, raw: bytes) -> bytes:
         number: int = msgspec.msgpack.decode(raw, type=int)
         version = self.book.get(number)
         return b"" if version is None else msgspec.msgpack.encode(version)
@@ -525,7 +527,7 @@
                 break
         return answer
 
-    async def _command(self, sender: str, raw: bytes) -> bytes:
+    async def _command(self, hello: Hello, raw: bytes) -> bytes:
         try:
             if self.log is None:
                 raise RulesError(NO_VOTE)
--- a/linnetstile/peers/node.py
+++ b/linnetstile/peers/node.py
@@ -33,12 +33,17 @@
 BACKLOG_BYTES = FRAME_BYTES  # that wait for one connection: later ones are dropped, as a network may
 
 Datagram = Callable[[str, bytes], None]  # a sender's name, and what it says
-Frame = Callable[[str, bytes], Awaitable[bytes | None] | bytes | None]  # the answer, if one is owed
 
 
-class _Hello(msgspec.Struct, frozen=True, array_like=True):
+class Hello(msgspec.Struct, frozen=True, array_like=True):
+    """Who speaks on a connection, and of what: its first words."""
+
     sender: str
     kind: str
+    nonce: int = 0  # of the process that speaks; 0: a build that does not tell it
+
+
+Frame = Callable[[Hello, bytes], Awaitable[bytes | None] | bytes | None]  # the answer, if one is owed
 
 
 class Stream:
@@ -81,8 +86,7 @@
                 await asyncio.sleep(self.node.rng.uniform(0.1, 0.3))
                 continue
             try:
-                hello = msgspec.msgpack.encode(_Hello(self.node.swim.me.name, self.kind))
-                writer.write(framed(hello, self.node.secret))
+                writer.write(framed(self.node.hello(self.kind), self.node.secret))
                 lasting(writer)
                 self.writer, self.up, self.full_since = writer, True, 0.0
                 changed(self.name, True)
@@ -275,6 +279,9 @@
             self.said = key, sealed(packet, self.secret)
         return self.said[1]
 
+    def hello(self, kind: str) -> bytes:
+        return msgspec.msgpack.encode(Hello(self.swim.me.name, kind, self.swim.me.nonce))
+
     async def ask(self, name: str, kind: str, raw: bytes, seconds: float = 2.0) -> bytes:
         """One message and its answer on a connection of its own. Raises OSError or TimeoutError."""
         at = self.where(name)
@@ -283,8 +290,7 @@
         async with asyncio.timeout(seconds):
             reader, writer = await asyncio.open_connection(*at, local_addr=self.source)
             try:
-                hello = msgspec.msgpack.encode(_Hello(self.swim.me.name, kind))
-                told = framed(hello, self.secret) + framed(raw, self.secret)
+                told = framed(self.hello(kind), self.secret) + framed(raw, self.secret)
                 self.counts["asked"] += 1
                 self.counts["asked_bytes"] += len(told)
                 writer.write(told)
@@ -305,14 +311,14 @@
         self.counts["conversations"] += 1
         try:
             async with asyncio.timeout(CONNECT_S):
-                hello: _Hello = msgspec.msgpack.decode(await frame(reader, self.secret), type=_Hello)
+                hello: Hello = msgspec.msgpack.decode(await frame(reader, self.secret), type=Hello)
             while True:
                 raw = await frame(reader, self.secret)
                 self.counts["conversation_bytes"] += len(raw)
                 take = self.frames.get(hello.kind)  # asked each time: who takes them may have begun anew
                 if take is None:  # not served here, or not yet: who needs it tries again
                     return
-                answer = take(hello.sender, raw)
+                answer = take(hello, raw)
                 told = await answer if isinstance(answer, Awaitable) else answer
                 if told is not None:
                     self.counts["conversation_bytes"] += len(told)
--- a/linnetstile/shards/node.py
+++ b/linnetstile/shards/node.py
@@ -18,7 +18,7 @@
 from ..core.seams import Told
 from ..core.tasks import Tasks
 from ..logs import Note
-from ..peers.node import Node
+from ..peers.node import Hello, Node
 from ..peers.wire import Claim
 from .keeping import Keeper
 from .reading import Reader
@@ -200,18 +200,18 @@
             log.exception("an answer of %s could not be taken", keeper)
         self._renew()
 
-    def _asked(self, sender: str, raw: bytes) -> bytes:
+    def _asked(self, hello: Hello, raw: bytes) -> bytes:
         """A frame; ValueError for what is no ask: the peers' node ends its connection."""
         try:
             ask = read(raw)
             if not isinstance(ask, Ask):
                 raise Unreadable(f"{type(ask).__name__} is no ask")
         except ValueError as error:
-            self._unreadable(sender, error)
+            self._unreadable(hello.sender, error)
             raise
         if self.keeper is None:
             return packed(Other(ask.number, self.layout))
-        answer: Word = self.keeper.asked(self.now(), sender, ask)
+        answer: Word = self.keeper.asked(self.now(), hello.sender, ask)
         self._due(max(self.keeper.next_at(), self.now() + LEAST_S))
         return packed(answer)
 
--- /dev/null
+++ b/tests/accord/test_boots.py
@@ -0,0 +1,107 @@
+"""Whether the others have seen a later process of a voter's folder, though questions come twice."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from benchmarks.processes import free_ports
+from linnetstile.accord import node as accord
+from linnetstile.accord.boots import Boots
+from linnetstile.accord.node import BOOT, Accord
+from linnetstile.accord.settings import AccordPart
+from linnetstile.accord.terms import Counts
+from linnetstile.peers.identity import claimed
+from linnetstile.peers.node import Hello, Node
+from linnetstile.peers.settings import PeersPart
+
+from ..conftest import make_settings
+
+
+def test_one_that_asks_again_is_not_told_of_itself() -> None:
+    it = Boots({"a": 4})
+    assert it.told("a", 5, 77) == 4
+    assert it.told("a", 5, 77) == 4 and it.told("a", 5, 77) == 4
+
+
+def test_another_process_of_the_same_boot_is_told_of_the_first() -> None:
+    it = Boots({})
+    assert it.told("a", 5, 77) == 0
+    assert it.told("a", 5, 78) == 5  # a folder put back runs from the same number
+    assert it.told("a", 5, 0) == 5  # a build that tells no nonce may be any process
+    assert it.told("a", 3, 77) == 5 and it.seen == {"a": 5}
+    assert it.told("a", 6, 79) == 5 and it.told("a", 5, 77) == 6
+
+
+def test_what_could_not_be_written_was_never_heard() -> None:
+    it = Boots({"a": 4})
+    assert it.told("a", 5, 77) == 4
+    it.back("a", 4)
+    assert it.seen == {"a": 4} and it.told("a", 5, 78) == 4
+    assert it.told("b", 1, 1) == 0
+    it.back("b", None)
+    assert "b" not in it.seen
+
+
+def test_a_nonce_of_0_is_a_nonce_of_nobody() -> None:
+    it = Boots({})
+    assert it.told("a", 5, 0) == 0 and it.told("a", 5, 0) == 5
+
+
+@contextlib.asynccontextmanager
+async def voters(folder: Path) -> AsyncIterator[list[Accord]]:
+    """Two of three voters on loopback, which know each other; neither has begun to vote."""
+    port = free_ports(2)
+    made: list[Accord] = []
+    for n in range(2):
+        part = PeersPart(listen=f"127.0.0.1:{port + n}", seeds=(f"127.0.0.1:{port}",), period_s=0.1)
+        state = folder / str(n)
+        identity = claimed(state, f"n{n}")
+        peers = Node(part, identity, state, n, "z", 0)
+        made.append(Accord(AccordPart(voters=(0, 1, 2)), peers, state, identity, make_settings(), ("z",), 2,
+                           lambda: None, Counts))
+    try:
+        for one in made:
+            await one.peers.start()
+        async with asyncio.timeout(20.0):
+            while any(one.peers.where(f"n{1 - n}") is None for n, one in enumerate(made)):
+                await asyncio.sleep(0.02)
+        yield made
+    finally:
+        for one in made:
+            await one.close()
+            await one.peers.close()
+
+
+def test_an_answer_that_comes_too_late_does_not_cost_a_voter_its_vote(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The others may be starting too, all on one disk: an answer that waits for it comes after the question
+    was given up. Asked again they have seen this boot: of this very process."""
+    monkeypatch.setattr(accord, "ASK_S", 0.2)
+    questions: list[int] = []
+
+    async def work() -> None:
+        async with voters(tmp_path) as (asking, asked):
+
+            async def late(hello: Hello, raw: bytes) -> bytes:
+                answer = asked._boot(hello, raw)
+                questions.append(msgspec.msgpack.decode(answer))
+                if len(questions) == 1:
+                    await asyncio.sleep(0.5)
+                return answer
+
+            asked.peers.frames[BOOT] = late
+            seen = await asyncio.wait_for(asking._seen(), 20.0)
+            assert len(questions) == 2 and seen < asking.identity.boot
+            # A second process of this folder, from the same boot: the folder was put back to an older state.
+            other = Hello("n0", BOOT, 12345)
+            raw = msgspec.msgpack.encode((asking.identity.id, asking.identity.boot))
+            assert msgspec.msgpack.decode(asked._boot(other, raw)) == asking.identity.boot
+
+    asyncio.run(work())
--- a/tests/accord/test_commands.py
+++ b/tests/accord/test_commands.py
@@ -11,7 +11,8 @@
 
 from linnetstile.accord import node
 from linnetstile.accord.book import Answer, Withdraw
-from linnetstile.accord.node import Accord
+from linnetstile.accord.node import COMMAND, Accord
+from linnetstile.peers.node import Hello
 
 SILENT, STARTING = "silent", "starting"
 TOLD = Withdraw(2, "test", "a test")
@@ -29,7 +30,7 @@
         if said == SILENT:
             raise TimeoutError
         if said == STARTING:  # as a voter itself says it: its log is not open yet, or not any more
-            return await Accord._command(cast(Accord, SimpleNamespace(log=None)), "n9", raw)
+            return await Accord._command(cast(Accord, SimpleNamespace(log=None)), Hello("n9", COMMAND), raw)
         return msgspec.json.encode(said)
 
 
--- a/tests/shards/test_relaying.py
+++ b/tests/shards/test_relaying.py
@@ -11,6 +11,8 @@
 from linnetstile.core import attempts, host
 from linnetstile.core.seams import Malformed
 from linnetstile.decisions.interface import Outcome
+from linnetstile.peers.node import Hello
+from linnetstile.shards.node import KIND
 from linnetstile.shards.ring import shard_of
 from linnetstile.shards.wire import Ask, Busy, Other, packed, read
 
@@ -388,7 +390,7 @@
     async def work() -> None:
         async with fleet(tmp_path, listed(7), 0, 1) as it:
             ask = Ask(5, it.instances[1].shards.layout, (0, -1), b"")
-            raw = it.instances[1].shards._asked("n0", packed(ask))
+            raw = it.instances[1].shards._asked(Hello("n0", KIND), packed(ask))
             assert read(raw) == Other(5, it.instances[1].shards.layout)
     run(work())
 
