Agreed rules: a version is asked for at all voters, spread over the time that they need

Seen (trial of 375 hollow relays): one voter refused 1,407 connections for one version. Cause: all relays hear of it in one moment, from the log's leader, and asked that one at once (accord/node.py, _fetch); it takes 64 conversations (peers/node.py, STREAMS) and turned the rest away, who came again together at their next grant. Change: accord/fetching.py, no I/O: the first ask after a pause drawn from relays / (voters x 200 answers a second), at a voter drawn from those that have it; one that does not answer is followed by the next after a growing, jittered pause; bounded rounds and versions at once.

--- /dev/null
+++ b/linnetstile/accord/fetching.py
@@ -0,0 +1,80 @@
+"""Whom a relay asks for a version that it lacks, and when. No I/O; random numbers and figures are passed in.
+
+All relays hear of a version in one moment, and from the same voter: the log's leader, whose hint goes out
+first. Asked by all at once, it answers some and turns the rest away, and they come again at the next grant,
+together: of 375 relays it refused 1,407 connections for one version. So:
+
+    first ask     after a pause drawn evenly from the time that the voters need to answer all relays, each
+                  `ANSWERS_S` a second; few relays don't notice it
+    whom          in an order drawn anew for each version, of the voters that said that they have it
+    no answer     the next one, after a pause that grows and is drawn too; a voter that tells of the version
+                  meanwhile gets a place among those not asked yet
+    all failed    `ROUNDS` times over: given up, and begun anew by the next grant that tells of it
+
+The pause has a cost: until the last relay has the version those that have it act by the meet of both. At
+3,500 relays and five voters it is 3.5 s at the most, of the 12 in which a change has to be in force.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+ANSWERS_S = 200.0  # that a voter is asked for: a quarter of what it could give, for it has renewals to answer
+FIRST_MOST_S = 4.0  # however many there are (4,096 relays at five voters): so little is told later than this
+RETRY_S, RETRY_MOST_S = 0.05, 0.8
+ROUNDS = 2
+SOUGHT = 8  # versions at once: who lacks more gets the oldest first, and the others after them
+
+
+def first_pause(rng: random.Random, relays: int, voters: int) -> float:
+    """Seconds before the first ask for a version."""
+    return rng.random() * min(FIRST_MOST_S, relays / (max(1, voters) * ANSWERS_S))
+
+
+@dataclass
+class Sought:
+    """One version that is sought: the voters that have it, in the order in which they are asked."""
+
+    rng: random.Random
+    line: list[str] = field(default_factory=list)
+    asked: int = 0
+
+    def has(self, voter: str) -> None:
+        """This voter told of it. Those not asked yet are in an order that nobody shares."""
+        if voter not in self.line:
+            self.line.insert(self.rng.randint(min(self.asked, len(self.line)), len(self.line)), voter)
+
+    def next(self) -> str | None:
+        """Whom to ask now; None: given up until somebody tells of it again."""
+        if self.asked >= ROUNDS * len(self.line):
+            return None
+        voter = self.line[self.asked % len(self.line)]
+        self.asked += 1
+        return voter
+
+    def pause(self) -> float:
+        """Seconds until the next one is asked, after one that did not answer."""
+        return self.rng.uniform(0.5, 1.0) * min(RETRY_MOST_S, RETRY_S * 2.0 ** (self.asked - 1))
+
+
+class Fetching:
+    """All versions that are sought."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.sought: dict[int, Sought] = {}
+
+    def told(self, number: int, voter: str) -> Sought | None:
+        """A voter tells of a version that is lacking: what is to be begun, if it is not sought yet."""
+        if number in self.sought:
+            self.sought[number].has(voter)
+            return None
+        if len(self.sought) >= SOUGHT:
+            return None
+        found = self.sought[number] = Sought(self.rng)
+        found.has(voter)
+        return found
+
+    def over(self, number: int) -> None:
+        self.sought.pop(number, None)
--- a/linnetstile/accord/node.py
+++ b/linnetstile/accord/node.py
@@ -39,6 +39,7 @@
 from .clock import Clock
 from .control import Question
 from .disk import JOURNAL, removed
+from .fetching import Fetching, Sought, first_pause
 from .gate import Gate
 from .granting import Granting
 from .guard import Recent, Verdict, Watch
@@ -127,7 +128,7 @@
         self.voters_seen = (0.0, -math.inf)
         self.log: Log | None = None
         self.mute = ""  # why this voter does not vote
-        self.fetching: set[int] = set()
+        self.fetching = Fetching(peers.rng)
         self.watch: Watch | None = None
         self.watching: Watching | None = None
         self.recent = Recent()
@@ -393,23 +394,38 @@
     def _take(self, voter: str, grant: Grant) -> None:
         if self.holding.heard(self.clock.now(), voter, grant):
             self.wake.set()
-        missing = self.holding.wants(grant)
-        if missing and missing not in self.fetching:
-            self.fetching.add(missing)
-            self.tasks.start(self._fetch(voter, missing))
+        if missing := self.holding.wants(grant):
+            sought = self.fetching.told(missing, voter)
+            if sought is not None:
+                self.tasks.start(self._fetch(missing, sought))
 
-    async def _fetch(self, voter: str, number: int) -> None:
+    async def _fetch(self, number: int, sought: Sought) -> None:
+        """Until it is here, also by another way: the log of one that votes, or a later version."""
+        try:
+            relays = len(self.peers.swim.members)
+            await asyncio.sleep(first_pause(self.peers.rng, relays, len(self.voting_now())))
+            while number not in self.holding.versions and (voter := sought.next()) is not None:
+                if await self._had(number, voter):
+                    return
+                await asyncio.sleep(sought.pause())
+        finally:
+            self.fetching.over(number)
+
+    async def _had(self, number: int, voter: str) -> bool:
+        """Whether this voter's answer brought it."""
         try:
             raw = await self.peers.ask(voter, VERSION, msgspec.msgpack.encode(number), ASK_S)
-            if raw:
-                version: Version = msgspec.msgpack.decode(raw, type=Version)
-                if version.number == number and digest(decoded(version.rules)) == version.digest:
-                    self.holding.know(version)
-                    self.wake.set()
+            if not raw:
+                return False
+            version: Version = msgspec.msgpack.decode(raw, type=Version)
+            if version.number != number or digest(decoded(version.rules)) != version.digest:
+                raise RulesError(f"version {number}: {voter} told one that is not it")
         except (OSError, TimeoutError, msgspec.MsgspecError, RulesError) as error:
             log.warning(Note("a version can't be had", number=number, voter=voter, why=repr(error)))
-        finally:
-            self.fetching.discard(number)
+            return False
+        self.holding.know(version)
+        self.wake.set()
+        return True
 
     def _hinted(self, sender: str, raw: bytes) -> None:
         self.wake.set()
--- /dev/null
+++ b/tests/accord/test_fetching.py
@@ -0,0 +1,121 @@
+"""Versions that all relays lack at once, by a model of voters that turn away what is too much."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+
+import pytest
+
+from linnetstile.accord.fetching import FIRST_MOST_S, ROUNDS, SOUGHT, Fetching, first_pause
+from linnetstile.peers.node import STREAMS
+
+ANSWER_S = 0.02  # of a conversation with a voter that has others to answer: 3,200 a second at the most
+FEW = 200  # that the voter heard of first may answer alone: they are asked for before the others are
+HINTS_S = 0.3  # by then each voter has told each relay: the time of a renewal
+
+
+class Voters:
+    """Each takes so many conversations at once, and refuses what is more."""
+
+    def __init__(self, number: int) -> None:
+        self.busy: list[list[float]] = [[] for _ in range(number)]
+        self.refused: Counter[int] = Counter()
+        self.answered: Counter[int] = Counter()
+
+    def ask(self, now: float, voter: int) -> bool:
+        busy = self.busy[voter] = [ends for ends in self.busy[voter] if ends > now]
+        if len(busy) >= STREAMS:
+            self.refused[voter] += 1
+            return False
+        busy.append(now + ANSWER_S)
+        self.answered[voter] += 1
+        return True
+
+
+def fetched(
+    relays: int, voters: int, seed: int, down: frozenset[int] = frozenset()
+) -> tuple[Voters, list[float]]:
+    """All relays hear of a version at 0 from voter 0, of the others within HINTS_S: when each has it."""
+    rng, them, had = random.Random(seed), Voters(voters), list[float]()
+    turns: list[tuple[float, int, str]] = []
+    lacking = {n: Fetching(random.Random(rng.random())) for n in range(relays)}
+    for n in range(relays):
+        heapq.heappush(turns, (0.0, n, "0"))
+        for voter in range(1, voters):
+            heapq.heappush(turns, (rng.uniform(0.0, HINTS_S), n, str(voter)))
+    while turns:
+        now, n, what = heapq.heappop(turns)
+        fetching = lacking.get(n)
+        if fetching is None:
+            continue
+        if what != "ask":
+            if fetching.told(2, what) is not None:
+                heapq.heappush(turns, (now + first_pause(rng, relays, voters), n, "ask"))
+            heapq.heappush(turns, (now + HINTS_S, n, what))  # the next grant tells of it again
+            continue
+        sought = fetching.sought[2]
+        asked = sought.next()
+        if asked is None:
+            fetching.over(2)
+        elif int(asked) not in down and them.ask(now, int(asked)):
+            had.append(now + ANSWER_S)
+            del lacking[n]
+        else:
+            heapq.heappush(turns, (now + sought.pause(), n, "ask"))
+    return them, had
+
+
+@pytest.mark.parametrize("relays", [40, 375, 3500])
+def test_a_version_that_all_lack_is_asked_for_at_all_voters_and_none_is_run_over(relays: int) -> None:
+    for seed in range(3):
+        them, had = fetched(relays, 5, seed)
+        assert len(had) == relays and sum(them.refused.values()) <= relays // 50
+        assert max(them.answered.values()) <= max(relays / 5 * 1.3, FEW)
+        assert max(had) <= FIRST_MOST_S + 1.0 and (relays > 40 or max(had) < 0.2)
+
+
+def test_voters_that_do_not_answer_cost_one_pause_each_and_nobody_gives_up() -> None:
+    them, had = fetched(375, 5, 1, down=frozenset({0, 3}))
+    assert len(had) == 375 and set(them.answered) == {1, 2, 4}
+    assert max(had) < 3.0
+
+
+def test_one_that_is_refused_by_all_is_given_up_and_begun_anew_by_the_next_word() -> None:
+    it = Fetching(random.Random(1))
+    sought = it.told(7, "n0")
+    assert sought is not None and it.told(7, "n1") is None
+    asked = [sought.next() for _ in range(2 * ROUNDS)]
+    assert Counter(asked) == {"n0": ROUNDS, "n1": ROUNDS} and sought.next() is None
+    it.over(7)
+    assert it.told(7, "n0") is not None
+
+
+def test_pauses_grow_and_end_and_orders_differ() -> None:
+    sought = Fetching(random.Random(2)).told(7, "n0")
+    assert sought is not None
+    for n in range(1, 5):
+        sought.has(f"n{n}")
+    pauses = []
+    for _ in range(ROUNDS * 5):
+        sought.next()
+        pauses.append(sought.pause())
+    assert all(low < high for low, high in zip(pauses, pauses[2:4], strict=False)) and max(pauses) <= 0.8
+    orders = set()
+    for seed in range(20):
+        fetching = Fetching(random.Random(seed))
+        one = fetching.told(1, "n0")
+        assert one is not None
+        for n in range(1, 5):
+            one.has(f"n{n}")
+        orders.add(tuple(one.line))
+    assert len(orders) > 10 and len({order[0] for order in orders}) > 2
+
+
+def test_versions_that_are_sought_at_once_are_bounded() -> None:
+    it = Fetching(random.Random(3))
+    assert all(it.told(n, "n0") is not None for n in range(SOUGHT))
+    assert it.told(SOUGHT, "n0") is None and len(it.sought) == SOUGHT
+    it.over(0)
+    assert it.told(SOUGHT, "n0") is not None
