Shards: the budget on a real relay can be played with another number of shards

Need: a storm's bytes at a relay are its shards' rows, of which most are of destinations that it does not use; whether smaller shards cost less is to be measured.

--- a/benchmarks/shards.py
+++ b/benchmarks/shards.py
@@ -20,7 +20,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from .shards_budget import DESTS, budget
+from .shards_budget import DESTS, SHARDS, budget
 from .shards_town import Clients, ShardsTown, entry, shards_town, traffic
 
 RATE = 120.0  # messages a second, of all clients
@@ -266,6 +266,7 @@
     parser.add_argument("--sizes", default="1000,10000", help="destinations in use, of 360,000")
     parser.add_argument("--known", type=int, default=DESTS, help="destinations at the keepers")
     parser.add_argument("--parts", default="without,rows,storm", help="of the budget, with commas")
+    parser.add_argument("--count", type=int, default=SHARDS, help="shards: a power of two")
     args = parser.parse_args()
     results: dict[str, Any] = {}
     bad: list[str] = []
@@ -277,7 +278,8 @@
             print(f"{name}: {said}", flush=True)
     if args.budget:
         results["budget"] = asyncio.run(budget(
-            [int(each) for each in args.sizes.split(",")], args.known, set(args.parts.split(","))))
+            [int(each) for each in args.sizes.split(",")], args.known, set(args.parts.split(",")),
+            args.count))
     if args.json or args.budget:
         print(json.dumps(results, indent=1))
     for text in bad:
--- a/benchmarks/shards_budget.py
+++ b/benchmarks/shards_budget.py
@@ -93,10 +93,10 @@
             "keepers": [await it.role(n, "keeper") for n in range(it.keepers)]}
 
 
-async def budget(sizes: list[int], known: int, parts: set[str]) -> dict[str, Any]:
+async def budget(sizes: list[int], known: int, parts: set[str], count: int = SHARDS) -> dict[str, Any]:
     """Ascending sizes: destinations in use at the relay, of `known`. `parts`: `without` (a relay without it),
     `rows` (of each size), `storm`."""
-    found: dict[str, Any] = {"destinations": known}
+    found: dict[str, Any] = {"destinations": known, "shards": count}
     if "without" in parts:
         async with shards_town(1, 1, on=False, dests=1, hold=HOLD) as it:
             await asyncio.sleep(2.0)
@@ -104,7 +104,7 @@
             await use(it, clients, [1] * 1000)
             clients.close()
             found["without"] = await window(it)
-    async with shards_town(2, 1, dests=known, count=SHARDS, hold=HOLD, idle_s=3600.0) as it:
+    async with shards_town(2, 1, dests=known, count=count, hold=HOLD, idle_s=3600.0) as it:
         await asyncio.sleep(2.0)
         found["keeper"] = {"RSS MB": round((await it.report(0)).rss_mb, 1)}
         if "without" in parts:
