--- a/emulator/capacity/slopes.py
+++ b/emulator/capacity/slopes.py
@@ -66,6 +66,11 @@
         """The exponent's whole interval lies above 1: a line through small sizes tells too little."""
         return self.exponent_low > 1.0
 
+    @property
+    def flat(self) -> bool:
+        """Guards a size many octaves away against noise: what does not measurably grow is its mean."""
+        return self.exponent < FLAT and self.each_low <= 0.0 <= self.each_high
+
     @property
     def sizes(self) -> tuple[int, int]:
         """The smallest and the largest that was run, the predicted one too."""
@@ -86,10 +91,13 @@
 
     def reckoned(self, size: float) -> tuple[float, float, float]:
         """What it costs at this size, with the ends of its interval; never below 0. As it was run, if it was;
-        else by the line, and where the cost grows faster than one by the power law if that is worse."""
+        else by the line, or its mean where it is flat, and where the cost grows faster than a line by the
+        power law if that is worse."""
         if (found := self.run(size)) is not None:
             return found
         line = [self.base + each * size for each in (self.each, self.each_low, self.each_high)]
+        if self.flat:
+            line[0] = mean(self.samples)  # the ends of its interval stay the line's
         if self.superlinear:
             powers = (self.exponent, self.exponent_low, self.exponent_high)
             line = [max(pair) for pair in zip(line, (self.power(size, each) for each in powers), strict=True)]
@@ -136,12 +144,16 @@
     floor = max(float(np.max(np.abs(y))) * 1e-6, 1e-12)  # a cost of 0 has no relative residual
     base, each, half = _line(x, y, 1.0 / np.maximum(np.abs(y), floor))
     _, power, give = _line(np.log(x), np.log(np.maximum(y, floor)), np.ones_like(x))
-    predicted = base + each * largest.size
-    if power < FLAT and each - half <= 0.0 <= each + half:
-        # Guards a prediction many sizes away against noise: what does not measurably grow is its mean.
-        predicted = float(np.average(y, weights=1.0 / np.maximum(np.abs(y), floor) ** 2))
-    return Slope(
+    found = Slope(
         name, per, unit, list(samples), base, each, each - half, each + half,
         power, power - give, power + give,
-        largest.size, predicted, largest.value, mechanism, note,
+        largest.size, base + each * largest.size, largest.value, mechanism, note,
     )
+    return msgspec.structs.replace(found, predicted=mean(samples)) if found.flat else found
+
+
+def mean(samples: Sequence[Sample]) -> float:
+    """Weighed as the line is: by how far each is off in proportion."""
+    y = np.array([each.value for each in samples], dtype=float)
+    floor = max(float(np.max(np.abs(y))) * 1e-6, 1e-12)
+    return float(np.average(y, weights=1.0 / np.maximum(np.abs(y), floor) ** 2))
--- a/tests/emulator/test_capacity.py
+++ b/tests/emulator/test_capacity.py
@@ -539,6 +539,19 @@
                                      "--write docs/CAPACITY.md")
 
 
+def test_a_flat_cost_is_reckoned_far_away_as_its_mean_and_its_interval_stays_the_lines() -> None:
+    """Seen: 0.38 ms a message at 64 to 2,000 held, a slope of 6e-06 +- 2e-04, told as 20 ms at 3.4e6."""
+    values = {64: 0.412, 250: 0.353, 500: 0.375, 1000: 0.394}
+    samples = [Sample(size, value, value, value) for size, value in values.items()]
+    slope = fitted("a.b", "x", "ms", samples, Sample(2000, 0.32, 0.32, 0.32), "f")
+    middle, low, high = slope.reckoned(3_400_000)
+    assert 0.353 < middle < 0.412 and middle == slope.predicted
+    assert low == 0.0 and high == pytest.approx(slope.base + slope.each_high * 3_400_000)
+    grows = [Sample(size, 0.4 + size / 1000, 0.4, 0.4) for size in values]
+    line = fitted("a.c", "x", "ms", grows, Sample(2000, 2.4, 2.4, 2.4), "f")
+    assert line.reckoned(10_000)[0] == pytest.approx(10.4)
+
+
 def test_a_cost_that_does_not_measurably_grow_is_predicted_as_its_mean() -> None:
     """By its line the noise of small sizes, taken nine times as far, would be a finding of its own."""
     samples = [Sample(size, value, value, value) for size, value in
