--- a/tests/shards/test_storm.py
+++ b/tests/shards/test_storm.py
@@ -42,10 +42,10 @@
 class Storm:
     """Two keepers and a reader that has USED destinations in use."""
 
-    def __init__(self) -> None:
+    def __init__(self, shards: int = SHARDS) -> None:
         self.now, self.order = 0.0, count()
         self.due: list[tuple[float, int, Callable[[], None]]] = []
-        self.layout = Layout(SHARDS, (0, 1))
+        self.layout = Layout(shards, (0, 1))
         self.rows = {f"e{n}": row(f"e{n}", n) for n in range(DESTS)}
         self.keepers = {f"n{n}": filled(self.layout, self.rows.values(), seed=n) for n in (0, 1)}
         self.reader = Reader(ME, self.layout, random.Random(9), BOUND_S, 3600.0)
@@ -153,6 +153,19 @@
         assert {one.name: one for one in shard_rows} == truth[shard]
 
 
+def test_a_storm_costs_less_with_smaller_shards_which_hold_less_of_what_is_not_used() -> None:
+    """What operators choose `count` by: a shard is followed whole."""
+    cost = {}
+    for shards in (SHARDS, 4 * SHARDS):
+        it = Storm(shards)
+        it.play()
+        assert it.reader.store.base == (1, PIECES + 1) and it.old_s < BOUND_S
+        told = sum(len(packed(each)) for each in it.answers)
+        cost[shards] = told, told + sum(len(packed(each)) for each in it.asks)
+    assert cost[4 * SHARDS][0] < 0.45 * cost[SHARDS][0]  # 9 destinations in use or beside one, not 39
+    assert cost[4 * SHARDS][1] < 0.6 * cost[SHARDS][1]  # with the larger bitmaps
+
+
 def test_bytes_in_are_those_of_what_changed_and_not_of_the_whole_shards() -> None:
     it = Storm()
     it.play()
