--- a/emulator/capacity/slopes.py
+++ b/emulator/capacity/slopes.py
@@ -141,9 +141,8 @@
     """`largest`: what was measured at the size that is in no fit."""
     x = np.array([each.size for each in samples], dtype=float)
     y = np.array([each.value for each in samples], dtype=float)
-    floor = max(float(np.max(np.abs(y))) * 1e-6, 1e-12)  # a cost of 0 has no relative residual
-    base, each, half = _line(x, y, 1.0 / np.maximum(np.abs(y), floor))
-    _, power, give = _line(np.log(x), np.log(np.maximum(y, floor)), np.ones_like(x))
+    base, each, half = _line(x, y, _weights(y))
+    _, power, give = _line(np.log(x), np.log(np.maximum(y, _least(y))), np.ones_like(x))
     found = Slope(
         name, per, unit, list(samples), base, each, each - half, each + half,
         power, power - give, power + give,
@@ -155,5 +154,15 @@
 def mean(samples: Sequence[Sample]) -> float:
     """Weighed as the line is: by how far each is off in proportion."""
     y = np.array([each.value for each in samples], dtype=float)
-    floor = max(float(np.max(np.abs(y))) * 1e-6, 1e-12)
-    return float(np.average(y, weights=1.0 / np.maximum(np.abs(y), floor) ** 2))
+    return float(np.average(y, weights=_weights(y) ** 2))
+
+
+def _least(y: np.ndarray) -> float:
+    """What a cost counts as at the least: one of 0 has no relative residual, and no logarithm."""
+    return max(float(np.max(np.abs(y))) * 1e-6, 1e-12)
+
+
+def _weights(y: np.ndarray) -> np.ndarray:
+    """Of residuals: relative ones count alike."""
+    weights: np.ndarray = 1.0 / np.maximum(np.abs(y), _least(y))
+    return weights
--- a/linnetstile/accord/fetching.py
+++ b/linnetstile/accord/fetching.py
@@ -5,8 +5,9 @@
 together: of 375 relays it refused 1,407 connections for one version. So:
 
     first ask     after a pause drawn evenly from the time that the voters need to answer all relays, each
-                  `ANSWERS_S` a second; few relays don't notice it. Many wait `SETTLE_S` before: a third of
-                  1,500 asked while the leader alone had told them, and it refused 400 a version
+                  `ANSWERS_S` a second; few relays don't notice it. Many wait `SETTLE_S` before: of 1,500
+                  voter 0 refused 396 connections a version, reckoned to have come to it alone, since
+                  only the leader had told yet
     whom          in an order drawn anew for each version, of the voters that said that they have it
     no answer     the next one, after a pause that grows and is drawn too; a voter that tells of the version
                   meanwhile gets a place among those not asked yet
@@ -19,12 +20,13 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+
+from ..core.growing import Growing
 
 ANSWERS_S = 200.0  # that a voter is asked for: a quarter of what it could give, for it has renewals to answer
 FIRST_MOST_S = 4.0  # however many there are (4,096 relays at five voters): so little is told later than this
 SETTLE_S = 0.3  # the log's heartbeat twice: by then the other voters have it, and have said so
-RETRY_S, RETRY_MOST_S = 0.05, 0.8
+RETRY_S, RETRY_MOST_S = 0.04, 0.6
 ROUNDS = 2
 SOUGHT = 8  # versions at once: who lacks more gets the oldest first, and the others after them
 
@@ -35,13 +37,13 @@
     return spread * rng.random() + (SETTLE_S if spread > SETTLE_S else 0.0)
 
 
-@dataclass
 class Sought:
     """One version that is sought: the voters that have it, in the order in which they are asked."""
 
-    rng: random.Random
-    line: list[str] = field(default_factory=list)
-    asked: int = 0
+    def __init__(self, rng: random.Random) -> None:
+        self.rng, self.pauses = rng, Growing(RETRY_S, RETRY_MOST_S, rng)
+        self.line: list[str] = []
+        self.asked = 0
 
     def has(self, voter: str) -> None:
         """This voter told of it. Those not asked yet are in an order that nobody shares."""
@@ -58,7 +60,7 @@
 
     def pause(self) -> float:
         """Seconds until the next one is asked, after one that did not answer."""
-        return self.rng.uniform(0.5, 1.0) * min(RETRY_MOST_S, RETRY_S * 2.0 ** (self.asked - 1))
+        return self.pauses.next()
 
 
 class Fetching:
