Dispatch: a queue is scanned as soon as it may send, not a tick later

Symptom: a message of less value was sent first, and a slot stood idle, for up to one tick; the index did not find what the full scan finds (0.0004 was chosen, 0.0051 is best).

Cause: the time of a queue's next scan was rounded up to a tick after its last one, while an event's turn may come earlier. The scans of the failing test, written out: one at 2928.6 finds that destination 2 may send from 2929.5 and is scheduled for 2933.6 (tick 5 ms); the turn at 2930.0 does not scan it.

Change: the time is not rounded any more; the timer still keeps to a tick, so turns do not become more.

--- a/message_relay/decisions/dispatch.py
+++ b/message_relay/decisions/dispatch.py
@@ -150,7 +150,7 @@
             for bucket in buckets.values():
                 newcomers = None if is_complete else arrivals
                 scan_at = min(scan_at, self._index_bucket(now, bucket, destination, window, newcomers))
-        scan_at = max(scan_at, now + self.rate_controller.settings.tick_ms)
+        # Not rounded up to a tick: an event's turn may come before that, and has to find what may go by then.
         if is_complete or scan_at < queue.next_scan_at or queue.next_scan_at <= now:
             self.pending.schedule_scan(queue, scan_at)
 
--- a/tests/decisions/test_priority_index.py
+++ b/tests/decisions/test_priority_index.py
@@ -21,7 +21,12 @@
 
 
 def test_a_destination_whose_tokens_fill_within_a_tick_of_its_scan_is_chosen() -> None:
-    """One found by other drawn examples of the test above; seen before and after the renames."""
+    """A turn that an event causes may come less than a tick after a queue's scan.
+
+    Destination 2 was scanned at 2928.6 and could send from 2929.5, when its tokens suffice. Its next scan had
+    been rounded up to a tick after that, 2933.6, so the turn at 2930.0 found nothing of it in the index and
+    sent a message worth 0.0004 for one worth 0.0051. Found by other drawn examples of the test above.
+    """
     ordered = MessageClass("c", Effect.SAFE, 400.0, 4000.0, 1.0, 0.5, 1200.0, Scope.ALL, True)
     setup = make_settings(
         classes=(ordered,),
