Discovery: an answer that is late still counts, and the next call is made beside it

Cause: a poll was given up half a second after its answer was due, its connection closed, and the next one made; so was each later answer thrown away. The log repeats `no answer within 0.5 s` and the list's version never changes.

Change: a late call stays open for 6 s more and the next one is made beside it (http/discovery_calls.py, ten at the most, whose descriptors are kept free). An answer that crossed a newer one counts only if its version is not lower. The calls are as often as before. The binding of the compatibility tests follows the client's method; the cases are as they were.

--- a/message_relay/composition.py
+++ b/message_relay/composition.py
@@ -20,6 +20,7 @@
 from .endpoint_discovery.source_merge import SourceMerge
 from .fleet.socket_activation import CLIENT_SOCKET
 from .http import client_intake
+from .http.discovery_calls import MAX_CALLS
 from .http.discovery_client import DiscoveryClient
 from .http.endpoint_client import EndpointClient
 from .http.listener import ACCEPT_BATCH
@@ -33,7 +34,7 @@
 AMQP_SCHEME = "amqp"  # of the addresses of a broker's queues
 # Descriptors of the loop, the log, the listener, the journal, two agents and a file, and those of connections
 # that are being accepted.
-OWN_SOCKETS = 24 + ACCEPT_BATCH
+OWN_SOCKETS = 24 + MAX_CALLS + ACCEPT_BATCH
 # Parts of all descriptors, as divisors.
 IDLE_DIVISOR = 8  # idle connections to endpoints
 RECEIVING_DIVISOR = 16  # connections whose response is not complete
--- a/message_relay/endpoint_discovery/poll_schedule.py
+++ b/message_relay/endpoint_discovery/poll_schedule.py
@@ -2,8 +2,8 @@
 
 Pure decisions without I/O. One bound holds over any chain of calls that fail, are refused, time out or are
 never answered: the relay has what the register could be asked for after at most `DISCOVERY_BOUND_MS`
-(docs/design/endings.md). Hence a call is a long poll (a watch) only after one that was answered, calls have
-short timeouts, and pauses end within the bound.
+(docs/design/endings.md). Hence a call is a long poll (a watch) only after one that was answered, the next one
+does not wait long for a late answer, and pauses end within the bound.
 
 Where each relay has an agent of its own, polling costs nobody anything. Where the fleet shares one register,
 polls synchronise: relays start at the same moment, their watches end at the same moment, and refused calls
@@ -20,7 +20,12 @@
 
 # The register's current list is known to the relay at most this long after the register could be reached.
 DISCOVERY_BOUND_MS = 6000.0
-ANSWER_TIMEOUT_MS = 500.0  # for an answer that is not waited for: both ways on the network and processing
+# An answer that is not waited for is late after this: both ways on the network and processing. The next call
+# is made then, beside the one that is late.
+ANSWER_TIMEOUT_MS = 500.0
+LATE_ANSWER_MS = (
+    DISCOVERY_BOUND_MS  # a late answer counts for so long: then later calls have had their chance
+)
 
 # An agent of the relay's own. A watch there is renewed soon, in case it has fallen silent; pauses are short,
 # since what the agent learns after an outage counts at once.
@@ -84,7 +89,7 @@
         return max(MIN_WATCH_MS, self.rng.uniform(0.5, 1.0) * longest)
 
     def call_timeout_ms(self, watch_ms: float) -> float:
-        """Return the timeout of a call that waits `watch_ms` for a newer list."""
+        """Return after how long the answer of a call that waits `watch_ms` for a newer list is late."""
         return watch_ms + (ANSWER_TIMEOUT_MS if watch_ms else self.answer_timeout_ms)
 
     def on_answered(self) -> None:
--- a/message_relay/http/discovery_client.py
+++ b/message_relay/http/discovery_client.py
@@ -1,9 +1,12 @@
-"""The platform's discovery service as a source of endpoints: its list, and changes of it, by long polls."""
+"""The platform's discovery service as a source of endpoints: its list, and changes of it, by long polls.
+
+One call is awaited at a time. If it is answered the next one follows at once; if it fails or its answer is
+late, after a pause. A late answer still counts (discovery_calls.py), whichever calls were made meanwhile.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import random
 from dataclasses import replace
@@ -12,9 +15,10 @@
 from ..config import Address, Config, address
 from ..core.ports import EndpointRecord, EndpointUpdate, EndpointUpdateCallback
 from ..decisions.model import Listing
-from ..endpoint_discovery.poll_schedule import PollSchedule
+from ..endpoint_discovery.poll_schedule import LATE_ANSWER_MS, PollSchedule
 from ..structured_logging import LogEvent
 from .agent import AgentClient
+from .discovery_calls import CallsInFlight, DiscoveryCall
 from .errors import AgentError
 
 log = logging.getLogger(__name__)
@@ -105,6 +109,9 @@
         self.agent = AgentClient(agent_address)
         self.version = -1  # of the list that is known; negative: none
         self.poll_schedule = PollSchedule(relay_count, random.Random(seed), shared)
+        self.calls = CallsInFlight()
+        self.awaited: DiscoveryCall | None = None  # the newest call, until it is answered, failed or late
+        self.next_call_at = 0.0  # on the loop's clock; with an awaited call: when that is late
 
     def load_configured(self, raw: dict[str, Any]) -> EndpointUpdate:
         """The list in the configuration: it may be old, but its version says how old. Raises ValueError."""
@@ -113,43 +120,93 @@
 
     def reload(self, config: Config) -> None:
         """Switch to the configured agent. It counts its own versions: its whole list is requested."""
-        self.agent.close()
+        self.close()
         self.agent = AgentClient(config.discovery)
         self.version = -1
+        self.calls = CallsInFlight()
         self.poll_schedule.reset()
 
     def close(self) -> None:
-        """Close the connection to the agent."""
+        """Give up all calls, and close the connections to the agent."""
+        self.calls.close()
         self.agent.close()
 
     async def run(self, on_update: EndpointUpdateCallback) -> None:
         """Poll until cancelled. With a known list it waits for its turn first, else it polls at once."""
+        loop = asyncio.get_running_loop()
+        calls = self.calls  # a reload has others
+        self.awaited = None
+        self.next_call_at = loop.time()
         if self.version >= 0:
-            await asyncio.sleep(self.poll_schedule.first_delay_ms() / 1000)
-        while True:
-            try:
-                version, update = parse_listing(await self._poll())
+            self.next_call_at += self.poll_schedule.first_delay_ms() / 1000
+        try:
+            while True:
+                completed = await calls.wait(self.next_call_at - loop.time())
+                for call in completed:
+                    self._complete(call, on_update)
+                if not completed and loop.time() >= self.next_call_at:
+                    self._on_due()
+        finally:
+            calls.close()
+
+    def start_call(self) -> DiscoveryCall:
+        """Request the changes since the known version, or the whole list."""
+        if self.calls.uses(self.agent):
+            self.agent = AgentClient(self.agent.address)
+        watch_ms = round(self.poll_schedule.watch_duration_ms()) if self.version >= 0 else 0
+        late_after_s = self.poll_schedule.call_timeout_ms(watch_ms) / 1000
+        self.next_call_at = asyncio.get_running_loop().time() + late_after_s
+        give_up_after_s = (watch_ms + LATE_ANSWER_MS) / 1000
+        self.awaited = self.calls.start(self.agent, self.version, watch_ms, give_up_after_s)
+        return self.awaited
+
+    def _on_due(self) -> None:
+        """Make the next call, or, where one is awaited, stop waiting for that one alone."""
+        if self.awaited is None:
+            self.start_call()
+            return
+        self.awaited = None
+        log.warning(LogEvent("discovery poll failed", why="the answer is late; it still counts if it comes"))
+        self._pause()
+
+    def _pause(self, is_refused: bool = False) -> None:
+        pause_ms = self.poll_schedule.pause_after_failure_ms(is_refused=is_refused)
+        self.next_call_at = asyncio.get_running_loop().time() + pause_ms / 1000
+
+    def _complete(self, call: DiscoveryCall, on_update: EndpointUpdateCallback) -> None:
+        """Apply the answer of a call, or note that it has failed."""
+        is_awaited = call is self.awaited
+        if is_awaited:
+            self.awaited = None
+        try:
+            version, update = parse_listing(call.response.result())
+            if not self._is_outdated(call, version):
                 on_update(update)
                 self.version = version
-                self.poll_schedule.on_answered()
-            except (AgentError, ValueError) as error:
+        except (AgentError, ValueError) as error:
+            call.agent.close()
+            if is_awaited:  # else another call has been made since, or will be
                 log.warning(LogEvent("discovery poll failed", why=error))
-                self.agent.close()
-                is_refused = isinstance(error, ValueError)
-                pause_ms = self.poll_schedule.pause_after_failure_ms(is_refused=is_refused)
-                await asyncio.sleep(pause_ms / 1000)
-            except Exception:
-                log.exception("discovery update failed")
-                await asyncio.sleep(self.poll_schedule.pause_after_failure_ms() / 1000)
-
-    async def _poll(self) -> dict[str, Any]:
-        """Request the changes since the known version, or the whole list; the decoded answer."""
-        has_list = self.version >= 0
-        watch_ms = round(self.poll_schedule.watch_duration_ms()) if has_list else 0
-        query = f"?from={self.version}&hold_ms={watch_ms}" if has_list else ""
-        timeout_s = self.poll_schedule.call_timeout_ms(watch_ms) / 1000
-        status, body = await self.agent.request("GET", "/v1/servers" + query, b"", timeout_s)
-        raw = json.loads(body) if status == 200 else None
-        if not isinstance(raw, dict):
-            raise ValueError(f"status {status}, {len(body)} bytes that are no list")
-        return raw
+                self._pause(is_refused=isinstance(error, ValueError))
+        except Exception:
+            log.exception("discovery update failed")
+            self._pause()
+        else:
+            self._on_answered(call)
+
+    def _is_outdated(self, call: DiscoveryCall, version: int) -> bool:
+        """Whether another call, which it crossed, has brought a later list.
+
+        An older version is believed otherwise: the agent may count anew.
+        """
+        return version < self.version and call.known_version != self.version
+
+    def _on_answered(self, call: DiscoveryCall) -> None:
+        """Make the next call at once, unless a watch is open already."""
+        self.poll_schedule.on_answered()
+        self.calls.cancel_older(call)
+        if call.agent is not self.agent:
+            call.agent.close()
+        if self.awaited is None or not self.awaited.is_watch:
+            self.awaited = None
+            self.next_call_at = asyncio.get_running_loop().time()
--- a/tests/compatibility/http_binding.py
+++ b/tests/compatibility/http_binding.py
@@ -40,7 +40,7 @@
     if watch:
         register.poll_schedule.on_answered()
     try:
-        return await register._poll()
+        return await register.start_call().response
     finally:
         register.close()
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -10,7 +10,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any, Self
+from typing import Any, Protocol, Self
 
 import h11
 
@@ -196,7 +196,14 @@
     }
 
 
-def raw_config(state: Path, agent: Server, *servers: Server, **more: Any) -> dict[str, Any]:
+class HasAddress(Protocol):
+    """Whatever listens."""
+
+    @property
+    def address(self) -> tuple[str, int]: ...
+
+
+def raw_config(state: Path, agent: HasAddress, *servers: Server, **more: Any) -> dict[str, Any]:
     return {
         "name": "n0",
         "listen": "127.0.0.1:0",
@@ -243,7 +250,7 @@
 
 
 def host_of(
-    state: Path, agent: Server, *servers: Server, amqp: AmqpSettings | None = None, **more: Any
+    state: Path, agent: HasAddress, *servers: Server, amqp: AmqpSettings | None = None, **more: Any
 ) -> Running:
     path = state.parent / "config.json"
     path.write_text(json.dumps(raw_config(state, agent, *servers, **more)))
@@ -251,7 +258,7 @@
 
 
 @asynccontextmanager
-async def relay(state: Path, agent: Agent, *servers: Server, **more: Any) -> AsyncIterator[Running]:
+async def relay(state: Path, agent: HasAddress, *servers: Server, **more: Any) -> AsyncIterator[Running]:
     host = host_of(state, agent, *servers, **more)
     await host.start()
     try:
