Start: SIGHUP in the first moments no longer ends the process

Symptom: a relay that was told of a new configuration while it started died with -1, without a word.

Cause: the program ignores the signal from its main on; until then, while the interpreter starts and imports (20 to 200 ms), the default action ends the process. The supervisor's launcher is a starting interpreter itself.

The supervisor ignores it from the fork on.

SIGTERM there leaves the folder empty, tested; so it was.

--- a/message_relay/fleet/supervisor.py
+++ b/message_relay/fleet/supervisor.py
@@ -40,23 +40,29 @@
     SupervisorAction.TERM: signal.SIGTERM,
     SupervisorAction.KILL: signal.SIGKILL,
 }
-# Moves the listening socket to where LISTEN_FDS expects it, and becomes the program. SIGHUP is ignored until
-# the program has a handler: its default action would end it.
+# Moves the listening socket to where LISTEN_FDS expects it, and becomes the program.
 LAUNCH_SCRIPT = """
-import os, signal, sys
+import os, sys
 given = int(sys.argv[1])
 if given != 3:
     os.dup2(given, 3)
     os.close(given)
 else:
     os.set_inheritable(3, True)
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
 os.environ["LISTEN_PID"] = str(os.getpid())
 os.execv(sys.argv[2], sys.argv[2:])
 """
 assert FIRST_DESCRIPTOR == 3
 
 
+def _ignore_reloads() -> None:
+    """Runs in an instance's process before its program: the default action of SIGHUP would end it.
+
+    The program sets its handler before it reads a file, so that no change is missed.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 @dataclass
 class Child:
     """The sockets of one instance, and its process while it runs."""
@@ -209,6 +215,7 @@
                 env=self._environment(number, child, state),
                 pass_fds=(child.listener.fileno(), self.lifeline_reader),
                 stdin=subprocess.DEVNULL,
+                preexec_fn=_ignore_reloads,
             )
             child.pidfd = os.pidfd_open(child.process.pid)
         except OSError as error:
--- a/tests/core/test_process.py
+++ b/tests/core/test_process.py
@@ -5,10 +5,13 @@
 import asyncio
 import json
 import os
+import re
+import shlex
 import signal
 import socket
 import subprocess
 import sys
+import tomllib
 from collections import deque
 from pathlib import Path
 from typing import Any
@@ -19,6 +22,8 @@
 
 from ..loopback import Agent, Client, Server, answer, listing, message, raw_config, run, until
 
+ROOT = Path(__file__).parents[2]
+
 
 def free_port() -> int:
     with socket.socket() as sock:
@@ -41,6 +46,9 @@
     async def start(self, **more: str) -> None:
         env = {**os.environ, "RELAY_CONFIG": str(self.config), **more}
         self.process = await asyncio.create_subprocess_exec(sys.executable, "-m", "message_relay", env=env)
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self) -> None:
         while True:
             try:
                 async with Client(self.port) as client:
@@ -203,6 +211,64 @@
     run(work())
 
 
+def run_command() -> list[str]:
+    """How the platform starts the program."""
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    return ["/bin/sh", "-c", str(deploy["run"]).replace(".venv/bin/python", sys.executable)]
+
+
+def unit_command(template: str) -> list[str]:
+    """How the service manager starts it."""
+    text = (ROOT / "deploy" / "systemd" / f"{template}@.service").read_text()
+    command = re.search(r"^ExecStart=(.*)$", text, re.MULTILINE)
+    assert command is not None
+    return shlex.split(command[1].replace("/opt/linnetstile/.venv/bin/python", sys.executable))
+
+
+async def started_and_signalled(process: Process, words: list[str], number: signal.Signals) -> None:
+    """Starts the program and signals it in its first moments, long before it can have a handler."""
+    env = {**os.environ, "RELAY_CONFIG": str(process.config)}
+    process.process = await asyncio.create_subprocess_exec(*words, env=env, cwd=ROOT)
+    command = Path(f"/proc/{process.process.pid}/cmdline")
+    await until(lambda: command.read_bytes().endswith(b"-m\0message_relay\0"))
+    process.process.send_signal(number)
+
+
+@pytest.mark.parametrize(
+    "words",
+    (run_command(), unit_command("message-relay"), unit_command("message-relay4")),
+    ids=("run", "unit", "unit4"),
+)
+def test_sighup_in_the_first_moments_ends_no_process(tmp_path: Path, words: list[str]) -> None:
+    """Without a handler yet the signal ended the program with -1, without a word, where it was sent in the
+    first 200 ms. The file is read after the handler is set, so that no change is missed.
+    """
+
+    async def work() -> None:
+        old, _, process = await world(tmp_path)
+        new = await Agent().start()
+        process.configure(discovery="{}:{}".format(*new.address))
+        await started_and_signalled(process, words, signal.SIGHUP)
+        await until(lambda: bool(new.seen) or process.process.returncode is not None)
+        assert process.process.returncode is None and not old.seen
+        await process.wait_until_ready()
+        assert await process.end(signal.SIGTERM) == 0
+
+    run(work())
+
+
+def test_sigterm_in_the_first_moments_leaves_nothing_behind(tmp_path: Path) -> None:
+    async def work() -> None:
+        _, _, process = await world(tmp_path)
+        await started_and_signalled(process, run_command(), signal.SIGTERM)
+        assert await process.process.wait() in (0, -signal.SIGTERM)
+        assert not list(process.state.iterdir())
+        await process.start()
+        assert await process.end(signal.SIGTERM) == 0
+
+    run(work())
+
+
 @pytest.mark.parametrize(
     ("change", "says"),
     [
