Notices: a batch that is not answered in time goes to the end of the queue

Symptom: with an agent that takes over 1 s for its answer, notifications beyond the oldest 200 were never sent.

Cause: a request holds 200 notifications, always the oldest of the queue, and is repeated until it is answered.

Change: a batch that was not answered is moved to the end, so that each is sent in turn; a rejected one goes the same way, as its first line did.

--- a/message_relay/http/outcome_notifier.py
+++ b/message_relay/http/outcome_notifier.py
@@ -61,17 +61,25 @@
             await self.wake.wait()
             self.wake.clear()
             while self.pending:
+                message_ids = list(self.pending)[: self.batch_size]
                 try:
-                    await self._send_batch(list(self.pending)[: self.batch_size])
+                    await self._send_batch(message_ids)
                     backoff.reset()
                 except AgentError as error:
                     log.warning(LogEvent("outcome notification failed", waiting=len(self.pending), why=error))
+                    self._move_to_end(message_ids)
                     self.timeout_s = min(MAX_TIMEOUT_S, 2 * self.timeout_s)
                     await asyncio.sleep(backoff.next_delay())
                 except Exception:
                     log.exception("outcome notification batch failed")
                     await asyncio.sleep(backoff.next_delay())
 
+    def _move_to_end(self, message_ids: list[str]) -> None:
+        """Let the others go first: an agent that never answers in time still gets each notification."""
+        for message_id in message_ids:
+            if message_id in self.pending:
+                self.pending[message_id] = self.pending.pop(message_id)
+
     async def _send_batch(self, message_ids: list[str]) -> None:
         body = "".join(self.pending[message_id] for message_id in message_ids).encode()
         clock = asyncio.get_running_loop().time
@@ -81,7 +89,6 @@
         if status != 204:
             # Guards the others against one line that is rejected: from here on, one by one and in turn.
             self.batch_size = 1
-            self.pending[message_ids[0]] = self.pending.pop(message_ids[0])
             raise AgentError(f"{len(message_ids)} notices answered {status}")
         self.batch_size = min(MAX_BATCH_LINES, 2 * self.batch_size)
         for message_id in message_ids:
--- a/tests/core/test_pending_outcomes.py
+++ b/tests/core/test_pending_outcomes.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import select
 from pathlib import Path
@@ -77,6 +78,30 @@
     run(work())
 
 
+def lines_sent(agent: Agent) -> list[bytes]:
+    return [line for seen in agent.seen for line in seen.body.splitlines()]
+
+
+def test_an_agent_that_never_answers_in_time_gets_each_notification() -> None:
+    """What happened: a request holds 200 notifications at most, and always the oldest. An agent that took over
+    1 s for its answer got these again and again, and no other: their clients never had an end.
+    """
+
+    async def work() -> None:
+        agent = await Agent().start()
+        agent.script.extend([None] * 100)
+        notices = OutcomeNotifier(AgentLink(agent.address), lambda ids: None)
+        names = {f"m{n}" for n in range(outcome_notifier.MAX_BATCH_LINES + 50)}
+        for name in sorted(names):
+            notices.add(name, "failed")
+        task = asyncio.ensure_future(notices.run())
+        await until(lambda: names == {json.loads(line)["id"] for line in lines_sent(agent)})
+        task.cancel()
+        notices.agent.close()
+
+    run(work())
+
+
 def test_a_silent_connection_to_the_agent_is_replaced() -> None:
     """The same on real connections: the second batch goes out on a second one."""
 
