Voter: no answer for a process epoch that could not be saved

Symptom: a voter with a full disk logged `peer process epoch not saved` and answered all the same.

Cause: on_epoch_query undid the record and went on. The asker counts the answer towards a majority that knows its epoch; a second process of an older copy of its folder would then be told of no other, and could vote again in a term in which the first has voted: two leaders.

Change: there is no answer where the epoch can't be saved, so that the asker asks again.

--- a/message_relay/consensus/voter.py
+++ b/message_relay/consensus/voter.py
@@ -234,7 +234,12 @@
             return None
 
     def on_epoch_query(self, hello: Hello, raw: bytes) -> bytes:
-        """Answer with the highest epoch that was seen of an identity before the process that asks."""
+        """Answer with the highest epoch that was seen of an identity before the process that asks.
+
+        Raises OSError, so that there is no answer, where the asker's epoch can't be saved. The answer counts
+        towards a majority that knows this process: with one that is forgotten, a second process of an older
+        copy of the folder could vote again in a term in which this one has voted.
+        """
         query: tuple[str, int] = msgspec.msgpack.decode(raw, type=tuple[str, int])
         identity, epoch = query
         saved = self.state.highest_epochs.get(identity)
@@ -245,6 +250,7 @@
             except OSError as error:
                 log.error(LogEvent("peer process epoch not saved", why=error))
                 self.process_epochs.undo_observe(identity, saved)
+                raise
         return msgspec.msgpack.encode(previous)
 
     # -- granting leases -------------------------------------------------------------------------------------
--- a/tests/consensus/test_process_epochs.py
+++ b/tests/consensus/test_process_epochs.py
@@ -119,3 +119,34 @@
             )
 
     asyncio.run(work())
+
+
+def test_epoch_that_cannot_be_saved_is_not_answered(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What happened: a voter whose disk was full forgot the epoch and answered all the same. The asker took
+    the answer as part of a majority that knows it. A second process, of an older copy of its folder, then asked
+    with the same epoch, was told of no other, and could vote again in the same term: two leaders. In the order
+    that is forced here the first question was answered with 0 and logged as `peer process epoch not saved`.
+    """
+
+    async def work() -> None:
+        async with two_of_three_voters(tmp_path) as (asking, asked):
+            identity = asking.voter.identity
+            raw = msgspec.msgpack.encode((identity.id, identity.process_epoch))
+            disk_is_full = True
+            save = asked.voter.save_state
+
+            def save_if_possible() -> None:
+                if disk_is_full:
+                    raise OSError(28, "No space left on device")
+                save()
+
+            monkeypatch.setattr(asked.voter, "save_state", save_if_possible)
+            assert await asking.voter._query_epoch("n1") is None
+            disk_is_full = False
+            seen = await asking.voter._query_epoch("n1")
+            assert seen is not None and seen < identity.process_epoch
+            second = Hello("n0", EPOCH_QUERY, 12345)
+            told = msgspec.msgpack.decode(asked.voter.on_epoch_query(second, raw))
+            assert told == identity.process_epoch
+
+    asyncio.run(work())
--- a/tests/core/test_pending_outcomes.py
+++ b/tests/core/test_pending_outcomes.py
@@ -83,7 +83,7 @@
 
 
 def test_an_agent_that_never_answers_in_time_gets_each_notification() -> None:
-    """What happened: a request holds 200 notifications at most, and always the oldest. An agent that took over
+    """What happened: a request holds 200 notifications at most, always the oldest. An agent that took over
     1 s for its answer got these again and again, and no other: their clients never had an end.
     """
 
