--- /dev/null
+++ b/benchmarks/restart_clients.py
@@ -0,0 +1,99 @@
+"""Clients of benchmarks.restarts: they use a connection for as long as it stays open, also after SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from dataclasses import dataclass
+
+from emulator.clients import request, said
+
+from .restart_ledger import Accepted, Ledger, Unanswered
+
+LIFE_MS = {"order": 4000.0, "pay": 4000.0, "status": 2000.0}
+ANSWER_S = 5.0  # beyond what a client of the platform waits: an answer that is late is told from none
+BUSY_PAUSE_S, RESTING_PAUSE_S = 0.05, 3.5
+RECONNECT_S = 0.02
+CROWD = 110  # idle connections, where a play has a crowd
+CROWD_PAUSE_S = 0.05
+
+
+@dataclass
+class Client:
+    """Hands in one message after the other."""
+
+    port: int
+    number: int
+    longest_pause_s: float
+    rng: random.Random
+    ledger: Ledger
+    accepted: asyncio.Event  # set with each 202
+    count: int = 0
+
+    async def run(self) -> None:
+        while True:
+            with contextlib.suppress(OSError):
+                await self._use_connection()
+            await asyncio.sleep(RECONNECT_S)
+
+    async def _use_connection(self) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        answered_at = -1.0
+        try:
+            while True:
+                head = await self._hand_in(reader, writer, answered_at)
+                answered_at = time.monotonic()
+                if head is None or b"connection: close" in head.lower():
+                    return
+                await asyncio.sleep(self.rng.uniform(0.0, self.longest_pause_s))
+        finally:
+            writer.close()
+
+    async def _hand_in(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answered_at: float
+    ) -> bytes | None:
+        """The head of the answer; None if the connection ended, or had ended, without one."""
+        self.count += 1
+        message = f"m{self.number}-{self.count}"
+        class_name = self.rng.choice(tuple(LIFE_MS))
+        body = bytes(self.rng.choice((100, 100, 400, 9000)))
+        data = request(message, class_name, 1, LIFE_MS[class_name], body, f"k{message}")
+        written_at = time.monotonic()
+        rested_s = written_at - answered_at if answered_at > 0 else -1.0
+        if reader.at_eof():
+            return None  # it was closed while it rested, and the client knows
+        writer.write(data)
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                await writer.drain()
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = head.lower().partition(b"content-length:")[2].split(b"\r", 1)[0]
+                await reader.readexactly(int(length or 0))
+        except (OSError, asyncio.IncompleteReadError) as error:
+            how = type(error).__name__
+            lost = Unanswered(message, written_at, time.monotonic(), rested_s, how)
+            self.ledger.unanswered.append(lost)
+            return None
+        self._on_answer(message, class_name, said(head).status)
+        return head
+
+    def _on_answer(self, message: str, class_name: str, status: str) -> None:
+        self.ledger.answers[status] += 1
+        if status in ("200", "202"):
+            due_at = time.monotonic() + LIFE_MS[class_name] / 1000
+            self.ledger.accepted[message] = Accepted(class_name, due_at)
+            self.accepted.set()
+
+
+async def idle_visitor(port: int) -> None:
+    """Keeps a connection open on which it asks once, or never."""
+    while True:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            try:
+                await reader.read()
+            finally:
+                writer.close()
+        await asyncio.sleep(CROWD_PAUSE_S)
--- /dev/null
+++ b/benchmarks/restarts.py
@@ -0,0 +1,360 @@
+"""A soak of restarts: the real program, clients that use their connections until the kill, signals in series.
+
+    python -m benchmarks.restarts [--seeds 50] [--first 1] [--restarts 4] [--parallel 4] [--json]
+    python -m benchmarks.restarts --seed 7          # one play again, with the program's log kept
+
+Agent, endpoints and clients are in this process, the program is one of its own; all is drawn from the seed
+(restart_plan.py). SIGKILL comes 3.7 s after SIGTERM and the next start 0.6 s later, as on the platform. A
+ledger of all parties judges (restart_ledger.py). It prints what was broken, with the command that plays it
+again, and ends with 1 if anything was."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+import tomllib
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from emulator.live import free_ports
+from emulator.partner import Partner
+from emulator.spec import Service, Spec
+from fakes.discovery_agent import Agent
+from fakes.endpoint import Endpoint
+
+from .kills import healthy
+from .processes import settings
+from .report import report
+from .restart_clients import BUSY_PAUSE_S, CROWD, RESTING_PAUSE_S, Client, idle_visitor
+from .restart_ledger import CallLog, Ledger, NoticeLog, Process
+from .restart_plan import FirstMoment, Plan, Restart, Step, draw
+from .slow_discovery import entry
+
+ROOT = Path(__file__).parent.parent
+KILL_AFTER_S, START_AFTER_S = 3.7, 0.6
+BETWEEN_SIGNALS_S = 0.05
+SIGNAL_AGAIN_S = 0.4
+ENDPOINTS = 3
+CLOSED_MS = 700.0
+KEY_WINDOW_MS = 3_600_000.0
+SETTLE_S = 5.5  # past each message's time
+SOCKETS = 128
+DISK_MB = 3
+
+
+class Play:
+    """One seed."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan, self.folder = plan, folder
+        self.rng = random.Random(plan.seed)
+        self.ledger = Ledger(is_prompt=plan.agent_delay_s == 0, has_crowd=plan.has_crowd)
+        self.endpoints: list[Endpoint] = []
+        self.agents: list[Agent] = []
+        self.left: int | None = None  # the endpoint that is leaving
+        self.port = free_ports(1)[0]
+        self.accepted = asyncio.Event()
+        self.process: asyncio.subprocess.Process | None = None
+        self.timers: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        await self._set_up()
+        clients = self._start_clients()
+        try:
+            for step in self.plan.steps:
+                await self._start(step)
+                await self._serve(step)
+                await self._end(step)
+            await self._start(None)
+            for task in clients:
+                task.cancel()
+            await asyncio.sleep(SETTLE_S)
+            await self._signal(signal.SIGTERM)
+            await self._await_end()
+        finally:
+            for task in (*clients, *self.timers):
+                task.cancel()
+            await asyncio.gather(*clients, *self.timers, return_exceptions=True)
+            if self.process is not None and self.process.returncode is None:
+                self.process.kill()
+                await self.process.wait()
+        for endpoint in self.endpoints:
+            self.ledger.effects += endpoint.model.effects
+
+    # -- the parties -------------------------------------------------------------------------------------
+
+    async def _set_up(self) -> None:
+        plan = self.plan
+        spec = Spec(
+            service=Service(10.0, cv=0.5),
+            key_window_ms=KEY_WINDOW_MS,
+            refuse=plan.refuse,
+            error=plan.error,
+            reset=plan.reset,
+            hang=plan.hang,
+        )
+        for number in range(ENDPOINTS):
+            log: Any = CallLog(self.ledger, f"s-{number}")
+            model = Partner(spec, random.Random(plan.seed * 10 + number))
+            endpoint = Endpoint(model, ("127.0.0.1", 0), None, None, log)
+            await endpoint.start()
+            endpoint.begin()
+            self.endpoints.append(endpoint)
+        notices: Any = NoticeLog(self.ledger)
+        known = {"generation": 1, "reset": True, "instances": self._listed()}
+        for _ in range(2):
+            agent = await Agent(json.dumps(known).encode(), notices).start()
+            agent.delay_s = plan.agent_delay_s
+            self.agents.append(agent)
+        (self.folder / "state").mkdir()
+        self.known = known
+        self._configure(0)
+
+    def _listed(self) -> list[dict[str, Any]]:
+        return [
+            entry(f"s-{n}", each.listen, "draining" if n == self.left else "ready")
+            for n, each in enumerate(self.endpoints)
+        ]
+
+    def _configure(self, agent: int) -> None:
+        self.agent = agent
+        config = {
+            "name": "n",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": "{}:{}".format(*self.agents[agent].address),
+            "seed": f"{self.plan.seed:x}",
+            "known": self.known,
+            "state": str(self.folder / "state"),
+            "settings": settings(0.25),
+            "limits": {"sockets": SOCKETS, "disk_mb": DISK_MB},
+        }
+        partial = self.folder / "config.tmp"
+        partial.write_text(json.dumps(config))
+        partial.replace(self.folder / "config.json")
+
+    def _start_clients(self) -> list[asyncio.Task[None]]:
+        work: list[Coroutine[Any, Any, None]] = []
+        for number in range(self.plan.clients):
+            rests = number < self.plan.resting_clients
+            pause_s = RESTING_PAUSE_S if rests else BUSY_PAUSE_S
+            rng = random.Random(self.plan.seed * 100 + number)
+            work.append(Client(self.port, number, pause_s, rng, self.ledger, self.accepted).run())
+        if self.plan.has_crowd:
+            work += [idle_visitor(self.port) for _ in range(CROWD)]
+        return [asyncio.ensure_future(each) for each in work]
+
+    # -- the program -------------------------------------------------------------------------------------
+
+    async def _launch(self) -> Process:
+        deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+        command = str(deploy["run"]).replace(".venv/bin/python", sys.executable)
+        env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json")}
+        record = Process(time.monotonic())
+        self.ledger.processes.append(record)
+        with open(self.folder / "log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", command, env=env, cwd=ROOT, stdout=log, stderr=log
+            )
+        return record
+
+    async def _start(self, step: Step | None) -> None:
+        record = await self._launch()
+        if step is not None and step.first_moment is not FirstMoment.NOTHING:
+            await asyncio.sleep(step.first_moment_s)
+            if step.first_moment is FirstMoment.HUP:
+                self._reload()
+            else:
+                await self._signal(
+                    signal.SIGTERM if step.first_moment is FirstMoment.TERM else signal.SIGKILL
+                )
+                await self._await_end()
+                record = await self._launch()
+        await healthy(self.port)
+        record.ready_at = time.monotonic()
+
+    async def _signal(self, number: signal.Signals) -> None:
+        assert self.process is not None
+        record = self.ledger.processes[-1]
+        if number in (signal.SIGTERM, signal.SIGINT):
+            record.told_to_end_at = min(record.told_to_end_at, time.monotonic())
+        elif number is signal.SIGKILL:
+            record.killed_at = time.monotonic()
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    async def _await_end(self) -> None:
+        """Until the process has ended; it is killed at the platform's earliest."""
+        assert self.process is not None
+        record = self.ledger.processes[-1]
+        kill_at = min(record.told_to_end_at + KILL_AFTER_S, record.killed_at)
+        try:
+            async with asyncio.timeout(max(0.0, kill_at - time.monotonic())):
+                await self.process.wait()
+        except TimeoutError:
+            await self._signal(signal.SIGKILL)
+        record.exit_code = await self.process.wait()
+        record.ended_at = time.monotonic()
+        await asyncio.sleep(max(0.0, kill_at - time.monotonic()) + START_AFTER_S)
+
+    def _reload(self) -> None:
+        """A new configuration, which names the other agent."""
+        assert self.process is not None
+        self._configure(1 - self.agent)
+        self.ledger.reloads.append(time.monotonic())
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(signal.SIGHUP)
+
+    # -- what happens meanwhile --------------------------------------------------------------------------
+
+    async def _serve(self, step: Step) -> None:
+        self._later(step.leave_at_s, self._leave_or_return)
+        self._later(step.close_at_s, self._refuse_connections)
+        if step.reload_at_s < step.serve_s:
+            self._later(step.reload_at_s, self._reload)
+            self._later(step.reload_at_s + BETWEEN_SIGNALS_S, self._reload)
+        if step.silent_s:
+            self._silence(step.silent_s)
+        await asyncio.sleep(step.serve_s)
+
+    def _later(self, delay_s: float, act: Any) -> None:
+        async def wait() -> None:
+            await asyncio.sleep(delay_s)
+            act()
+
+        task = asyncio.ensure_future(wait())
+        self.timers.add(task)
+        task.add_done_callback(self.timers.discard)
+
+    def _leave_or_return(self) -> None:
+        now = time.monotonic()
+        if self.left is None:
+            self.left = self.rng.randrange(ENDPOINTS)
+            self.ledger.leaving.append((now, float("inf"), f"s-{self.left}"))
+        else:
+            since, _, name = self.ledger.leaving.pop()
+            self.ledger.leaving.append((since, now, name))
+            self.left = None
+        for agent in self.agents:
+            agent.replace_list(self._listed())
+
+    def _refuse_connections(self) -> None:
+        self.endpoints[self.rng.randrange(ENDPOINTS)]._away(CLOSED_MS)
+
+    def _silence(self, seconds: float) -> None:
+        now = time.monotonic()
+        self.ledger.silences.append((now, now + seconds))
+        for agent in self.agents:
+            agent.is_silent = True
+        self._later(seconds, self._speak)
+
+    def _speak(self) -> None:
+        for agent in self.agents:
+            agent.is_silent = False
+
+    async def _end(self, step: Step) -> None:
+        if step.restart is Restart.KILL_BEHIND_ANSWER:
+            self.accepted.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await self.accepted.wait()
+        if step.restart in (Restart.KILL, Restart.KILL_BEHIND_ANSWER):
+            await self._signal(signal.SIGKILL)
+        elif step.restart is Restart.INT:
+            await self._signal(signal.SIGINT)
+        else:
+            if step.restart is Restart.HUP_THEN_TERM:
+                self._reload()
+                await asyncio.sleep(self.rng.uniform(0.0, BETWEEN_SIGNALS_S))
+            await self._signal(signal.SIGTERM)
+        if step.restart is Restart.TERM_TWICE:
+            await asyncio.sleep(self.rng.uniform(0.0, SIGNAL_AGAIN_S))
+            await self._signal(signal.SIGTERM)
+        elif step.restart is Restart.HUP_WHILE_STOPPING:
+            await asyncio.sleep(self.rng.uniform(0.0, SIGNAL_AGAIN_S))
+            self._reload()
+        if step.leaves_while_away:
+            self._later(self.rng.uniform(0.0, KILL_AFTER_S), self._leave_or_return)
+        await self._await_end()
+
+
+async def play(seed: int, restarts: int, folder: Path) -> dict[str, Any]:
+    it = Play(draw(seed, restarts), folder)
+    try:
+        async with asyncio.timeout(60.0 + 20.0 * restarts):
+            await it.run()
+        broken = it.ledger.broken()
+    except TimeoutError:
+        broken = ["the play did not come to its end in time"]
+    ledger = it.ledger
+    return {
+        "seed": seed,
+        "accepted": len(ledger.accepted),
+        "answers": dict(ledger.answers),
+        "processes": len(ledger.processes),
+        "calls": len(ledger.calls),
+        "notices": len(ledger.notices),
+        "excused": sum(ledger.is_excused(each) for each in ledger.unanswered),
+        "rested": sum(ledger.is_excused(each) and each.rested_s >= 2.0 for each in ledger.unanswered),
+        "broken": broken,
+    }
+
+
+async def plays(seeds: list[int], restarts: int, parallel: int, keep: Path | None) -> list[dict[str, Any]]:
+    places = asyncio.Semaphore(parallel)
+
+    async def one(seed: int) -> dict[str, Any]:
+        async with places:
+            words = [sys.executable, "-m", "benchmarks.restarts", "--seed", str(seed), "--json"]
+            words += ["--restarts", str(restarts)]
+            process = await asyncio.create_subprocess_exec(*words, stdout=asyncio.subprocess.PIPE)
+            output, _ = await process.communicate()
+            (row,) = json.loads(output)
+            return dict(row)
+
+    if keep is not None:
+        return [await play(seeds[0], restarts, keep)]
+    return list(await asyncio.gather(*(one(seed) for seed in seeds)))
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="benchmarks.restarts")
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--seed", type=int, help="play this one alone")
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--restarts", type=int, default=4)
+    parser.add_argument("--parallel", type=int, default=4)
+    parser.add_argument("--folder", type=Path, help="an empty one for what a single play leaves")
+    args = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="message_relay-") as folder:
+        if args.seed is not None:
+            rows = asyncio.run(plays([args.seed], args.restarts, 1, args.folder or Path(folder)))
+        else:
+            seeds = list(range(args.first, args.first + args.seeds))
+            rows = asyncio.run(plays(seeds, args.restarts, args.parallel, None))
+    report(
+        [{**row, "failures": len(row["broken"])} if not args.json else row for row in rows],
+        args.json,
+        ("restarts under traffic", "seed  accepted  processes   calls  notices  excused  rested  broken"),
+        "{seed:4}{accepted:10}{processes:11}{calls:8}{notices:9}{excused:9}{rested:8}{failures:8}",
+    )
+    for row in rows:
+        for text in row["broken"][:10]:
+            print(f"seed {row['seed']}: {text}", file=sys.stderr)
+        if row["broken"]:
+            command = f"python -m benchmarks.restarts --seed {row['seed']} --restarts {args.restarts}"
+            print(f"again: {command}", file=sys.stderr)
+    return 1 if any(row["broken"] for row in rows) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/message_relay/store/segment_log.py
+++ b/message_relay/store/segment_log.py
@@ -64,6 +64,8 @@
         # Frees so many bytes, or raises JournalError; set by the compactor.
         self.on_space_needed: Callable[[int], None] = lambda needed_bytes: None
         self._head_initial_size = 0
+        # Of the file that a failed start of a segment has left: the next start removes it.
+        self._failed_start_bytes = 0
 
     def load(self, state: RecoveredState) -> None:
         """Continues the log that was recovered from the disk. Raises OSError."""
@@ -138,18 +140,28 @@
             data += encode_frame(
                 head.salt, self.next_sequence, RecordType.UNFINISHED_IDS, b"", unfinished_ids
             )
+        self._remove_failed_start(head.name)
         try:
-            self.files.unlink(head.name)  # left by an earlier attempt to start it
-        except FileNotFoundError:
-            pass
-        except OSError as error:
-            raise JournalError(f"journal: {error}") from error
-        self._write(head, data)
+            self._write(head, data)
+        except JournalError:
+            self._failed_start_bytes = head.disk_bytes
+            raise
         head.is_damaged = False
         self.segments.append(head)
         self.next_sequence += unfinished_ids is not None
         self._head_initial_size = head.size
 
+    def _remove_failed_start(self, name: str) -> None:
+        """Removes what an earlier attempt to start this segment has left. Raises JournalError."""
+        try:
+            self.files.unlink(name)
+        except FileNotFoundError:
+            pass
+        except OSError as error:
+            raise JournalError(f"journal: {error}") from error
+        self.used_bytes -= self._failed_start_bytes
+        self._failed_start_bytes = 0
+
     def _unfinished_ids_payload(self) -> bytes | None:
         """The ids of all unfinished messages by their intake; None if there are too many to list."""
         unfinished = self.messages.unfinished
--- a/tests/consensus/test_process_epochs.py
+++ b/tests/consensus/test_process_epochs.py
@@ -123,9 +123,10 @@
 
 def test_epoch_that_cannot_be_saved_is_not_answered(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """What happened: a voter whose disk was full forgot the epoch and answered all the same. The asker took
-    the answer as part of a majority that knows it. A second process, of an older copy of its folder, then asked
-    with the same epoch, was told of no other, and could vote again in the same term: two leaders. In the order
-    that is forced here the first question was answered with 0 and logged as `peer process epoch not saved`.
+    the answer as part of a majority that knows it. A second process, of an older copy of its folder, then
+    asked with the same epoch, was told of no other, and could vote again in the same term: two leaders. In
+    the order that is forced here the first question was answered with 0, beside the log line
+    `peer process epoch not saved`.
     """
 
     async def work() -> None:
--- a/tests/store/test_journal.py
+++ b/tests/store/test_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from errno import ENOSPC
 from pathlib import Path
 from zlib import crc32
 
@@ -179,6 +180,37 @@
     again.close()
 
 
+class FullDisk(DirectoryFileStore):
+    """While it is full, a write leaves the first part of its bytes."""
+
+    is_full = False
+
+    def append(self, name: str, data: bytes) -> None:
+        if self.is_full:
+            super().append(name, data[: len(data) // 2])
+            raise OSError(ENOSPC, "No space left on device")
+        super().append(name, data)
+
+
+def test_a_disk_that_was_full_costs_no_space_afterwards(tmp_path: Path) -> None:
+    """What happened: while the disk was full each message that came tried to start a segment, and the file that
+    a failed start leaves counted as used although the next start removes it: 512 bytes each time. After some
+    hundred rejected messages the journal took itself for full, also when the disk had space again, until the
+    process was restarted: `journal: the folder's limit is reached`, with 1 KB in the directory.
+    """
+    disk = FullDisk(tmp_path)
+    journal = Journal(tmp_path, BUDGET_BYTES, disk)
+    journal.append_accepted(entry("m0"))
+    disk.is_full = True
+    for n in range(2 * BUDGET_BYTES // BLOCK_BYTES):
+        with pytest.raises(JournalError):
+            journal.append_accepted(entry(f"rejected{n}"))
+    disk.is_full = False
+    journal.append_accepted(entry("m1"))
+    assert journal.disk_bytes == folder_disk_bytes(tmp_path)
+    journal.close()
+
+
 def test_a_full_directory_still_finishes_all_accepted_messages(tmp_path: Path) -> None:
     """With bodies of all sizes, each message with as many attempts as it can have."""
     for size in (0, 300, 5000, 60000):
