Plans: the moved rate is the same in every process

Symptom: two instances that had planned the same reported moved rates that differ in their last bits.

Cause: the rate was summed in the order of a set of texts, which Python draws anew for each process.

Change: math.fsum, whose result does not hang on the order.

--- a/message_relay/failover/plan_model.py
+++ b/message_relay/failover/plan_model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import fsum
 from typing import Literal
 
 from .observations import ZonePair
@@ -91,4 +92,5 @@
         """Return the calls a second that use another route than in the previous plan."""
         previous = problem.previous_flows
         routes = {*self.flows, *previous}
-        return sum(abs(self.flows.get(route, 0.0) - previous.get(route, 0.0)) for route in routes) / 2
+        # A set's order differs between processes, and a plain sum's last bits with it: all must say the same.
+        return fsum(abs(self.flows.get(route, 0.0) - previous.get(route, 0.0)) for route in routes) / 2
--- a/tests/failover/test_planner.py
+++ b/tests/failover/test_planner.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import math
+import os
 import random
+import subprocess
+import sys
 from collections.abc import Callable
 
 import pytest
@@ -175,3 +178,29 @@
         PlanningProblem(("a",), (TrafficGroup("x"),), {}, {"a": math.nan})
     with pytest.raises(ValueError, match="worth is above 0"):
         PlanningProblem(("a",), (TrafficGroup("x", 0.0),), {}, {})
+
+
+MOVED_RATE_SCRIPT = """
+from message_relay.failover.plan_model import Plan, PlanningProblem, TrafficGroup
+zones = tuple(f"zone-{n}" for n in range(9))
+flows = {(a, "g", b): 0.1 * (i + 1) / (j + 3) for i, a in enumerate(zones) for j, b in enumerate(zones)}
+problem = PlanningProblem(zones, (TrafficGroup("g"),), {}, {})
+print(repr(Plan(flows, "greedy").moved_rate(problem)))
+"""
+
+
+def test_moved_rate_is_the_same_in_every_process() -> None:
+    """What happened: the rate was summed in the order of a set of texts, which Python draws anew for each
+    process, so its last bits differed between instances that compare what they have planned.
+    """
+    found = {
+        subprocess.run(
+            [sys.executable, "-c", MOVED_RATE_SCRIPT],
+            env={**os.environ, "PYTHONHASHSEED": str(seed)},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        for seed in range(1, 7)
+    }
+    assert len(found) == 1
--- a/tests/store/test_journal.py
+++ b/tests/store/test_journal.py
@@ -193,10 +193,10 @@
 
 
 def test_a_disk_that_was_full_costs_no_space_afterwards(tmp_path: Path) -> None:
-    """What happened: while the disk was full each message that came tried to start a segment, and the file that
-    a failed start leaves counted as used although the next start removes it: 512 bytes each time. After some
-    hundred rejected messages the journal took itself for full, also when the disk had space again, until the
-    process was restarted: `journal: the folder's limit is reached`, with 1 KB in the directory.
+    """What happened: while the disk was full each message that came tried to start a segment, and the file
+    that a failed start leaves counted as used although the next start removes it: 512 bytes each time. After
+    some hundred rejected messages the journal took itself for full, also when the disk had space again, until
+    the process was restarted: `journal: the folder's limit is reached`, with 1 KB in the directory.
     """
     disk = FullDisk(tmp_path)
     journal = Journal(tmp_path, BUDGET_BYTES, disk)
