Soak of restarts: the real program, clients that go on until the kill, signals in series

A ledger of all parties judges (restart_ledger): one end in time, one effect, no request without an answer, no call to a leaving endpoint, exit codes, ready in time.

--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,133 @@
+"""The soak of restarts (benchmarks/restarts.py): a short one on real processes; its ledger can fail."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from benchmarks.restart_ledger import Accepted, Ledger, Process, Unanswered
+from benchmarks.restart_plan import FirstMoment, Restart, draw
+
+ROOT = Path(__file__).parent.parent
+SEEDS, RESTARTS = 4, 2  # half a minute; the long run is started by hand
+
+
+def test_restarts_under_traffic_break_no_rule() -> None:
+    """Signals in series, kills, slow and silent agents, a crowd: each seed is one play."""
+    words = ["--seeds", str(SEEDS), "--restarts", str(RESTARTS), "--parallel", str(SEEDS), "--json"]
+    command = [sys.executable, "-m", "benchmarks.restarts", *words]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=300, check=False)
+    assert done.returncode == 0, done.stderr
+    rows = json.loads(done.stdout)
+    assert len(rows) == SEEDS and all(row["accepted"] > 50 for row in rows)
+
+
+def test_a_seed_draws_the_same_play_and_fifty_draw_all_there_is() -> None:
+    assert draw(7, 4) == draw(7, 4)
+    steps = [step for seed in range(1, 51) for step in draw(seed, 4).steps]
+    assert {step.restart for step in steps} == set(Restart)
+    assert {step.first_moment for step in steps} == set(FirstMoment)
+
+
+def sound_ledger() -> Ledger:
+    """A process that was told to end, one that follows it, and one message that was delivered between."""
+    ledger = Ledger(is_prompt=True, has_crowd=False)
+    first = Process(100.0, 100.3, told_to_end_at=110.0, ended_at=112.0, exit_code=0)
+    second = Process(114.3, 114.6, told_to_end_at=130.0, ended_at=131.0, exit_code=0)
+    ledger.processes = [first, second]
+    ledger.accepted["m"] = Accepted("pay", 105.0)
+    ledger.calls.append((102.0, "s-1", "m", "ok"))
+    ledger.effects["m"] = 1
+    return ledger
+
+
+def test_a_sound_ledger_is_not_broken() -> None:
+    assert sound_ledger().broken() == []
+
+
+def test_a_message_without_an_end_is_seen() -> None:
+    ledger = sound_ledger()
+    ledger.calls.clear()
+    assert ledger.broken() == ["m: accepted, no end"]
+
+
+def test_a_late_end_is_seen_unless_a_restart_excuses_it() -> None:
+    ledger = sound_ledger()
+    ledger.calls[0] = (106.0, "s-1", "m", "ok")
+    assert "1.00 s late" in ledger.broken()[0]
+    ledger.accepted["m"].due_at = 111.0
+    ledger.calls[0] = (116.0, "s-1", "m", "ok")  # 1.4 s after the next process is ready
+    assert ledger.broken() == []
+    ledger.calls[0] = (116.2, "s-1", "m", "ok")
+    assert "late" in ledger.broken()[0]
+
+
+def test_two_ends_and_two_effects_are_seen() -> None:
+    ledger = sound_ledger()
+    ledger.effects["m"] = 2
+    ledger.notices += [(103.0, "m", "failed"), (104.0, "m", "returned")]
+    assert ledger.broken() == ["m: told ['failed', 'returned']", "m: took effect 2 times"]
+
+
+@pytest.mark.parametrize(
+    ("rested_s", "killed", "crowd", "is_broken"),
+    [
+        (0.5, False, False, True),
+        (-1.0, False, False, True),
+        (2.5, False, False, False),
+        (0.5, True, False, False),
+        (-1.0, False, True, False),
+        (0.5, False, True, True),
+    ],
+)
+def test_a_request_without_an_answer_is_seen(
+    rested_s: float, killed: bool, crowd: bool, is_broken: bool
+) -> None:
+    ledger = sound_ledger()
+    ledger.has_crowd = crowd
+    if killed:
+        ledger.processes[0].killed_at, ledger.processes[0].exit_code = 110.49, -signal.SIGKILL
+    ledger.unanswered.append(Unanswered("x", 110.5, 110.51, rested_s, "IncompleteReadError"))
+    assert bool(ledger.broken()) is is_broken
+
+
+@pytest.mark.parametrize(
+    ("at", "is_prompt", "silence", "reload_at", "is_broken"),
+    [
+        (101.3, True, None, None, False),
+        (101.5, True, None, None, True),
+        (107.5, False, None, None, True),
+        (107.2, False, None, None, False),
+        (108.0, True, (100.5, 103.0), None, False),
+        (109.5, True, (100.5, 103.0), None, True),
+        (104.0, True, None, 101.05, False),
+        (105.5, True, None, 101.05, True),
+    ],
+)
+def test_a_call_to_a_leaving_endpoint_is_seen(
+    at: float,
+    is_prompt: bool,
+    silence: tuple[float, float] | None,
+    reload_at: float | None,
+    is_broken: bool,
+) -> None:
+    ledger = sound_ledger()
+    ledger.is_prompt = is_prompt
+    ledger.leaving.append((101.0, float("inf"), "s-1"))
+    ledger.calls = [(at, "s-1", "m", "ok")]
+    ledger.accepted["m"].due_at = 110.0
+    ledger.silences += [silence] if silence else []
+    ledger.reloads += [reload_at] if reload_at else []
+    assert bool(ledger.broken()) is is_broken
+
+
+def test_a_wrong_exit_and_a_slow_start_are_seen() -> None:
+    ledger = sound_ledger()
+    ledger.processes[0].exit_code = -signal.SIGHUP
+    ledger.processes[1].ready_at = 125.0
+    assert ledger.broken() == ["process 0: ended with -1", "process 1: ready after 10.7 s"]
