--- a/message_relay/http/client_limits.py
+++ b/message_relay/http/client_limits.py
@@ -13,7 +13,8 @@
 
 # A new connection without a byte received; one with no open request is promised 2 s.
 SILENT_TIMEOUT_S = 2.2
-# From connecting until the first request is complete; a response or an end is due within 3 s.
+# From connecting until the first request is complete; a response or an end is due within 3 s, and a sweep and
+# a late turn of the loop have to fit in.
 FIRST_REQUEST_TIMEOUT_S = 2.5
 # From the first byte of a later request until it is complete; its client gives up after 0.4 s.
 REQUEST_TIMEOUT_S = 2.0
--- a/message_relay/http/discovery_client.py
+++ b/message_relay/http/discovery_client.py
@@ -195,11 +195,11 @@
             self._on_answered(call)
 
     def _is_outdated(self, call: DiscoveryCall, version: int) -> bool:
-        """Whether another call, which it crossed, has brought a later list.
+        """Whether another call, which it crossed, has brought this list or a later one.
 
         An older version is believed otherwise: the agent may count anew.
         """
-        return version < self.version and call.known_version != self.version
+        return version <= self.version and call.known_version != self.version
 
     def _on_answered(self, call: DiscoveryCall) -> None:
         """Make the next call at once, unless a watch is open already."""
--- a/tests/decisions/test_priority_index.py
+++ b/tests/decisions/test_priority_index.py
@@ -72,3 +72,23 @@
         over_quota_weight=0.1,
     )
     drive(watched(setup), setup, 34379, dests=5)
+
+
+def test_best_of_several_alike_is_chosen() -> None:
+    """A known failure: 0.000219 is chosen where the full scan finds 0.000227 (message 13). The eight exact
+    comparisons are used up by messages 20 to 24 at several endpoints, whose common bound, 0.000236, lies above
+    both. Found by 4,000 drawn examples of the first test.
+    """
+    setup = make_settings(
+        classes=(MessageClass("c", Effect.UNSAFE, 400.0, 4000.0, 1.0, 0.5, 1200.0, Scope.ALL),),
+        kinds=(DestinationKind("k", has_separate_routes=True),),
+        max_concurrent_attempts=2,
+        max_pending_messages=22,
+        max_attempts=3,
+        rates=Rates.ROUGH,
+        decay=Decay.HALVES,
+        marks_repeats=True,
+        tenants=tuple(Tenant(name, 2.0) for name in "ab"),
+        over_quota_weight=0.1,
+    )
+    drive(watched(setup), setup, 25298, dests=5)
