--- a/tests/decisions/test_priority_index.py
+++ b/tests/decisions/test_priority_index.py
@@ -76,8 +76,8 @@
 
 def test_best_of_several_alike_is_chosen() -> None:
     """A known failure: 0.000219 is chosen where the full scan finds 0.000227 (message 13). The eight exact
-    comparisons are used up by messages 20 to 24 at several endpoints, whose common bound, 0.000236, lies above
-    both. Found by 4,000 drawn examples of the first test.
+    comparisons are used up by messages 20 to 24 at several endpoints, whose common bound, 0.000236, lies
+    above both. Found by 4,000 drawn examples of the first test.
     """
     setup = make_settings(
         classes=(MessageClass("c", Effect.UNSAFE, 400.0, 4000.0, 1.0, 0.5, 1200.0, Scope.ALL),),
