Clients: a rejected client's connection is no visitor's

Symptom: with descriptors short, a client whose message was rejected found its connection closed at once, also under its next request, which got no answer.

Cause: connections that have submitted nothing are closed first, and only an accepted message counted as submitted.

--- a/message_relay/http/client_connection.py
+++ b/message_relay/http/client_connection.py
@@ -36,6 +36,8 @@
 
 RequestHandler = Callable[[ClientRequest], ClientResponse]
 CancelMessage = Callable[[str], bool]  # by id; False if it may have been delivered
+# A client that was rejected submits its next message on the same connection, as one that was accepted.
+SUBMISSION_STATUSES = frozenset((202, 503))
 INVALID_REQUEST_STATUSES = frozenset((400, 404, 405))
 
 
@@ -97,7 +99,7 @@
         self.deadline = 0.0
         self.idle_since = 0.0  # on the loop's clock; while it is between two requests
         self.is_new = True  # no request has started yet
-        self.has_submitted = False  # a message was accepted on it
+        self.has_submitted = False  # a message was accepted or rejected on it
         self.closes_after_response = False
         self.is_lingering = False  # the last response was sent: what still arrives is thrown away
         self.discarded_bytes = 0
@@ -311,7 +313,7 @@
             parser.start_next_cycle()
             if not parser.trailing_data[0]:
                 self.parser = None  # the next request may be a plain one
-        self.has_submitted = self.has_submitted or response.status == 202
+        self.has_submitted = self.has_submitted or response.status in SUBMISSION_STATUSES
         self.idle_since = asyncio.get_running_loop().time()
         self.deadline = self.idle_since + client_limits.IDLE_TIMEOUT_S
         self.group.mark_idle(self)
--- a/message_relay/http/client_listener.py
+++ b/message_relay/http/client_listener.py
@@ -27,7 +27,7 @@
         self.crowding_threshold = crowding_threshold
         self.connections: set[ClientConnection] = set()
         self.silent: Group = {}  # nothing has arrived on them; oldest first
-        self.idle_visitors: Group = {}  # between requests, none of which submitted a message
+        self.idle_visitors: Group = {}  # between requests, none of which was a valid message
         self.idle_submitters: Group = {}  # between messages; longest idle first
         self.lingering: Group = {}  # their last response was sent
         self.listener = Listener(lambda: ClientConnection(self), self._has_capacity)
--- a/tests/http/test_client_connections.py
+++ b/tests/http/test_client_connections.py
@@ -234,6 +234,28 @@
     run(work())
 
 
+def test_rejected_client_keeps_its_connection_as_an_accepted_one(tmp_path: Path) -> None:
+    """What happened: a client whose message was rejected counted as one that had submitted nothing. Where
+    others waited for a place its connection was closed at once, and so under its next request. It is what seed
+    26 of the soak of restarts may have met, in a crowd: an end without an answer, 15 ms after its last answer.
+    """
+
+    async def work() -> None:
+        async with RelayWithEndpoint(tmp_path) as host:
+            host.ingress.max_connections = 2
+            host.messages.is_retiring = True
+            port = host.ingress.port
+            async with Client(port) as rejected, Client(port) as also_rejected:
+                assert await rejected.ask(message("a")) == 503
+                assert await also_rejected.ask(message("b")) == 503
+                async with Client(port) as waiting:
+                    waiting.writer.write(message("c"))
+                    await asyncio.sleep(0.2)
+                    assert await rejected.ask(message("d")) == 503
+
+    run(work())
+
+
 def test_only_connections_without_open_request_are_evicted(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
