--- a/tests/http/test_client_connections.py
+++ b/tests/http/test_client_connections.py
@@ -236,8 +236,8 @@
 
 def test_rejected_client_keeps_its_connection_as_an_accepted_one(tmp_path: Path) -> None:
     """What happened: a client whose message was rejected counted as one that had submitted nothing. Where
-    others waited for a place its connection was closed at once, and so under its next request. It is what seed
-    26 of the soak of restarts may have met, in a crowd: an end without an answer, 15 ms after its last answer.
+    others waited for a place its connection was closed at once, and so under its next request. Seeds 17 and
+    26 of the soak of restarts may have met it, in a crowd: an end without an answer right after an answer.
     """
 
     async def work() -> None:
