Fake agent: the changing register of the sharded directory's plays starts from the agent's state

Cause: their register is a subclass of the fake agent which did not call its constructor, and so had none of the state that the agent has had since it can be slow and silent; each of its connections failed. My change, not the load.

Change: it calls the constructor.

The other subclass calls it.

--- a/benchmarks/sharded_directory_cluster.py
+++ b/benchmarks/sharded_directory_cluster.py
@@ -37,12 +37,11 @@
     """The platform's agent with a list that changes. It runs in the benchmark's process."""
 
     def __init__(self, entries: Iterable[dict[str, Any]], ledger: TextIO | None = None) -> None:
-        self.ledger, self.generation = ledger, 1
+        super().__init__(b'{"generation": 1}', ledger)
         self.entries = {entry["instanceId"]: entry for entry in entries}
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.history_start = 1  # changes are known since this generation
         self.full_list = (0, b"")
-        self.changed = asyncio.Event()
         self.sent_bytes = 0
         self.generation_times: dict[int, float] = {}  # Unix s of each generation
 
