--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -53,6 +53,11 @@
 DISK_MB = 3
 
 
+def loopback_address(number: int) -> str:
+    """One of some 15 million addresses of the loopback network, by the number of a process."""
+    return f"127.{1 + number // 62_500 % 250}.{number // 250 % 250}.{1 + number % 250}"
+
+
 class Play:
     """One seed."""
 
@@ -66,7 +71,7 @@
         self.lists: list[tuple[float, dict[str, Any]]] = []  # of discovery, and since when
         self.known_at = time.monotonic()  # a new process is told of the list that the last one had by then
         # Of its own: while the program is away, nobody else can take the port for a moment.
-        self.address = (f"127.1.{plan.seed // 250 % 250}.{plan.seed % 250 + 1}", PORT)
+        self.address = (loopback_address(os.getpid()), PORT)
         self.accepted = asyncio.Event()
         self.process: asyncio.subprocess.Process | None = None
         self.timers: set[asyncio.Task[None]] = set()
