--- a/fakes/discovery_agent.py
+++ b/fakes/discovery_agent.py
@@ -27,7 +27,6 @@
         self.delay_s = 0.0  # from when an answer is known until it is written
         self.spread_s = 0.0  # from the first piece of an answer to its last
         self.is_silent = False  # requests for the list that come now are never answered
-        self.notice_delay_s = 0.0
         self.calls: list[float] = []  # when requests for the list came, on the loop's clock
         self.open_count = 0  # connections
         self.address = ("", 0)
@@ -88,7 +87,6 @@
             if self.ledger is not None:
                 self.ledger.write(told.decode().rstrip("\n") + "\n")
                 self.ledger.flush()
-            await asyncio.sleep(self.notice_delay_s)
             return 204, b""
         self._count_call()
         body = await self._known(parse_qs(url.query))
