--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -168,13 +168,10 @@
 
 
 class Endpoint:
-    """A partner's endpoint. `answer` answers a complete call, and returns False to end the connection.
+    """A partner's endpoint. `answer` answers a complete call, and returns False to end the connection."""
 
-    `on_head` may answer a call from its head alone: it returns the answer, or None.
-    """
-
-    def __init__(self, name: str, answer: Answerer, on_head: Callable[[Call], bytes | None] | None = None) -> None:
-        self.name, self.answer, self.on_head = name, answer, on_head
+    def __init__(self, name: str, answer: Answerer) -> None:
+        self.name, self.answer = name, answer
         self.address = ""
         self.calls: list[Call] = []
         self.server: asyncio.Server | None = None
@@ -192,10 +189,6 @@
                 first = await reader.readexactly(1)
                 first_byte_at = now_ms()
                 call = Call(self.name, Head(first + await reader.readuntil(b"\r\n\r\n")), first_byte_at)
-                if self.on_head is not None and (early := self.on_head(call)) is not None:
-                    writer.write(early)
-                    await reader.readexactly(call.head.length)
-                    continue
                 await reader.readexactly(call.head.length)
                 call.complete_at = now_ms()
                 self.calls.append(call)
@@ -351,6 +344,9 @@
     folder = Path(tempfile.mkdtemp(prefix="relay-review-"))
 
     async def main() -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # ends the relay too
         async with asyncio.timeout(limit_s):
             return await play(record, folder, trouble)
 
