--- a/review/1/case.py
+++ b/review/1/case.py
@@ -168,4 +168,5 @@
     return [partner.fall for partner in partners if partner.fall]
 
 
-run_case(__file__, play)
+# What was sent, answered and run is written beside this file.
+run_case(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -83,4 +83,5 @@
     ]
 
 
-run_case(__file__, play)
+# What was sent, answered and run is written beside this file.
+run_case(Path(__file__).resolve().with_name("record.txt"), play)
