Slow start: without a listed rate its budget is what was delivered, not what was tried

Cause: slow start takes a share of `fleet_rate`. Without a listed rate that is the highest send rate tried so far, and it grew by half with each success during the warm-up, where slow start and not the send rate is the limit.

Change: slow start uses the highest rate that was delivered (decisions/delivered_rate.py), if it is lower; the learned rate does not grow during a warm-up.

--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -6,7 +6,8 @@
 outage, the calls in each seed's worst window divided by that limit, and the time from the return until the
 destination is in full use (too few calls are a failure as well). `unheard`: during the outage connection
 attempts get no answer, and the system resends its SYN after 1 s and 3 s; a connection that is established
-after the return asks `may_write`, as a transport does, and makes its call if that is allowed.
+after the return asks `may_write`, as a transport does, and makes its call if that is allowed. `unlisted`:
+the list names no rate, and the relays learn it from a destination that refuses what its queue cannot hold.
 
     python -m benchmarks.cold [--seeds 200] [--json]"""
 
@@ -40,7 +41,8 @@
 from message_relay.decisions.scheduler import DeliveryScheduler
 
 FLEETS = (1, 5, 20, 30, 200)
-VARIANTS = ("all know", "half know", "restarted", "uneven", "hint high", "silent", "unheard")
+LISTED_VARIANTS = ("all know", "half know", "restarted", "uneven", "hint high", "silent", "unheard")
+VARIANTS = (*LISTED_VARIANTS, "unlisted")
 RATE, LOAD = 40.0, 0.8  # capacity of the warm destination in calls/s, and the offered share of it
 DOWN_MS, BACK_MS, END_MS = 4_000.0, 11_000.0, 24_000.0
 SAFETY = Safety(
@@ -48,10 +50,32 @@
 )
 HINT = 1.5  # a rough listed rate may be too high by this factor
 REFUSED_MS, ANSWER_MS = 15.0, 120.0
+LEARNING_MS = 10_000.0  # before the other variants begin, if the rate is not listed
+WORK_MS, WORKERS, QUEUE_LENGTH = 200.0, 8, 14  # of the destination without a listed rate: it takes RATE
+BURSTS_MS, BURST_MESSAGES = (-8_000.0, -4_000.0, 0.0), 80  # each of what it takes in 2 s
 SYN_RETRY_MS, CONNECT_MS = (1_000.0, 3_000.0), 5_000.0  # SYN retransmissions; the relay's connect timeout
 CLASS = MessageClass("c", Effect.SAFE, 3_000.0, 12_000.0)
 
 
+class QueueingDestination:
+    """Works on `WORKERS` calls at a time, in order, and refuses those above its queue."""
+
+    def __init__(self) -> None:
+        self.workers_free_at = [0.0] * WORKERS
+        self.begins: list[float] = []  # of the calls that wait
+
+    def finish_at(self, now: float) -> float | None:
+        """Returns when a call that comes now is done; None if it is refused."""
+        self.begins = [begin for begin in self.begins if begin > now]
+        if len(self.begins) >= QUEUE_LENGTH:
+            return None
+        worker = min(range(WORKERS), key=self.workers_free_at.__getitem__)
+        begin = max(now, self.workers_free_at[worker])
+        self.begins.append(begin)
+        self.workers_free_at[worker] = begin + WORK_MS / warm_share(begin)
+        return self.workers_free_at[worker]
+
+
 @dataclass
 class Simulation:
     """One run: a fleet size, a variant of the outage, and a seed."""
@@ -65,7 +89,9 @@
 
     def run(self) -> Simulation:
         rng = random.Random(f"{self.relays} {self.variant} {self.seed}")
-        rates = Rates.ROUGH if self.variant == "hint high" else Rates.NOMINAL
+        rates = {"hint high": Rates.ROUGH, "unlisted": Rates.NONE}.get(self.variant, Rates.NOMINAL)
+        self.start_ms = -LEARNING_MS if self.variant == "unlisted" else 0.0
+        self.queueing = QueueingDestination() if self.variant == "unlisted" else None
         self.settings = Settings(
             classes=(CLASS,),
             kinds=(DestinationKind("k"),),
@@ -111,12 +137,14 @@
         relay = DeliveryScheduler(self.settings, rng.getrandbits(32))
         listed = RATE * (HINT if self.variant == "hint high" else 1.0)
         entry = Endpoint(1, 1, Listing.READY, rate=listed)
-        relay.handle(0.0, [EndpointList(ListKind.COMPLETE, (entry,))])
+        relay.handle(self.start_ms, [EndpointList(ListKind.COMPLETE, (entry,))])
         return relay
 
     def _arrivals(self, rng: random.Random) -> None:
         weights = [1.0 / (1 + n) if self.variant == "uneven" else 1.0 for n in range(self.relays)]
-        now, message_id = 0.0, 0
+        now, message_id = self.start_ms, 0
+        if self.queueing is not None:
+            message_id = self._bursts(rng)
         while (now := now + rng.expovariate(RATE * LOAD) * 1000) < END_MS:
             message_id += 1
             n = rng.choices(range(self.relays), weights)[0]
@@ -124,6 +152,14 @@
                 continue  # these relays have no traffic for the destination before its return
             self.at(now, "event", n, Message(message_id, 1, 0, CLASS.deadline_ms))
 
+    def _bursts(self, rng: random.Random) -> int:
+        """Adds messages that come at once, as from one client; returns the id of the last one."""
+        last_id = len(BURSTS_MS) * BURST_MESSAGES
+        for message_id in range(1, last_id + 1):
+            at = BURSTS_MS[message_id % len(BURSTS_MS)]
+            self.at(at, "event", rng.randrange(self.relays), Message(message_id, 1, 0, CLASS.deadline_ms))
+        return last_id
+
     def _handle(self, now: float, n: int, events: list[Event]) -> None:
         for action in self.schedulers[n].handle(now, events):
             if isinstance(action, SetTimer):
@@ -152,6 +188,10 @@
             silent = self.variant == "silent"
             outcome = Outcome.TIMEOUT if silent else Outcome.CONNECT_FAILED
             latency_ms = attempt.give_up_at_ms - now if silent else REFUSED_MS
+        elif self.queueing is not None:
+            finish_at = self.queueing.finish_at(now)
+            outcome = Outcome.FULL if finish_at is None else Outcome.OK
+            latency_ms = REFUSED_MS if finish_at is None else finish_at - now
         self.at(
             now + latency_ms,
             "event",
@@ -195,9 +235,17 @@
         return (END_MS - BACK_MS) / 1000
 
 
+def warm_share(at: float) -> float:
+    """Returns the share of its capacity that the destination has at a time."""
+    if at < BACK_MS:
+        return 1.0
+    progress = min(1.0, (at - BACK_MS) / SAFETY.warm_up_ms)
+    return SAFETY.warm_up_initial_share + (1 - SAFETY.warm_up_initial_share) * progress
+
+
 def allowed(start: float) -> float:
-    progress = min(1.0, (start + SAFETY.overload_window_ms / 2 - BACK_MS) / SAFETY.warm_up_ms)
-    capacity = RATE * (SAFETY.warm_up_initial_share + (1 - SAFETY.warm_up_initial_share) * progress)
+    """Returns how many calls it takes in the window that begins at this time, after its return."""
+    capacity = RATE * warm_share(start + SAFETY.overload_window_ms / 2)
     budget = SAFETY.overload_multiple * capacity * SAFETY.overload_window_ms / 1000
     return budget + 2 * sqrt(budget) + 2
 
--- a/message_relay/core/relay.py
+++ b/message_relay/core/relay.py
@@ -7,9 +7,9 @@
 
 from ..config import Config
 from ..decisions.actions import Action, Cancel, Fail, Log, Reject, StartAttempt, WatchEndpoints
-from ..decisions.endpoint_registry import INITIAL_RATE
 from ..decisions.events import EndpointList, Message, RestoredDestination, ShutdownScheduled
 from ..decisions.model import Endpoint, ListKind
+from ..decisions.rate_control import INITIAL_RATE
 from ..decisions.scheduler import DeliveryScheduler
 from ..store.destination_snapshot import MAX_FILE_BYTES, DestinationSnapshotFile
 from ..store.journal import Journal
--- a/message_relay/decisions/destinations.py
+++ b/message_relay/decisions/destinations.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .delivered_rate import DeliveredRate
 from .model import NEVER, Endpoint
 from .rate_slots import TimeSlotShare
 
@@ -54,5 +55,6 @@
     warming_since: float = NEVER
     estimated_senders: float = 1.0  # number of relays that may have noticed the latest outage
     next_trial_at: float = 0.0  # time of the next half-open trial while ejected or suspected
-    has_listed_rate: bool = True  # if False, `fleet_rate` is the highest rate that has not been refused
+    has_listed_rate: bool = True  # if False, `fleet_rate` is the highest rate that was tried
+    delivered: DeliveredRate = field(default_factory=DeliveredRate)
     time_slots: TimeSlotShare | None = None  # set if all instances keep an agreed rate together
--- a/message_relay/decisions/endpoint_registry.py
+++ b/message_relay/decisions/endpoint_registry.py
@@ -11,11 +11,10 @@
 from .model import FOREVER, NEVER, Endpoint, Fleet, Listing, ListKind, Rates
 from .outlier_detection import EJECTED_SCORE_MAX, EVIDENCE_TTL_MS
 from .pending import PendingMessages
-from .rate_control import BURST, RETRY_MS, RateController
+from .rate_control import BURST, INITIAL_RATE, RETRY_MS, RateController
 from .rate_slots import TimeSlotShare
 
 EVICT_AFTER_MS = 60000.0  # state of a destination without endpoints is kept this long: longer than an outage
-INITIAL_RATE = 0.5  # calls per second of each relay if the destination has no listed rate, until a refusal
 POLL_RETRY_FACTOR = 4  # backoff after a failed poll, as a multiple of the backoff of a message
 MAX_POLL_DOUBLINGS = 5
 SHARED_ROUTE = -1  # route key of a destination whose routes share one limit
--- a/message_relay/decisions/rate_control.py
+++ b/message_relay/decisions/rate_control.py
@@ -26,6 +26,7 @@
 THROTTLE_JITTER_MAX = 1.5  # highest jitter factor, so that relays do not resume at the same moment
 RETRY_MS = 120.0  # first backoff before a retry: about one round trip; doubles with each attempt
 RETRY_MAX_MS = 4000.0  # longest backoff: beyond it a message misses its latency objective anyway
+INITIAL_RATE = 0.5  # calls per second of each relay if the destination has no listed rate, until a refusal
 BURST_S, BURST = 1.0, 2.0  # size of the bucket: seconds of the rate, and at least this many calls
 FULL_TOKEN = 1 - 1e-9  # tokens that suffice for a call: a rounding error must not delay it by a tick
 UNTHROTTLED_RATE = 0.35  # calls per second that one relay may always make, unless refused recently
@@ -69,10 +70,10 @@
         """
         settings = self.settings
         total = destination.fleet_rate / (ROUGH_RATE_ERROR if settings.rates is Rates.ROUGH else 1.0)
+        initial = slow_start.initial_rate(settings, self._warm_rate(destination, total))
         if is_ejected or (
             destination.failing_since is not None and is_closed_for_long(destination, now, THROTTLE_MS)
         ):
-            initial = slow_start.initial_rate(settings, total)
             return initial / slow_start.estimate_senders(settings, now, destination), 1.0
         rate = destination.send_rate
         is_large_fleet = self.is_large_fleet
@@ -84,10 +85,19 @@
             remaining = (destination.throttled_until - now) / (THROTTLE_JITTER_MAX * destination.throttle_ms)
             rate = max(rate, equal_share * (1 - remaining))
         if now < destination.warming_since + settings.safety.warm_up_ms:
-            initial = slow_start.initial_rate(settings, total)
             return min(rate, slow_start.warming_rate(settings, now, destination, initial)), 1.0
         return rate, max(BURST, rate * BURST_S)
 
+    def _warm_rate(self, destination: DestinationState, total: float) -> float:
+        """Returns the calls per second of all relays that a destination can surely take when it is warm.
+
+        Without a listed rate `total` is only the highest rate that was tried, so what was delivered counts.
+        """
+        if destination.has_listed_rate:
+            return total
+        delivered = max(INITIAL_RATE, destination.delivered.highest) * self.settings.relays
+        return min(total, delivered)
+
     def next_send_times(
         self, now: float, destination: DestinationState, is_ejected: bool
     ) -> tuple[float, float]:
@@ -125,6 +135,7 @@
             max(FIRST_LATENCY_GAIN, 1 / (destination.response_count + 1)),
         )
         destination.last_success_at = now
+        destination.delivered.record_success(now, is_throttled=now < destination.throttled_until)
         destination.timeout_multiplier = 1.0
         destination.throttle_ms /= 2
         destination.failure_score *= 1 - FAILURE_WEIGHT
@@ -153,7 +164,9 @@
         else:
             gain = SLOW_INCREASE
         rate = destination.send_rate * (1 + gain)
-        if not destination.has_listed_rate:  # its limit is learned from successes and refusals alone
+        is_warming_up = now < destination.warming_since + self.settings.safety.warm_up_ms
+        # Without a listed rate the limit is learned, but not while the rate of slow start is the limit.
+        if not destination.has_listed_rate and not is_warming_up:
             destination.fleet_rate = max(destination.fleet_rate, rate * relays)
         fleet_rate = destination.fleet_rate
         destination.send_rate = min(fleet_rate, rate, max_part * fleet_rate / relays)
