Connections: one rests for 0.5 s after an answer, so that a second copy is no other's answer

Cause: a connection was used again at once, and a copy that crossed the next request was taken for its answer. The connection then stayed one answer behind. The agent's client did the same with lists and notices.

Change: a connection, to an endpoint or the agent, rests 0.5 s after an answer; what arrives meanwhile closes it.

--- a/message_relay/http/agent.py
+++ b/message_relay/http/agent.py
@@ -1,17 +1,25 @@
-"""Client of the platform's agent: one persistent connection, one request at a time, each with a timeout."""
+"""Client of the platform's agent: one request at a time, each with a timeout, on persistent connections.
+
+A connection rests after each response, as one to an endpoint does: a second copy of a list would undo later
+changes, and one of an acknowledgement would confirm notifications that the agent has not acknowledged.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import NamedTuple
 
 from ..config import Address
 from .connection import EndpointConnection
+from .connection_pool import ConnectionPool
 from .errors import AgentError, ConnectionLostError
 
 # Enough for a list of about 26,000 endpoints, which take 2 KB of memory each, of 192 MB, and block the loop
 # for half a second. A longer response is rejected, and the known list stays in use.
 ANSWER_BYTES = 4 << 20
+MAX_IDLE = 2  # connections of one client: one rests while the other carries a request
+POOL_KEY = (0, ("", 0))  # all connections of a pool lead to the same agent
 
 
 class AgentResponse(NamedTuple):
@@ -26,7 +34,8 @@
 
     def __init__(self, address: Address) -> None:
         self.address = address
-        self.connection: EndpointConnection | None = None
+        self.connection: EndpointConnection | None = None  # carries the current request
+        self.pool = ConnectionPool(math.inf, MAX_IDLE)
 
     async def request(self, method: str, target: str, body: bytes, timeout_s: float) -> AgentResponse:
         """Send one request and return its response. Raises AgentError.
@@ -35,11 +44,7 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                if self.connection is None or not self.connection.is_usable:
-                    self.connection = await EndpointConnection.open(self.address, ANSWER_BYTES)
-                host = f"{self.address[0]}:{self.address[1]}"
-                head, response_body = await self.connection.request(method, target, [("Host", host)], body)
-                return AgentResponse(head.status, response_body)
+                return await self._exchange(method, target, body)
         except TimeoutError as error:
             self.close()
             raise AgentError(f"no answer within {timeout_s:.1f} s") from error
@@ -47,8 +52,19 @@
             self.close()
             raise AgentError(str(error)) from error
 
+    async def _exchange(self, method: str, target: str, body: bytes) -> AgentResponse:
+        connection = self.pool.pop(POOL_KEY) or await EndpointConnection.open(self.address, ANSWER_BYTES)
+        self.connection = connection
+        try:
+            host = f"{self.address[0]}:{self.address[1]}"
+            head, response_body = await connection.request(method, target, [("Host", host)], body)
+            return AgentResponse(head.status, response_body)
+        finally:
+            self.connection = None
+            self.pool.add(POOL_KEY, connection)  # closed there unless the response is complete
+
     def close(self) -> None:
-        """Close the connection; the next request opens another."""
+        """Close all connections; the next request opens another."""
         if self.connection is not None:
             self.connection.close()
-            self.connection = None
+        self.pool.close()
--- a/message_relay/http/connection.py
+++ b/message_relay/http/connection.py
@@ -28,6 +28,9 @@
 # so many tiny chunks that they would block the loop.
 MAX_EVENTS_PER_TURN = 256
 MAX_INFORMATIONAL_HEADS = 256  # ahead of one response; only time would end an endless number of them
+# Something behind a response (a second copy of it, noise) may arrive so much later. Nothing in HTTP/1.1
+# distinguishes it from the response to a request sent meanwhile, so a connection rests for this time.
+REST_S = 0.5
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d (\d{3})(?: [^\r\n]*)?\r?\n")
 HEAD_END = re.compile(rb"\r?\n\r?\n")
 PLACEHOLDER_HEADERS = [("Host", "x")]  # h11 only needs to know that a request was sent
@@ -72,6 +75,12 @@
         """Whether it is open and between requests; unsolicited input closes it."""
         return self.transport is not None and not self.transport.is_closing() and not self.is_busy
 
+    @property
+    def is_rested(self) -> bool:
+        """Whether nothing that belongs to its latest response can still arrive."""
+        is_new = self.request_count == 0
+        return is_new or asyncio.get_running_loop().time() - self.idle_since >= REST_S
+
     @property
     def has_no_unread_input(self) -> bool:
         """Whether the socket has no unread input.
--- a/message_relay/http/connection_pool.py
+++ b/message_relay/http/connection_pool.py
@@ -1,4 +1,4 @@
-"""Pool of idle connections to endpoints."""
+"""Pool of idle connections to endpoints, or to the agent."""
 
 from __future__ import annotations
 
@@ -13,7 +13,8 @@
 class ConnectionPool:
     """Holds up to `max_idle` idle connections, each for less than `idle_s` seconds.
 
-    A connection that leaves the pool other than by `pop` is closed.
+    A connection that leaves the pool other than by `pop` is closed, and so is one on which something arrives.
+    One that has just received a response rests before it is used again (`EndpointConnection.is_rested`).
     """
 
     def __init__(self, idle_s: float, max_idle: int) -> None:
@@ -27,11 +28,14 @@
 
     def pop(self, key: EndpointKey) -> EndpointConnection | None:
         """Take out the most recently used connection to an endpoint that is reusable, if there is one."""
-        while connections := self.idle_by_endpoint.get(key):
-            connection = connections[-1]
+        for connection in reversed(self.idle_by_endpoint.get(key, []).copy()):
+            if self._is_reusable(connection):
+                if not connection.is_rested:
+                    continue
+                if connection.has_no_unread_input:
+                    self._remove(connection, key)
+                    return connection
             self._remove(connection, key)
-            if self._is_reusable(connection) and connection.has_no_unread_input:
-                return connection
             connection.close()
         return None
 
@@ -62,6 +66,11 @@
         for key in set(self.idle_by_endpoint) - listed:
             self._close_all(key)
 
+    def close(self) -> None:
+        """Close all connections."""
+        for key in list(self.idle_by_endpoint):
+            self._close_all(key)
+
     def endpoint_changed(self, key: EndpointKey, listed: bool) -> None:
         """Update one endpoint, without iterating over the others."""
         if self.listed_endpoints is None:
