Slots: an attempt whose connection is late holds none until its first byte

Cause: connections that rest mean more new ones, and where these come up late (up to 1.5 s) they held the relay's few slots, so that nothing else was sent. A slot is for a call that is out, and a call counts from its last byte.

Change: after 25 ms without a connection the transport tells the scheduler (AttemptConnecting), which gives the slot to another attempt; `may_write` takes one again before the first byte, or withholds the attempt, which is made again and does not count. As many attempts as there are slots may wait so; their descriptors are kept free of clients.

--- a/message_relay/composition.py
+++ b/message_relay/composition.py
@@ -107,7 +107,8 @@
     settings = config.settings
     max_idle = max(1, config.sockets // IDLE_DIVISOR)
     max_receiving = max(1, config.sockets // RECEIVING_DIVISOR)
-    max_clients = config.sockets - OWN_SOCKETS - settings.max_concurrent_attempts - max_idle - max_receiving
+    max_attempts = 2 * settings.max_concurrent_attempts  # as many may wait for late connections
+    max_clients = config.sockets - OWN_SOCKETS - max_attempts - max_idle - max_receiving
     client = EndpointClient(
         settings.idle_ms, settings.connect_timeout_ms, max_idle, max_receiving, settings.report_fields
     )
--- a/message_relay/core/attempt_runner.py
+++ b/message_relay/core/attempt_runner.py
@@ -10,7 +10,7 @@
 import logging
 from collections.abc import Callable
 
-from ..decisions.events import AttemptCompleted
+from ..decisions.events import AttemptCompleted, AttemptConnecting
 from ..decisions.model import Effect, Outcome
 from ..decisions.scheduler import DeliveryScheduler
 from ..store.records import JournalEntry
@@ -101,7 +101,7 @@
                     permit = CallPermit(self.call_policy, self._call_context(entry, known))
                 may_write = self._write_gate(number, entry, known, permit)
                 if await self._wait_until_durable(may_write, until_ms):
-                    attempt = self._attempt(endpoint, known, entry, until_ms, may_write, permit)
+                    attempt = self._attempt(number, endpoint, known, entry, until_ms, may_write, permit)
                     result = await self.transport.attempt(attempt)
         except asyncio.CancelledError:
             result = AttemptResult(Outcome.CANCELLED)  # by the scheduler, or at the end of the process
@@ -127,6 +127,7 @@
 
     def _attempt(
         self,
+        number: int,
         endpoint: int,
         known: KnownEndpoint,
         entry: JournalEntry,
@@ -145,6 +146,7 @@
             ambiguity_is_final=self.messages.effect(entry) is Effect.UNSAFE,
             policy_label=None if permit is None else permit.policy_label,
             kind=known.kind,
+            on_late_connection=lambda: self.driver.feed(AttemptConnecting(number)),
         )
 
     async def _wait_until_current(
--- a/message_relay/core/ports.py
+++ b/message_relay/core/ports.py
@@ -206,6 +206,7 @@
     ambiguity_is_final: bool = False  # an ambiguous outcome would be final, as the message may not be retried
     policy_label: Callable[[], str] | None = None  # label of the rules that allow it; None without rules
     kind: str = ""  # kind of the endpoint, as listed
+    on_late_connection: Callable[[], None] = lambda: None  # called while a connection takes long to establish
 
 
 @dataclass(frozen=True, slots=True)
--- a/message_relay/decisions/dispatch.py
+++ b/message_relay/decisions/dispatch.py
@@ -47,12 +47,40 @@
         self.rate_controller = guard.rate_controller
         self.pending = guard.pending
         self.index = index
-        self.in_flight = 0
+        self.in_flight = 0  # attempts that hold a slot
+        self.connecting = 0  # attempts that hold none, as their connections are late; no more than slots
 
     def has_free_slot(self) -> bool:
         """Returns whether another attempt may be started."""
         return self.in_flight < self.rate_controller.settings.max_concurrent_attempts
 
+    def suspend_slot(self, entry: PendingMessage) -> None:
+        """Takes back the slot of an attempt whose connection is late, so that another can use it."""
+        slots = self.rate_controller.settings.max_concurrent_attempts
+        if entry.in_flight_on is None or entry.is_written or not entry.holds_slot or self.connecting >= slots:
+            return
+        entry.holds_slot = False
+        self.in_flight -= 1
+        self.connecting += 1
+
+    def acquire_slot(self, entry: PendingMessage) -> bool:
+        """Returns whether an attempt may be written: it holds a slot, or gets one that is free."""
+        if not entry.holds_slot:
+            if not self.has_free_slot():
+                return False
+            entry.holds_slot = True
+            self.connecting -= 1
+            self.in_flight += 1
+        entry.is_written = True
+        return True
+
+    def release_slot(self, entry: PendingMessage) -> None:
+        """Notes that an attempt has ended."""
+        if entry.holds_slot:
+            self.in_flight -= 1
+        else:
+            self.connecting -= 1
+
     def dispatch(self, now: float, actions: list[Action]) -> None:
         """Sends the messages of highest gain per slot time; scans only queues that are due."""
         slots = self.rate_controller.settings.max_concurrent_attempts
@@ -193,6 +221,8 @@
         self.pending.request_scan(entry.message.destination)
         entry.in_flight_on = state
         entry.sent_at = now
+        entry.holds_slot = True
+        entry.is_written = False
         entry.attempts += 1
         state.in_flight += 1
         destination.in_flight[entry.message.id] = entry
--- a/message_relay/decisions/events.py
+++ b/message_relay/decisions/events.py
@@ -52,6 +52,13 @@
     was_withheld: bool = False  # with Outcome.NOT_SENT: nothing was written, so it counts as no attempt
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptConnecting:
+    """The connection of an attempt in flight is late: the attempt holds no slot until it is established."""
+
+    id: int
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeCompleted:
     """The outcome of a health check."""
@@ -111,6 +118,7 @@
     EndpointList,
     Message,
     AttemptCompleted,
+    AttemptConnecting,
     ProbeCompleted,
     MessageCancelled,
     TimerFired,
--- a/message_relay/decisions/pending.py
+++ b/message_relay/decisions/pending.py
@@ -51,6 +51,8 @@
     attempts: int = 0
     in_flight_on: EndpointState | None = None
     sent_at: float = 0.0
+    holds_slot: bool = False
+    is_written: bool = False  # the attempt in flight was allowed to write its first byte
     first_uncertain_at: float | None = None  # send time of the first attempt that may have run
     uncertain_endpoint: Endpoint | None = None  # endpoint of that attempt
     is_cancelled: bool = False
--- a/message_relay/decisions/scheduler.py
+++ b/message_relay/decisions/scheduler.py
@@ -17,6 +17,7 @@
 from .endpoint_registry import EndpointRegistry
 from .events import (
     AttemptCompleted,
+    AttemptConnecting,
     EndpointList,
     Event,
     Message,
@@ -74,7 +75,7 @@
     @property
     def in_flight(self) -> int:
         """The number of attempts in flight."""
-        return self.dispatcher.in_flight
+        return self.dispatcher.in_flight + self.dispatcher.connecting
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
         """Applies events that have happened up to `now_ms`; returns the actions to carry out, in order."""
@@ -94,7 +95,9 @@
 
     def may_write(self, now: float, message_id: int) -> bool:
         """Returns whether a call's first byte may be written now; called right before writing it."""
-        return self.guard.may_write(now, message_id)
+        if not self.guard.may_write(now, message_id):
+            return False
+        return self.dispatcher.acquire_slot(self.pending.by_id[message_id])
 
     def rejection_delay_ms(self, now: float, message: Message, pending_count: int) -> float | None:
         """Returns the Retry-After in milliseconds if a submission must be rejected, else None."""
@@ -110,6 +113,8 @@
                 self._accept(now, event)
             case AttemptCompleted():
                 self._on_attempt_completed(now, event)
+            case AttemptConnecting():
+                self._on_attempt_connecting(event.id)
             case EndpointList():
                 self.registry.apply_list(now, event)
             case RestoredDestination():
@@ -185,9 +190,14 @@
         else:
             self._enqueue(now, entry)
 
+    def _on_attempt_connecting(self, message_id: int) -> None:
+        entry = self.pending.by_id.get(message_id)
+        if entry is not None:
+            self.dispatcher.suspend_slot(entry)
+
     def _release_slot(self, entry: PendingMessage, state: EndpointState) -> None:
         entry.in_flight_on = None
-        self.dispatcher.in_flight -= 1
+        self.dispatcher.release_slot(entry)
         state.in_flight -= 1
         state.destination.in_flight.pop(entry.message.id, None)
         self.pending.request_scan(entry.message.destination)
--- a/message_relay/http/endpoint_client.py
+++ b/message_relay/http/endpoint_client.py
@@ -26,6 +26,7 @@
 UNSAFE_WITHHOLD_S = 0.025
 # The same for other attempts, after a connection broke recently; most closes arrive within this time.
 WITHHOLD_S = 0.005
+LATE_CONNECTION_S = 0.025  # far longer than a connection takes unless its endpoint or the network is slow
 BREAK_MEMORY_S = 10.0  # how long WITHHOLD_S applies after an idle connection broke
 
 
@@ -186,8 +187,13 @@
         self.pool.retain_only(set())
 
     async def _connect(self, attempt: Attempt) -> EndpointConnection:
-        async with asyncio.timeout(self.connect_timeout_s):
-            connection = await EndpointConnection.open(attempt.address, MAX_BODY_BYTES)
+        loop = asyncio.get_running_loop()
+        late = loop.call_later(LATE_CONNECTION_S, attempt.on_late_connection)
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                connection = await EndpointConnection.open(attempt.address, MAX_BODY_BYTES)
+        finally:
+            late.cancel()
         connection.endpoint_kind = attempt.kind
         return connection
 
--- a/tests/http/test_late_connections.py
+++ b/tests/http/test_late_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from fakes.endpoint import unanswering_listener
 from message_relay.core.ports import Attempt, AttemptResult
@@ -13,7 +14,8 @@
 from message_relay.http.endpoint_client import EndpointClient
 
 from ..conftest import SAFE, Driver, make_settings
-from ..loopback import OK, Server, run
+from ..loopback import OK, Server, run, until
+from .harness import make_attempt
 
 RELAYS = 20
 WITHHELD = {"outcome": Outcome.NOT_SENT, "was_withheld": True}
@@ -107,3 +109,27 @@
         server.server.close()
 
     run(work())
+
+
+def test_transport_tells_while_a_connection_is_late() -> None:
+    """So that its attempt leaves its slot to others."""
+
+    async def work() -> None:
+        unresponsive, server = unanswering_listener(("127.0.0.1", 0)), await Server().start()
+        client = EndpointClient(10_000.0, 20_000.0, 8)
+        told: list[tuple[str, int]] = []
+
+        async def attempt(address: tuple[str, int]) -> AttemptResult:
+            made = make_attempt(address)
+            return await client.attempt(replace(made, on_late_connection=lambda: told.append(address)))
+
+        late = asyncio.ensure_future(attempt(unresponsive[0].getsockname()))
+        await until(lambda: bool(told))
+        assert told == [unresponsive[0].getsockname()]
+        late.cancel()
+        assert (await attempt(server.address)).outcome is Outcome.OK
+        for sock in unresponsive:
+            sock.close()
+        client.close()
+
+    run(work())
