--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,20 @@
 import time
 from pathlib import Path
 
-from rig import ROOT, TROUBLE, Agent, CannotRun, Endpoint, Record, Relay, Request, entry, main, response, settings
+from rig import (
+    ROOT,
+    TROUBLE,
+    Agent,
+    CannotRunError,
+    Endpoint,
+    Record,
+    Relay,
+    Request,
+    entry,
+    main,
+    response,
+    settings,
+)
 
 sys.path.insert(0, str(ROOT))
 try:
@@ -66,7 +79,7 @@
     give_up = time.monotonic() + 10
     while not queue.consumers:
         if time.monotonic() > give_up:
-            raise CannotRun(f"the relay does not consume: {relay.log()[-400:]}")
+            raise CannotRunError(f"the relay does not consume: {relay.log()[-400:]}")
         await asyncio.sleep(0.05)
 
     published = 0
@@ -74,7 +87,10 @@
     def publish() -> None:
         nonlocal published
         properties = commands.Basic.Properties(
-            message_id=f"pay-{published}", message_type="plata", delivery_mode=2, reply_to="answers",
+            message_id=f"pay-{published}",
+            message_type="plata",
+            delivery_mode=2,
+            reply_to="answers",
             headers={"destination": "3", "tenant": "dir-consular", "idempotency-key": f"key-{published}"},
         )
         record("published", f"pay-{published}", "plata dest=3")
@@ -88,13 +104,17 @@
         publish()
     await asyncio.sleep(0.01)
     if TROUBLE:
-        record("the broker's machine is cut off; deliveries without an ack:",
-               sum(len(c.unacked) for s in broker.sessions for c in s.channels.values()))
+        record(
+            "the broker's machine is cut off; deliveries without an ack:",
+            sum(len(c.unacked) for s in broker.sessions for c in s.channels.values()),
+        )
         broker.unresponsive, broker.sends_heartbeats = True, False
     await asyncio.sleep(SILENT_S)
     if TROUBLE:
         broker.unresponsive, broker.sends_heartbeats = False, True
-        record("the broker's machine is back; it resets the old connections, and delivers again what has no ack")
+        record(
+            "the broker's machine is back; it resets the old connections, and delivers again what has no ack"
+        )
         for session in list(broker.sessions):
             session.transport.abort()
     for _ in range(5):
@@ -108,7 +128,11 @@
     server.close()
     for s in (endpoint, agent):
         await s.close()
-    return [f"{t}: plata ran {len(at)} times, {at[-1] - at[0]:.1f} s apart" for t, at in runs.items() if len(at) > 1]
+    return [
+        f"{t}: plata ran {len(at)} times, {at[-1] - at[0]:.1f} s apart"
+        for t, at in runs.items()
+        if len(at) > 1
+    ]
 
 
 main(play)
--- a/review/6/rig.py
+++ b/review/6/rig.py
@@ -32,7 +32,7 @@
 STARTED = time.monotonic()
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case could not be played; says nothing of the rule."""
 
 
@@ -52,31 +52,84 @@
         "az": 0,
         "balancers": 2,
         "classes": [
-            {"name": "comanda", "effect": "by_key", "dedup-scope": "all", "aim-ms": 4000.0,
-             "deadline-ms": 16000.0, "window-ms": 4000.0, "worth": 2.0, "late-share": 0.5, "stream": False},
-            {"name": "plata", "effect": "once", "dedup-scope": "all", "aim-ms": 3000.0,
-             "deadline-ms": 16000.0, "window-ms": 5000.0, "worth": 1.0, "late-share": 0.5, "stream": False},
-            {"name": "stare-lucrare", "effect": "repeatable", "dedup-scope": "all", "aim-ms": 1500.0,
-             "deadline-ms": 8000.0, "window-ms": 5000.0, "worth": 4.0, "late-share": 0.1, "stream": False},
+            {
+                "name": "comanda",
+                "effect": "by_key",
+                "dedup-scope": "all",
+                "aim-ms": 4000.0,
+                "deadline-ms": 16000.0,
+                "window-ms": 4000.0,
+                "worth": 2.0,
+                "late-share": 0.5,
+                "stream": False,
+            },
+            {
+                "name": "plata",
+                "effect": "once",
+                "dedup-scope": "all",
+                "aim-ms": 3000.0,
+                "deadline-ms": 16000.0,
+                "window-ms": 5000.0,
+                "worth": 1.0,
+                "late-share": 0.5,
+                "stream": False,
+            },
+            {
+                "name": "stare-lucrare",
+                "effect": "repeatable",
+                "dedup-scope": "all",
+                "aim-ms": 1500.0,
+                "deadline-ms": 8000.0,
+                "window-ms": 5000.0,
+                "worth": 4.0,
+                "late-share": 0.1,
+                "stream": False,
+            },
         ],
         "client-habits": {"marks-retry": True},
-        "extra": {"call-slots": 10, "carriage": [0.0], "loses-worth": "halves", "per-call": [1, 1],
-                  "separate-routes": [False, False], "turned-away-price": 0.0},
+        "extra": {
+            "call-slots": 10,
+            "carriage": [0.0],
+            "loses-worth": "halves",
+            "per-call": [1, 1],
+            "separate-routes": [False, False],
+            "turned-away-price": 0.0,
+        },
         "feedback": {"fields": [], "how": "silent"},
         "goal": {"whole": 0.4, "worst-class": 0.2, "worst-tenant": 0.1, "worst-window": 0.3},
         "index": 0,
         "kinds": ["firma-mare", "birou-mic"],
-        "limits": {"cancelling": True, "conn-idle-ms": 10000.0, "connect-timeout-ms": 1500.0,
-                   "cpu-us-per-request": 0.0, "cpu-us-per-s": 500000, "max-retry-after-ms": 3000.0,
-                   "open-cap": 210, "peers": False, "probing": False, "retry-after": False,
-                   "second-copies": False, "streams-per-conn": 1, "try-limit": 8},
-        "orgs": [{"fraction": 0.45, "name": "dir-consular", "quota-per-s": 19.0},
-                 {"fraction": 0.44, "name": "dir-juridic", "quota-per-s": 19.0},
-                 {"fraction": 0.11, "name": "dir-educatie", "quota-per-s": 5.0}],
+        "limits": {
+            "cancelling": True,
+            "conn-idle-ms": 10000.0,
+            "connect-timeout-ms": 1500.0,
+            "cpu-us-per-request": 0.0,
+            "cpu-us-per-s": 500000,
+            "max-retry-after-ms": 3000.0,
+            "open-cap": 210,
+            "peers": False,
+            "probing": False,
+            "retry-after": False,
+            "second-copies": False,
+            "streams-per-conn": 1,
+            "try-limit": 8,
+        },
+        "orgs": [
+            {"fraction": 0.45, "name": "dir-consular", "quota-per-s": 19.0},
+            {"fraction": 0.44, "name": "dir-juridic", "quota-per-s": 19.0},
+            {"fraction": 0.11, "name": "dir-educatie", "quota-per-s": 5.0},
+        ],
         "over-share-worth": 0.1,
         "registry-mode": "push",
-        "safety": {"answer-slack-ms": 20.0, "ask-within-ms": 10000.0, "cold-from": 0.18, "cold-ms": 11000.0,
-                   "drain-grace-ms": 250.0, "fall-ms": 1500.0, "fall-multiple": 2.0},
+        "safety": {
+            "answer-slack-ms": 20.0,
+            "ask-within-ms": 10000.0,
+            "cold-from": 0.18,
+            "cold-ms": 11000.0,
+            "drain-grace-ms": 250.0,
+            "fall-ms": 1500.0,
+            "fall-multiple": 2.0,
+        },
         "service-type": "deliver",
         "tick-ms": 5.0,
         "tier": 0,
@@ -93,9 +146,16 @@
 
 def entry(name: str, port: int, cell: int, weight: float = 20.0, lifecycle: str = "ready") -> dict[str, Any]:
     """One entry of discovery's list."""
-    return {"instanceId": name, "hostPort": f"{HOST}:{port}", "zone": "bucuresti-1",
-            "machineType": "birou-mic", "cell": cell, "lifecycle": lifecycle, "weight": weight,
-            "startedAtMs": 0}
+    return {
+        "instanceId": name,
+        "hostPort": f"{HOST}:{port}",
+        "zone": "bucuresti-1",
+        "machineType": "birou-mic",
+        "cell": cell,
+        "lifecycle": lifecycle,
+        "weight": weight,
+        "startedAtMs": 0,
+    }
 
 
 def free_port() -> int:
@@ -273,12 +333,19 @@
         self.answers: dict[str, Answer] = {}
 
     async def submit(
-        self, trace: str, cls: str, dest: int, expires_ms: int, body: bytes = b"x", tenant: str = "dir-consular"
+        self,
+        trace: str,
+        cls: str,
+        dest: int,
+        expires_ms: int,
+        body: bytes = b"x",
+        tenant: str = "dir-consular",
     ) -> Answer:
         head = (
             f"POST /{cls} HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: {trace}\r\nX-Qos: {cls}\r\n"
             f"X-Customer: {tenant}\r\nX-Expires-In-Ms: {expires_ms}\r\n"
-            f"Idempotency-Key: key-{trace}\r\nX-Addressing: dest={dest}\r\nContent-Length: {len(body)}\r\n\r\n"
+            f"Idempotency-Key: key-{trace}\r\nX-Addressing: dest={dest}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
         ).encode()
         sent_at = time.monotonic()
         status = 0
@@ -335,9 +402,13 @@
         self.state.mkdir()
         self.config_path = folder / "config.json"
         self.config = {
-            "name": "n1", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{agent.port}",
+            "name": "n1",
+            "listen": f"{HOST}:{self.port}",
+            "discovery": f"{HOST}:{agent.port}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
-            "known": agent.listing(), "state": str(self.state), **config,
+            "known": agent.listing(),
+            "state": str(self.state),
+            **config,
         }
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
@@ -354,19 +425,28 @@
         self.write_config()
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         environment = {
-            **os.environ, "RELAY_NAME": "n1", "RELAY_CONFIG": str(self.config_path),
-            "RELAY_LISTEN": self.config["listen"], "RELAY_STATE": str(self.state),
+            **os.environ,
+            "RELAY_NAME": "n1",
+            "RELAY_CONFIG": str(self.config_path),
+            "RELAY_LISTEN": self.config["listen"],
+            "RELAY_STATE": str(self.state),
         }
         with open(self.folder / "log.txt", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdout=log, stderr=log,
+                "/bin/sh",
+                "-c",
+                run,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
                 stdin=asyncio.subprocess.DEVNULL,
             )
         self.record("relay started")
         give_up = time.monotonic() + 30
         while time.monotonic() < give_up:
             if self.process.returncode is not None:
-                raise CannotRun(f"the relay ended with {self.process.returncode}: {self.log()[-500:]}")
+                raise CannotRunError(f"the relay ended with {self.process.returncode}: {self.log()[-500:]}")
             try:
                 reader, writer = await asyncio.open_connection(HOST, self.port)
                 writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
@@ -378,7 +458,7 @@
             except OSError:
                 pass
             await asyncio.sleep(0.02)
-        raise CannotRun("the relay is not ready after 30 s")
+        raise CannotRunError("the relay is not ready after 30 s")
 
     def send(self, number: signal.Signals) -> None:
         assert self.process is not None
