AMQP protocol: its events have a module of their own

Change: the types move to amqp/events.py unchanged, with docstrings where they had none; importers follow. Two constants that were used nowhere are gone (MAX_CONTENT_HEADER_BYTES, the fake broker's MAX_QUEUE_BYTES).

--- a/fakes/amqp_broker.py
+++ b/fakes/amqp_broker.py
@@ -42,7 +42,6 @@
 from .serving import address, arguments, serve
 
 FRAME_MAX, CHANNEL_MAX = 131_072, 2047
-MAX_QUEUE_BYTES = 64 * 1024 * 1024  # in one queue
 FAULT_NAMES = (
     "drop",
     "nack",
--- a/message_relay/amqp/connection.py
+++ b/message_relay/amqp/connection.py
@@ -13,8 +13,9 @@
 from pamqp import commands
 
 from ..structured_logging import LogEvent
-from . import protocol
-from .protocol import ConnectionProtocol, Login, Publish, PublishStatus
+from . import events
+from .events import Publish, PublishStatus
+from .protocol import ConnectionProtocol, Login, State
 
 log = logging.getLogger(__name__)
 
@@ -28,7 +29,7 @@
 
     def on_channel_ready(self, channel: int) -> None: ...
 
-    def on_delivery(self, delivery: protocol.Delivered) -> None: ...
+    def on_delivery(self, delivery: events.Delivered) -> None: ...
 
     def on_consumer_closed(self, reason: str) -> None:
         """Called once, when the consumer, its channel or the connection has ended."""
@@ -100,37 +101,37 @@
 
     # -- events of the state machine ---------------------------------------------------------------------
 
-    def _handle_events(self, events: list[protocol.Event]) -> None:
-        for event in events:
+    def _handle_events(self, received: list[events.Event]) -> None:
+        for event in received:
             match event:
-                case protocol.Opened():
+                case events.Opened():
                     self.machine.open_channel()
-                case protocol.ChannelReady(channel) if channel in self.consumers:
+                case events.ChannelReady(channel) if channel in self.consumers:
                     self.consumers[channel].on_channel_ready(channel)
-                case protocol.Delivered(channel) if channel in self.consumers:
+                case events.Delivered(channel) if channel in self.consumers:
                     self.consumers[channel].on_delivery(event)
-                case protocol.ConsumerCancelled(channel) if channel in self.consumers:
+                case events.ConsumerCancelled(channel) if channel in self.consumers:
                     consumer = self.consumers[channel]
                     self.close_consumer(channel)
                     consumer.on_consumer_closed("the broker cancelled the consumer")
-                case protocol.AcksProcessed(channel, tags):
+                case events.AcksProcessed(channel, tags):
                     for tag in tags:
                         self.ack_callbacks.pop((channel, tag))()
-                case protocol.ChannelClosed(channel, _, text) if channel in self.consumers:
+                case events.ChannelClosed(channel, _, text) if channel in self.consumers:
                     self._forget_acks(channel)
                     self.consumers.pop(channel).on_consumer_closed(f"the broker closed the channel: {text}")
-                case protocol.ChannelClosed(channel) if channel in self.closing_channels:
+                case events.ChannelClosed(channel) if channel in self.closing_channels:
                     self._forget_acks(channel)
                     self.closing_channels.discard(channel)
-                case protocol.ChannelReady(channel):
+                case events.ChannelReady(channel):
                     if self.publish_channel.done():
                         self.publish_channel = self.loop.create_future()
                     self.publish_channel.set_result(channel)
-                case protocol.ChannelClosed():  # by the broker, for one invalid publish: open a new channel
+                case events.ChannelClosed():  # by the broker, for one invalid publish: open a new channel
                     self.publish_channel = self.loop.create_future()
-                    if self.machine.state is protocol.State.OPEN:
+                    if self.machine.state is State.OPEN:
                         self.machine.open_channel()
-                case protocol.PublishSettled(publish, late):
+                case events.PublishSettled(publish, late):
                     future = self.confirmations.pop(publish, None)
                     if future is not None and not future.done():
                         future.set_result(publish.status)
@@ -140,7 +141,7 @@
                         PublishStatus.RETURNED,
                     ):
                         self.on_late_confirm(publish)
-                case protocol.ConnectionClosed(reason):
+                case events.ConnectionClosed(reason):
                     self._on_connection_closed(reason)
                 case _:
                     pass
--- a/message_relay/amqp/intake.py
+++ b/message_relay/amqp/intake.py
@@ -40,7 +40,8 @@
 from ..core.tasks import BackgroundTasks
 from ..structured_logging import LogEvent
 from .connection import BrokerConnection, NotConnectedError
-from .protocol import Delivered, ProtocolUsageError, PublishStatus
+from .events import Delivered, PublishStatus
+from .protocol import ProtocolUsageError
 from .reconnect_policy import ReconnectPolicy
 from .settings import QueueSettings
 from .transport import Broker
--- a/message_relay/amqp/protocol.py
+++ b/message_relay/amqp/protocol.py
@@ -49,6 +49,22 @@
 from pamqp import base, body, commands, header, heartbeat
 
 from .ack_tracker import AckTracker
+from .events import (
+    AcksProcessed,
+    Blocked,
+    ChannelClosed,
+    ChannelReady,
+    ConnectionClosed,
+    ConsumerCancelled,
+    ConsumerStarted,
+    Delivered,
+    Event,
+    Flow,
+    Opened,
+    Publish,
+    PublishSettled,
+    PublishStatus,
+)
 from .frames import MIN_FRAME_BYTES, Frame, FrameError, FrameReader, encode_content, encode_frame
 
 PROTOCOL_HEADER = b"AMQP\x00\x00\x09\x01"
@@ -56,7 +72,6 @@
 CHANNEL_MAX = 64  # requested from the broker; only a few are used
 MAX_UNCONFIRMED = 1024  # unconfirmed publishes of one channel, including those given up
 MAX_CONTENT_BYTES = 64 * 1024  # a longer delivery is skipped, and reported with its size only
-MAX_CONTENT_HEADER_BYTES = 16 * 1024  # of a content header frame
 DEAD_AFTER_HEARTBEATS = 2.0  # heartbeat intervals without a byte after which the broker is dead (4.2.7)
 
 
@@ -70,130 +85,6 @@
     OPENING, SETTING, READY, CLOSING, CLOSED = range(5)
 
 
-class PublishStatus(Enum):
-    """What is known of a publish: whether the broker has routed it."""
-
-    OUT = "out"
-    ACKED = "acked"
-    NACKED = "nacked"
-    RETURNED = "returned"  # not routed to any queue
-    UNWRITTEN = "unwritten"  # its last byte was never written: it has had no effect
-    LOST = "lost"  # it may have had an effect
-
-
-@dataclass(eq=False, slots=True)
-class Publish:
-    channel: int
-    tag: int
-    message_id: str
-    end_offset: int  # offset behind its last byte among all bytes that the connection has produced
-    status: PublishStatus = PublishStatus.OUT
-    given_up: bool = False
-    reason: str = ""
-
-
-# -- events ------------------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class Opened:
-    heartbeat_s: float
-    frame_max: int
-
-
-@dataclass(frozen=True, slots=True)
-class ChannelReady:
-    channel: int
-
-
-@dataclass(frozen=True, slots=True)
-class PublishSettled:
-    """A publish has its final status; `late`: it was given up before."""
-
-    publish: Publish
-    late: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Delivered:
-    channel: int
-    consumer: str
-    tag: int
-    redelivered: bool
-    routing_key: str
-    properties: commands.Basic.Properties
-    body: bytes
-    skipped_bytes: int = 0  # announced size of a body that was too long to keep; else 0
-
-
-@dataclass(frozen=True, slots=True)
-class AcksProcessed:
-    """The broker has processed these tracked acks: it will not deliver their messages again."""
-
-    channel: int
-    tags: tuple[int, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class ConsumerStarted:
-    channel: int
-    consumer: str
-
-
-@dataclass(frozen=True, slots=True)
-class ConsumerCancelled:
-    """The broker has cancelled a consumer, for example because its queue was deleted."""
-
-    channel: int
-    consumer: str
-
-
-@dataclass(frozen=True, slots=True)
-class Blocked:
-    blocked: bool
-    reason: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Flow:
-    channel: int
-    active: bool
-
-
-@dataclass(frozen=True, slots=True)
-class ChannelClosed:
-    channel: int
-    code: int
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class ConnectionClosed:
-    """The connection has ended; every unconfirmed publish has been reported as settled before."""
-
-    reason: str
-    code: int = 0
-    orderly: bool = False
-
-
-Event = (
-    Opened
-    | ChannelReady
-    | PublishSettled
-    | Delivered
-    | AcksProcessed
-    | ConsumerStarted
-    | ConsumerCancelled
-    | Blocked
-    | Flow
-    | ChannelClosed
-    | ConnectionClosed
-)
-
-
-# -- a channel ---------------------------------------------------------------------------------------------
-
-
 @dataclass(slots=True)
 class PartialContent:
     """A method that carries content, and the part of that content received so far."""
--- a/message_relay/amqp/transport.py
+++ b/message_relay/amqp/transport.py
@@ -25,7 +25,8 @@
 from ..decisions.model import Outcome
 from ..structured_logging import LogEvent
 from .connection import BrokerConnection, NotConnectedError
-from .protocol import Login, Publish, PublishStatus
+from .events import Publish, PublishStatus
+from .protocol import Login
 from .reconnect_policy import ReconnectPolicy
 from .settings import (
     ADDRESS_PREFIX,
--- a/tests/amqp/peer.py
+++ b/tests/amqp/peer.py
@@ -4,7 +4,8 @@
 
 from pamqp import base, body, commands, frame, header
 
-from message_relay.amqp.protocol import ConnectionProtocol, Event, Login
+from message_relay.amqp.events import Event
+from message_relay.amqp.protocol import ConnectionProtocol, Login
 
 Properties = commands.Basic.Properties
 
--- a/tests/amqp/test_delivery.py
+++ b/tests/amqp/test_delivery.py
@@ -180,7 +180,7 @@
 
 
 def test_outcome_of_a_nack_follows_the_setting() -> None:
-    from message_relay.amqp.protocol import PublishStatus
+    from message_relay.amqp.events import PublishStatus
 
     never = EndpointSettings("a", 1, "b", "q", nack="never_ran")
     assert attempt_result(PublishStatus.NACKED, never).outcome is Outcome.FULL
--- a/tests/amqp/test_intake.py
+++ b/tests/amqp/test_intake.py
@@ -16,7 +16,7 @@
 
 from fakes.amqp_broker import Broker, Faults, Message, Queue
 from message_relay.amqp import intake
-from message_relay.amqp.protocol import Delivered
+from message_relay.amqp.events import Delivered
 from message_relay.amqp.settings import AmqpSettings, BrokerSettings, EndpointSettings, QueueSettings
 
 from ..loopback import PATIENCE_S, Agent, Running, host_of, run, until
--- a/tests/amqp/test_machine.py
+++ b/tests/amqp/test_machine.py
@@ -11,8 +11,23 @@
 from pamqp import base, body, commands, frame, header
 
 from message_relay.amqp import protocol
+from message_relay.amqp.events import (
+    AcksProcessed,
+    Blocked,
+    ChannelClosed,
+    ConnectionClosed,
+    ConsumerCancelled,
+    ConsumerStarted,
+    Delivered,
+    Event,
+    Flow,
+    Opened,
+    Publish,
+    PublishSettled,
+    PublishStatus,
+)
 from message_relay.amqp.frames import FrameError, FrameReader
-from message_relay.amqp.protocol import ConnectionProtocol, Login, PublishStatus, State
+from message_relay.amqp.protocol import ConnectionProtocol, Login, State
 
 from .peer import (
     START,
@@ -29,20 +44,18 @@
 EncodedFrame = Callable[[int], bytes]
 
 
-def publish(
-    machine: ConnectionProtocol, message_id: str, size: int = 10, write: bool = True
-) -> protocol.Publish:
+def publish(machine: ConnectionProtocol, message_id: str, size: int = 10, write: bool = True) -> Publish:
     publish_ = machine.publish(1, message_id, "", "q", b"x" * size, Properties(message_id=message_id))
     if write:
         machine.mark_written(len(machine.data_to_send(0.0)))
     return publish_
 
 
-def statuses(events: list[protocol.Event]) -> dict[str, PublishStatus]:
+def statuses(events: list[Event]) -> dict[str, PublishStatus]:
     return {
         event.publish.message_id: event.publish.status
         for event in events
-        if isinstance(event, protocol.PublishSettled)
+        if isinstance(event, PublishSettled)
     }
 
 
@@ -50,7 +63,7 @@
     machine = ConnectionProtocol(Login(heartbeat_s=20), 0.0)
     assert machine.data_to_send(0.0) == b"AMQP\x00\x00\x09\x01"
     events = feed(machine, START + tune(8192, 7, 5) + encode_method(commands.Connection.OpenOk()))
-    assert events == [protocol.Opened(7.0, 8192)] and machine.state is State.OPEN and machine.channel_max == 5
+    assert events == [Opened(7.0, 8192)] and machine.state is State.OPEN and machine.channel_max == 5
     for _ in range(5):
         machine.open_channel()
     with pytest.raises(protocol.ProtocolUsageError, match="all 5 channels"):
@@ -85,7 +98,7 @@
     machine = ConnectionProtocol(Login(), 0.0)
     events = feed(machine, data)
     assert (
-        isinstance(events[-1], protocol.ConnectionClosed)
+        isinstance(events[-1], ConnectionClosed)
         and text in events[-1].reason
         and machine.state is State.BROKEN
     )
@@ -129,7 +142,10 @@
     machine.give_up(first)
     assert machine.unconfirmed == 1
     events = feed(machine, encode_method(Ack(2, True), 1))
-    assert events == [protocol.PublishSettled(first, True), protocol.PublishSettled(second, False)]
+    assert events == [
+        PublishSettled(first, True),
+        PublishSettled(second, False),
+    ]
 
 
 def test_return_settles_a_publish_and_the_ack_after_it_only_removes_the_tag() -> None:
@@ -181,9 +197,7 @@
     other = machine.publish(2, "o1", "", "q", b"", Properties(message_id="o1"))
     machine.mark_written(len(machine.data_to_send(0.0)))
     events = feed(machine, encode_method(commands.Channel.Close(404, "NOT_FOUND", 60, 40), 1))
-    assert statuses(events) == {"m1": PublishStatus.LOST} and events[-1] == protocol.ChannelClosed(
-        1, 404, "NOT_FOUND"
-    )
+    assert statuses(events) == {"m1": PublishStatus.LOST} and events[-1] == ChannelClosed(1, 404, "NOT_FOUND")
     assert (
         statuses(feed(machine, encode_method(Ack(1, False), 2))) == {"o1": PublishStatus.ACKED}
         and other.status is PublishStatus.ACKED
@@ -206,7 +220,7 @@
     machine.close()
     machine.close()
     events = feed(machine, encode_method(Ack(1, False), 1) + encode_method(commands.Connection.CloseOk()))
-    assert events == [protocol.ConnectionClosed("closed", 0, True)] and machine.state is State.CLOSED
+    assert events == [ConnectionClosed("closed", 0, True)] and machine.state is State.CLOSED
 
 
 def test_connection_close_by_the_broker_is_answered_and_settles_publishes_as_lost() -> None:
@@ -216,7 +230,7 @@
         encode_method(commands.Connection.Close(320, "CONNECTION_FORCED", 0, 0)), 1.0
     )
     assert statuses(events) == {"m1": PublishStatus.LOST}
-    assert events[-1] == protocol.ConnectionClosed("closed by the broker: CONNECTION_FORCED", 320)
+    assert events[-1] == ConnectionClosed("closed by the broker: CONNECTION_FORCED", 320)
     assert machine.data_to_send(1.0) == encode_method(commands.Connection.CloseOk())
 
 
@@ -227,9 +241,9 @@
     with pytest.raises(protocol.ProtocolUsageError, match="does not accept a publish now"):
         publish(machine, "m1")
     assert feed(machine, encode_method(commands.Connection.Unblocked())) == [
-        protocol.Blocked(False)
+        Blocked(False)
     ] and machine.may_publish(1)
-    assert feed(machine, encode_method(commands.Channel.Flow(False), 1)) == [protocol.Flow(1, False)]
+    assert feed(machine, encode_method(commands.Channel.Flow(False), 1)) == [Flow(1, False)]
     assert not machine.may_publish(1)
     feed(machine, encode_method(commands.Channel.Flow(True), 1))
     for n in range(protocol.MAX_UNCONFIRMED):
@@ -258,10 +272,10 @@
         machine,
         encode_method(commands.Basic.ConsumeOk("c"), 1) + encode_content(deliver, b"hello", message_id="a"),
     )
-    assert events[0] == protocol.ConsumerStarted(1, "c")
+    assert events[0] == ConsumerStarted(1, "c")
     delivery = events[1]
     assert (
-        isinstance(delivery, protocol.Delivered)
+        isinstance(delivery, Delivered)
         and delivery.body == b"hello"
         and delivery.redelivered
         and not delivery.skipped_bytes
@@ -273,10 +287,8 @@
     for _ in range(size // 4000):
         parts += frame.marshal(body.ContentBody(b"x" * 4000), 1)
     (skipped,) = feed(machine, parts)
-    assert isinstance(skipped, protocol.Delivered) and skipped.skipped_bytes == size and skipped.body == b""
-    assert feed(machine, encode_method(commands.Basic.Cancel("c", True), 1)) == [
-        protocol.ConsumerCancelled(1, "c")
-    ]
+    assert isinstance(skipped, Delivered) and skipped.skipped_bytes == size and skipped.body == b""
+    assert feed(machine, encode_method(commands.Basic.Cancel("c", True), 1)) == [ConsumerCancelled(1, "c")]
     machine.reject(1, 2, False)
     machine.ack(1, 1)
 
@@ -336,11 +348,11 @@
 )
 def test_each_publish_is_settled_once_with_a_status_that_was_received(steps: list[tuple[str, int]]) -> None:
     """Compares with a simple oracle: sets of tags."""
-    machine, publishes = connection_with_channel(), list[protocol.Publish]()
+    machine, publishes = connection_with_channel(), list[Publish]()
     reported: dict[str, PublishStatus] = {}
     acked, nacked, returned = set[int](), set[int](), set[int]()
     for step, n in steps:
-        events: list[protocol.Event] = []
+        events: list[Event] = []
         open_tags = {sent.tag for sent in publishes if sent.status is PublishStatus.OUT}
         if step == "publish":
             if machine.may_publish(1):
@@ -357,7 +369,7 @@
                 returned |= {n} & open_tags if step == "return" else set()
             events = feed(machine, BROKER_FRAMES[step](n))
         for event in events:
-            if isinstance(event, protocol.PublishSettled):
+            if isinstance(event, PublishSettled):
                 assert event.publish.message_id not in reported, "settled twice"
                 reported[event.publish.message_id] = event.publish.status
     for sent in publishes:
@@ -404,7 +416,7 @@
                 data[position:position] = rng.randbytes(rng.randint(1, 9))
             case _:
                 data[position:position] = data[max(0, position - 30) : position]
-    machine, publishes = ConnectionProtocol(Login(), 0.0), list[protocol.Publish]()
+    machine, publishes = ConnectionProtocol(Login(), 0.0), list[Publish]()
     machine.mark_written(len(machine.data_to_send(0.0)))
     position = 0
     while position < len(data):
@@ -459,8 +471,8 @@
     return frames
 
 
-def proved_tags(events: list[protocol.Event]) -> list[tuple[int, ...]]:
-    return [event.tags for event in events if isinstance(event, protocol.AcksProcessed)]
+def proved_tags(events: list[Event]) -> list[tuple[int, ...]]:
+    return [event.tags for event in events if isinstance(event, AcksProcessed)]
 
 
 def test_reply_to_a_synchronous_method_proves_the_acks_before_it() -> None:
@@ -501,7 +513,7 @@
         assert not feed(machine, encode_method(commands.Channel.Close(541, "internal error", 0, 0), 1))
     events = feed(machine, encode_method(commands.Channel.CloseOk(), 1))
     assert proved_tags(events) == ([] if broker_closes_first else [(1, 2)])
-    assert protocol.ChannelClosed(1, 200, "done") in events
+    assert ChannelClosed(1, 200, "done") in events
 
 
 @pytest.mark.parametrize("end", ["channel", "connection"])
--- a/tests/compatibility/amqp_binding.py
+++ b/tests/compatibility/amqp_binding.py
@@ -13,7 +13,8 @@
 
 from message_relay.amqp.connection import BrokerConnection
 from message_relay.amqp.intake import QueueIntake
-from message_relay.amqp.protocol import ConnectionProtocol, Delivered, Login
+from message_relay.amqp.events import Delivered
+from message_relay.amqp.protocol import ConnectionProtocol, Login
 from message_relay.amqp.settings import AmqpSettings, BrokerSettings, QueueSettings, EndpointSettings
 from message_relay.amqp.source import ConfiguredEndpoints
 from message_relay.amqp.transport import Broker, BrokerPublisher
