AMQP intake: nothing more is accepted while the proof of an ack is late

Cause: on a connection that has silently died a relay went on to accept and acknowledge up to a whole prefetch. Each of these messages came into doubt: delivered again to the other relay, and told as failed by this one at its deadline. Change: while an ack is not known to be processed for over 0.1 s, deliveries wait unacknowledged in the intake. They are certain to be delivered again, so that no relay owes them anything. What waits is dropped as soon as its channel ends. Two relay processes that are killed and cut off are a benchmark (benchmarks.handover_soak) and, for 8 s, a test. The new test of the intake was not run without the change.

--- a/message_relay/amqp/intake.py
+++ b/message_relay/amqp/intake.py
@@ -16,8 +16,9 @@
 | timestamp | when it was sent, optional: the time since then is subtracted from `expiration` |
 | reply_to, correlation_id | where its final outcome is published: `{"id", "state", "after_ms"}` |
 
-While the relay has no capacity, at most `prefetch` deliveries wait in the intake, and none is rejected. A
-final outcome is published with a confirm and stays in the journal until that has arrived. One that no queue
+While the relay has no capacity, or waits long for the proof that an ack was processed, at most `prefetch`
+deliveries wait in the intake, and none is rejected: what is not acknowledged is certain to stay in its queue.
+A final outcome is published with a confirm and stays in the journal until that has arrived. One that no queue
 receives (basic.return) counts as notified, and a warning is logged.
 """
 
@@ -50,6 +51,9 @@
 
 NAME = "amqp"  # of this intake, in the journal
 CAPACITY_POLL_S = 0.05  # how often the capacity of a full relay is checked
+ACK_PROOF_PATIENCE_S = (
+    0.1  # no more messages are accepted while an ack is not known to be processed for longer
+)
 CONFIRM_TIMEOUT_S = 5.0  # for the publish of a final outcome
 MAX_UNCONFIRMED_OUTCOMES = 64  # final outcomes that are published concurrently
 MAX_REPLY_ADDRESS = 400  # characters of reply_to and correlation_id; if longer, no outcome is published
@@ -97,6 +101,7 @@
         )
         self.deliveries: deque[Delivered] = deque()  # no more than prefetch
         self.journalling = 0
+        self.unproved_since: deque[float] = deque()  # times of the acks of this consumer, oldest first
         self.retry_timer: asyncio.TimerHandle | None = None  # set while the relay has no capacity
         self.closed = asyncio.Event()
         self.stopped = False
@@ -110,6 +115,7 @@
         while not self.stopped:
             self.closed.clear()
             self.consumer_number += 1
+            self.unproved_since.clear()
             try:
                 self.connection = await self.broker.get_connection()
                 self.channel = self.connection.consume(self.settings.prefetch, self)
@@ -121,7 +127,6 @@
             ) as error:  # the connection has just ended, or has no free channel
                 log.warning(LogEvent("queue: cannot consume", queue=self.settings.queue, why=error))
             self.connection = None
-            self.deliveries.clear()  # not acknowledged, so delivered again
             await asyncio.sleep(self.reconnect_policy.on_closed(loop.time()))
 
     def on_channel_ready(self, channel: int) -> None:
@@ -131,6 +136,7 @@
     def on_consumer_closed(self, reason: str) -> None:
         if not self.stopped:
             log.warning(LogEvent("queue: consumer closed", queue=self.settings.queue, why=reason))
+        self.deliveries.clear()  # not acknowledged, so delivered again
         self.closed.set()
 
     def on_delivery(self, delivery: Delivered) -> None:
@@ -143,7 +149,7 @@
         """Submits the waiting deliveries in order, as far as the relay has capacity."""
         while self.deliveries and not self.stopped:
             delivery = self.deliveries[0]
-            if not self.acceptor.has_capacity:
+            if not self.acceptor.has_capacity or self._is_proof_late():
                 self._schedule_retry()
                 return
             try:
@@ -174,6 +180,11 @@
                 on_journalled = partial(self._on_journalled, delivery, self.consumer_number)
                 result.durable.add_done_callback(partial(on_journalled, awaits_handover=awaits_handover))
 
+    def _is_proof_late(self) -> bool:
+        """Whether the connection may be lost: what is acknowledged on it now could come to two relays."""
+        now = asyncio.get_running_loop().time()
+        return bool(self.unproved_since) and now - self.unproved_since[0] > ACK_PROOF_PATIENCE_S
+
     def _schedule_retry(self) -> None:
         if self.retry_timer is None:
             self.retry_timer = asyncio.get_running_loop().call_later(CAPACITY_POLL_S, self._retry)
@@ -211,10 +222,18 @@
             self.settle(delivery, True)
             return
         message_id = _message_id(delivery)
-        on_processed = partial(self.acceptor.confirm_handover, message_id)
+        on_processed = partial(self._on_ack_processed, message_id, self.consumer_number)
         connection = self._connection_of(delivery)
         if connection is None or not connection.acknowledge(delivery.channel, delivery.tag, on_processed):
             self.acceptor.abandon_handover(message_id)
+            return
+        self.unproved_since.append(asyncio.get_running_loop().time())
+
+    def _on_ack_processed(self, message_id: str, consumer_number: int) -> None:
+        self.acceptor.confirm_handover(message_id)
+        if consumer_number == self.consumer_number and self.unproved_since:
+            self.unproved_since.popleft()
+            self.submit_deliveries()
 
     def settle(self, delivery: Delivered, accepted: bool) -> None:
         """Acknowledges or rejects a delivery, if its channel is still open."""
--- a/tests/amqp/test_handover.py
+++ b/tests/amqp/test_handover.py
@@ -13,7 +13,9 @@
 import pytest
 from pamqp import commands
 
+from benchmarks.handover_soak import soak
 from fakes.amqp_broker import Broker, Channel, Session
+from message_relay.amqp.intake import QueueIntake
 from message_relay.amqp.settings import AmqpSettings, BrokerSettings, EndpointSettings
 from message_relay.core.clock import unix_time_ms
 from message_relay.core.ports import Submission
@@ -118,6 +120,39 @@
     run(work())
 
 
+def test_nothing_more_is_accepted_while_the_proof_of_an_ack_is_late(tmp_path: Path) -> None:
+    """Guards against a whole prefetch of messages that are acknowledged on a dead connection."""
+
+    async def work() -> None:
+        source, target = brokers()
+        async with serving(source) as source_port, serving(target) as target_port:
+            relay = await relay_of(tmp_path, amqp_settings(source_port, target_port))
+            intake = relay.host.intakes["amqp"]
+            assert isinstance(intake, QueueIntake)
+            (consumer,) = intake.queues
+            await until(lambda: bool(source.queues["in"].consumers))
+            await accept_without_ack(source, [relay], "m0", message_type="unsafe")
+            await until(consumer._is_proof_late)
+            for n in range(1, 6):
+                publish(source, f"m{n}", message_type="unsafe")
+            await until(lambda: len(consumer.deliveries) == 5)
+            assert set(relay.journal.entries) == {"m0"} and not target.effects
+            reset_connection(source)
+            await until(lambda: len(target.effects) == 6 and relay.host.is_idle)
+            assert set(target.effects) == {(f"m{n}", f"km{n}") for n in range(6)}
+            await relay.close()
+
+    run(work())
+
+
+def test_relays_that_are_killed_and_cut_off_repeat_nothing_and_lose_nothing() -> None:
+    """Two real processes on one queue; `python -m benchmarks.handover_soak` runs it for longer."""
+    report = asyncio.run(soak(8.0, 1, 60.0, "group"))
+    assert report["cuts"] and report["kills"], report
+    for name in ("twice", "returned, ran", "no end"):
+        assert report[name] == 0, report
+
+
 def test_message_that_may_be_repeated_does_not_wait_for_its_ack(tmp_path: Path) -> None:
     async def work() -> None:
         source, target = brokers()
