AMQP intake: an ack and the request for its proof are written together

Cause: each ack was written by itself, and basic.qos behind it once more. Change: both go out in one write at the end of the turn of the event loop; what closes in between counts as in doubt, as before.

--- a/message_relay/amqp/connection.py
+++ b/message_relay/amqp/connection.py
@@ -230,9 +230,8 @@
             return False
         self.ack_callbacks[channel, tag] = on_processed
         self.machine.ack(channel, tag, is_tracked=True)
-        self._flush()
         if not self.channels_to_prove:
-            # Deferred, so that all acks of this turn of the event loop need one proof.
+            # Deferred, so that all acks of this turn of the event loop need one write and one proof.
             self.loop.call_soon(self._request_ack_proofs)
         self.channels_to_prove.add(channel)
         return True
--- a/message_relay/amqp/intake.py
+++ b/message_relay/amqp/intake.py
@@ -51,9 +51,7 @@
 
 NAME = "amqp"  # of this intake, in the journal
 CAPACITY_POLL_S = 0.05  # how often the capacity of a full relay is checked
-ACK_PROOF_PATIENCE_S = (
-    0.1  # no more messages are accepted while an ack is not known to be processed for longer
-)
+ACK_PROOF_PATIENCE_S = 0.1  # with an ack unproved for longer, no more messages are accepted
 CONFIRM_TIMEOUT_S = 5.0  # for the publish of a final outcome
 MAX_UNCONFIRMED_OUTCOMES = 64  # final outcomes that are published concurrently
 MAX_REPLY_ADDRESS = 400  # characters of reply_to and correlation_id; if longer, no outcome is published
