Handover: tests of two cases that had none, and one piece of code where two stood

Need: a message that failed after an attempt, and a broker that reads nothing for a while, had no test; two benchmarks had a publish and a timed broker each, a test and a benchmark a session that cuts itself off, and two modules the same quantile. Change: two tests; the pieces stand once (benchmarks/handover.py, handover_soak.py, report.py). The random-cuts test keeps its assertions.

--- a/benchmarks/consensus.py
+++ b/benchmarks/consensus.py
@@ -44,6 +44,7 @@
 
 from .cluster_harness import ClusterHarness, cluster
 from .processes import Clients
+from .report import quantile
 
 RULE_SETS: list[dict[str, Any]] = [
     {"destinations": {"1": {"rate": 900}}},
@@ -56,11 +57,6 @@
 RELOADED = re.compile(r"^(\S+ \S+) .*config reloaded", re.MULTILINE)
 
 
-def quantile(values: list[float], share: float) -> float:
-    ordered = sorted(values)
-    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 3)
-
-
 async def activation_times(harness: ClusterHarness, changes: int, rng: random.Random) -> list[float]:
     """Returns the activation time of each instance and change; polls about every 10 ms."""
     durations: list[float] = []
--- a/benchmarks/handover.py
+++ b/benchmarks/handover.py
@@ -24,7 +24,7 @@
 
 from .amqp import relay, write_operator_file
 from .relay import cpu_s
-from .report import report
+from .report import quantile, report
 
 CLASSES = ("order", "status")
 ONE_WAY_MS = (0.0, 10.0, 20.0)
@@ -44,31 +44,24 @@
 
 
 class TimedBroker(Broker):
-    """Notes when each message had its effect."""
+    """Notes when each message had its effects."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.effect_times: dict[str, float] = {}
+        self.effect_times: dict[str, list[float]] = {}
 
     def route(self, message: Message) -> bool:
-        self.effect_times.setdefault(str(message.properties.message_id), time.perf_counter())
+        self.effect_times.setdefault(str(message.properties.message_id), []).append(time.monotonic())
         return super().route(message)
 
 
-def percentile(values: list[float], percent: float) -> float:
-    """The value below which `percent` of the values are."""
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
-
-
-def publish(source: Broker, number: int) -> None:
-    """Puts message `number` into the queue."""
-    properties = commands.Basic.Properties(
-        message_id=f"m{number}",
-        message_type=CLASSES[number % len(CLASSES)],
-        headers={"destination": "1", "tenant": "t", "idempotency-key": f"k{number}"},
+def publish(source: Broker, number: int, class_name: str, **properties: Any) -> None:
+    """Puts message `number` into the queue; `properties` are further ones of AMQP."""
+    headers: dict[str, Any] = {"destination": "1", "tenant": "t", "idempotency-key": f"k{number}"}
+    content = commands.Basic.Properties(
+        message_id=f"m{number}", message_type=class_name, headers=headers, **properties
     )
-    source.route(Message("", "in", properties, b"x" * 300))
+    source.route(Message("", "in", content, b"x" * 300))
 
 
 async def measure(one_way_ms: float, rate: float, seconds: float) -> list[dict[str, Any]]:
@@ -90,13 +83,13 @@
             while not queue.consumers:
                 await asyncio.sleep(0.02)
             published, cpu_before = dict[str, float](), cpu_s(target.pid)
-            started_at = time.perf_counter()
+            started_at = time.monotonic()
             for number in range(round(rate * seconds)):
-                await asyncio.sleep(max(0.0, started_at + number / rate - time.perf_counter()))
-                published[f"m{number}"] = time.perf_counter()
-                publish(source, number)
-            give_up = time.perf_counter() + PATIENCE_S
-            while len(sink.effect_times) < len(published) and time.perf_counter() < give_up:
+                await asyncio.sleep(max(0.0, started_at + number / rate - time.monotonic()))
+                published[f"m{number}"] = time.monotonic()
+                publish(source, number, CLASSES[number % len(CLASSES)])
+            give_up = time.monotonic() + PATIENCE_S
+            while len(sink.effect_times) < len(published) and time.monotonic() < give_up:
                 await asyncio.sleep(0.02)
             cpu_ms = 1000 * (cpu_s(target.pid) - cpu_before) / len(published)
     for server in (source_server, sink_server):
@@ -104,7 +97,7 @@
     rows = []
     for index, class_name in enumerate(CLASSES):
         times = [
-            1000 * (sink.effect_times[message_id] - at)
+            1000 * (sink.effect_times[message_id][0] - at)
             for message_id, at in published.items()
             if int(message_id[1:]) % len(CLASSES) == index and message_id in sink.effect_times
         ]
@@ -113,8 +106,8 @@
                 "one way ms": one_way_ms,
                 "class": class_name,
                 "messages": len(times),
-                "p50": percentile(times, 50),
-                "p99": percentile(times, 99),
+                "p50": quantile(times, 0.5),
+                "p99": quantile(times, 0.99),
                 "CPU ms": cpu_ms,
             }
         )
--- a/benchmarks/handover_soak.py
+++ b/benchmarks/handover_soak.py
@@ -15,6 +15,7 @@
 import argparse
 import asyncio
 import json
+import math
 import os
 import random
 import signal
@@ -24,11 +25,10 @@
 from pathlib import Path
 from typing import Any
 
-from pamqp import commands
-
-from fakes.amqp_broker import Broker, Message, Session
+from fakes.amqp_broker import Broker, Session
 
 from .amqp import kill_settings, relay, write_operator_file
+from .handover import TimedBroker, publish
 from .report import report
 
 CLASSES = ("order", "pay", "status")
@@ -42,27 +42,18 @@
 
 
 class LossyBroker(Broker):
-    """A broker that cuts each connection at a random moment, while `is_lossy`."""
+    """A broker that cuts each connection at a random moment, until there were `max_cuts`."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self, seed: int, max_cuts: float = math.inf, frames_to_cut: tuple[int, int] = FRAMES_TO_CUT
+    ) -> None:
         super().__init__()
         self.rng = random.Random(seed)
-        self.is_lossy = True
+        self.frames_to_cut = frames_to_cut
+        self.max_cuts = max_cuts
         self.cuts = 0
 
 
-class TimedBroker(Broker):
-    """Notes when each message had its effects."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.effect_times: dict[str, list[float]] = {}
-
-    def route(self, message: Message) -> bool:
-        self.effect_times.setdefault(str(message.properties.message_id), []).append(time.monotonic())
-        return super().route(message)
-
-
 class LossySession(Session):
     """From a random frame on it ignores all that arrives; some time later it resets the connection."""
 
@@ -70,12 +61,12 @@
 
     def __init__(self, broker: LossyBroker) -> None:
         super().__init__(broker)
-        self.frames_left = broker.rng.randint(*FRAMES_TO_CUT)
+        self.frames_left = broker.rng.randint(*broker.frames_to_cut)
 
     def handle_frame(self, number: int, frame_: Any) -> None:
         if self.frames_left <= 0:
             return  # a broker never processes a frame of which it has ignored an earlier one
-        if self.broker.is_lossy:
+        if self.broker.cuts < self.broker.max_cuts:
             self.frames_left -= 1
         if self.frames_left > 0:
             super().handle_frame(number, frame_)
@@ -85,18 +76,6 @@
         asyncio.get_running_loop().call_later(delay_s, self.transport.abort)
 
 
-def publish(source: Broker, number: int, expiration_ms: int) -> None:
-    """Puts message `number` into the queue."""
-    properties = commands.Basic.Properties(
-        message_id=f"m{number}",
-        message_type=CLASSES[number % len(CLASSES)],
-        headers={"destination": "1", "tenant": "t", "idempotency-key": f"k{number}"},
-        expiration=str(expiration_ms),
-        reply_to="answers",
-    )
-    source.route(Message("", "in", properties, b"x" * 300))
-
-
 async def run_relay(folder: Path, operator: str, rng: random.Random, kills_end: asyncio.Event) -> int:
     """Runs one relay and kills it at random moments; returns the number of kills."""
     kills = 0
@@ -179,12 +158,13 @@
         ]
         started_at, number = time.monotonic(), 0
         while time.monotonic() - started_at < seconds:
-            publish(source, number, rng.choice(EXPIRATIONS_MS))
+            class_name, expiration_ms = CLASSES[number % len(CLASSES)], rng.choice(EXPIRATIONS_MS)
+            publish(source, number, class_name, expiration=str(expiration_ms), reply_to="answers")
             number += 1
             await asyncio.sleep(max(0.0, started_at + number / rate - time.monotonic()))
         kills_end.set()
         kills = sum(await asyncio.gather(*relays))
-        source.is_lossy = False
+        source.max_cuts = source.cuts
         await settle(source, sink, folders, operator)
     for server in servers:
         server.close()
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -8,6 +8,12 @@
 from typing import Any
 
 
+def quantile(values: list[float], share: float) -> float:
+    """Returns the value below which this share of the values lies, rounded to three digits."""
+    ordered = sorted(values)
+    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 3)
+
+
 def report(rows: Iterable[Mapping[str, Any]], as_json: bool, head: Iterable[str], line: str) -> None:
     """Prints the rows. `line` is the format string for one row; its fields are the keys of the row."""
     if as_json:
--- a/tests/amqp/test_broker.py
+++ b/tests/amqp/test_broker.py
@@ -18,7 +18,7 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(broker: Broker, session_class: type[Session] = Session) -> AsyncIterator[int]:
+async def serving(broker: Broker, session_class: Callable[[Any], Session] = Session) -> AsyncIterator[int]:
     loop = asyncio.get_running_loop()
     server = await loop.create_server(lambda: session_class(broker), "127.0.0.1", 0)
     try:
--- a/tests/amqp/test_handover.py
+++ b/tests/amqp/test_handover.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import random
 import shutil
 from collections import Counter
 from pathlib import Path
@@ -13,8 +12,8 @@
 import pytest
 from pamqp import commands
 
-from benchmarks.handover_soak import soak
-from fakes.amqp_broker import Broker, Channel, Session
+from benchmarks.handover_soak import LossyBroker, LossySession, soak
+from fakes.amqp_broker import Broker, Channel, Faults, Session
 from message_relay.amqp.intake import QueueIntake
 from message_relay.amqp.settings import AmqpSettings, BrokerSettings, EndpointSettings
 from message_relay.core.clock import unix_time_ms
@@ -153,6 +152,75 @@
         assert report[name] == 0, report
 
 
+def test_message_that_failed_after_an_attempt_has_no_second_effect(tmp_path: Path) -> None:
+    """It ran, and ended as `failed`: its queue has given it up, also once the journal has forgotten it."""
+
+    async def work() -> None:
+        source, target = brokers(Faults({"drop": 1.0}))
+        async with serving(source) as source_port, serving(target) as target_port:
+            relay = await relay_of(tmp_path, amqp_settings(source_port, target_port))
+            await until(lambda: bool(source.queues["in"].consumers))
+            publish(source, "m", message_type="unsafe", expiration="2000", reply_to="answers")
+            answers = source.queues["answers"].waiting
+            await until(lambda: bool(answers) and relay.host.is_idle)
+            assert json.loads(answers[0].body) == {"id": "m", "state": "failed"}
+            relay.journal.compact(unix_time_ms() + 60_000)
+            assert "m" not in relay.journal.entries
+            for session in list(source.sessions):
+                session.transport.abort()
+            await until(lambda: not source.queues["in"].consumers)
+            await until(lambda: bool(source.queues["in"].consumers))
+            publish(source, "next", message_type="safe")
+            await until(lambda: len(target.effects) == 2)
+            assert target.effects == [("m", "km"), ("next", "knext")]
+            await relay.close()
+
+    run(work())
+
+
+class PausedSession(Session):
+    """Reads nothing while its broker is paused, and all of it afterwards, like one that lacks memory."""
+
+    is_paused = False
+
+    def __init__(self, broker: Broker) -> None:
+        super().__init__(broker)
+        self.unread = bytearray()
+
+    def data_received(self, data: bytes) -> None:
+        self.unread += data
+        if not PausedSession.is_paused:
+            self.read_all()
+
+    def read_all(self) -> None:
+        data = bytes(self.unread)
+        self.unread.clear()
+        super().data_received(data)
+
+
+def test_message_waits_while_its_broker_reads_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        source, target = brokers()
+        async with serving(source, PausedSession) as source_port, serving(target) as target_port:
+            relay = await relay_of(tmp_path, amqp_settings(source_port, target_port))
+            intake = relay.host.intakes["amqp"]
+            assert isinstance(intake, QueueIntake)
+            await until(lambda: bool(source.queues["in"].consumers))
+            PausedSession.is_paused = True
+            publish(source, "m", message_type="unsafe")
+            await until(intake.queues[0]._is_proof_late)
+            assert not target.effects and relay.messages.pending_count == 1
+            PausedSession.is_paused = False
+            for session in source.sessions:
+                assert isinstance(session, PausedSession)
+                session.read_all()
+            await until(lambda: relay.host.is_idle)
+            assert target.effects == [("m", "km")] and not unacknowledged(source.queues["in"])
+            await relay.close()
+
+    run(work())
+
+
 def test_message_that_may_be_repeated_does_not_wait_for_its_ack(tmp_path: Path) -> None:
     async def work() -> None:
         source, target = brokers()
@@ -301,34 +369,13 @@
     run(work())
 
 
-MAX_RESETS = 8  # more would make the relays wait long before they connect again
-
-
-class LossySession(Session):
-    """From a random moment on it ignores all that arrives; some time later it resets the connection."""
-
-    rng = random.Random(60)
-    resets = 0
-
-    def __init__(self, broker: Broker) -> None:
-        super().__init__(broker)
-        self.frames_left = self.rng.randint(20, 120)
-
-    def handle_frame(self, number: int, frame_: Any) -> None:
-        if not self.frames_left:
-            return  # a broker never processes a frame of which it has ignored an earlier one
-        if self.frames_left > 1 or LossySession.resets == MAX_RESETS:
-            self.frames_left = max(1, self.frames_left - 1)
-            super().handle_frame(number, frame_)
-            return
-        self.frames_left = 0
-        LossySession.resets += 1
-        asyncio.get_running_loop().call_later(self.rng.uniform(0.0, 0.3), self.transport.abort)
+MAX_CUTS = 8  # more would make the relays wait long before they connect again
 
 
 def test_random_cuts_between_two_relays_repeat_nothing_and_lose_nothing(tmp_path: Path) -> None:
     async def work() -> None:
-        source, target = brokers()
+        lossy = LossyBroker(60, MAX_CUTS, frames_to_cut=(20, 120))
+        source, target = brokers(source=lossy)
         answers = source.queues["answers"].waiting
         classes = ("unsafe", "keyed", "safe")
         relay_settings = settings()
@@ -349,7 +396,7 @@
             await until(lambda: all(relay.host.is_idle for relay in relays))
             for relay in relays:
                 await relay.close()
-        assert LossySession.resets == MAX_RESETS
+        assert lossy.cuts == MAX_CUTS
         effects = Counter(message_id for message_id, _ in target.effects)
         # Two relays that both do not know whether they have a message both tell that it failed.
         states: dict[str, set[str]] = {}
--- a/tests/amqp/test_intake.py
+++ b/tests/amqp/test_intake.py
@@ -58,8 +58,8 @@
     )
 
 
-def brokers(faults: Faults | None = None) -> tuple[Broker, Broker]:
-    source, target = Broker(), Broker(faults)
+def brokers(faults: Faults | None = None, source: Broker | None = None) -> tuple[Broker, Broker]:
+    source, target = source or Broker(), Broker(faults)
     dead = source.declare("dead")
     source.exchange_types["dlx"] = "fanout"
     source.bindings["dlx"] = [("", dead.name)]
