--- a/benchmarks/amqp.py
+++ b/benchmarks/amqp.py
@@ -133,7 +133,7 @@
             yield Relay(process.pid, port, folder / "ledger")
         finally:
             process.send_signal(signal.SIGTERM)
-            process.wait()
+            await asyncio.to_thread(process.wait)  # brokers of this process answer meanwhile
 
 
 async def measure_saturated(target: Relay, seconds: float) -> dict[str, Any]:
