AMQP intake: one module each for reading a delivery, a queue's consumer and the outcomes

The reply address of an outcome is a type. No behaviour changes; the names of events in the log stay. Two test modules follow the names.

--- a/message_relay/composition.py
+++ b/message_relay/composition.py
@@ -129,17 +129,18 @@
 def _broker_parts(settings: AmqpSettings, config: Config, relay: Relay) -> BrokerParts:
     """Creates the components for brokers; imports them only if needed, to save memory on the platform."""
     try:
-        from .amqp import intake
+        from .amqp.deliveries import NAME
+        from .amqp.intake import QueueIntake
         from .amqp.source import ConfiguredEndpoints
         from .amqp.transport import BrokerPublisher
 
         rng = Random(config.seed)
         publisher = BrokerPublisher(settings, rng)
         deadlines_ms = {cls.name: cls.deadline_ms for cls in config.settings.classes}
-        queues = intake.QueueIntake(settings.queues, publisher.brokers, relay.messages, deadlines_ms, rng)
+        queues = QueueIntake(settings.queues, publisher.brokers, relay.messages, deadlines_ms, rng)
         # Created even if no queue is configured any more: outcomes of messages from a former queue may still
         # be owed.
-        return BrokerParts({intake.NAME: queues}, publisher, ConfiguredEndpoints(settings))
+        return BrokerParts({NAME: queues}, publisher, ConfiguredEndpoints(settings))
     except ImportError as error:
         raise ConfigError(f"amqp: needs the extra 'amqp' ({error})") from error
     except ValueError as error:
--- a/tests/amqp/test_intake.py
+++ b/tests/amqp/test_intake.py
@@ -15,8 +15,9 @@
 from pamqp import commands
 
 from fakes.amqp_broker import Broker, Faults, Message, Queue
-from message_relay.amqp import intake
+from message_relay.amqp import deliveries
 from message_relay.amqp.events import Delivered
+from message_relay.amqp.queue_consumer import QueueConsumer
 from message_relay.amqp.settings import AmqpSettings, BrokerSettings, EndpointSettings, QueueSettings
 
 from ..loopback import PATIENCE_S, Agent, Running, host_of, run, until
@@ -219,7 +220,7 @@
             self.acknowledged.append(tag)
 
     async def work() -> None:
-        queue = intake.QueueConsumer(QueueSettings("a", "in"), Any, Any, {}, random.Random(1))  # type: ignore[arg-type]
+        queue = QueueConsumer(QueueSettings("a", "in"), Any, Any, {}, random.Random(1))  # type: ignore[arg-type]
         connection = FakeConnection()
         queue.connection, queue.channel, queue.consumer_number, queue.journalling = connection, 2, 1, 2  # type: ignore[assignment]
         durable: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -263,7 +264,7 @@
 ) -> None:
     now = datetime.datetime.now(datetime.UTC)
     # The clock of the intake stands still, since a busy machine may take long to accept the messages.
-    monkeypatch.setattr(intake, "time", SimpleNamespace(time=now.timestamp))
+    monkeypatch.setattr(deliveries, "time", SimpleNamespace(time=now.timestamp))
 
     async def work() -> None:
         source, target = brokers()
--- a/tests/compatibility/amqp_binding.py
+++ b/tests/compatibility/amqp_binding.py
@@ -12,10 +12,11 @@
 from pamqp import commands
 
 from message_relay.amqp.connection import BrokerConnection
-from message_relay.amqp.intake import QueueIntake
+from message_relay.amqp.deliveries import ReplyAddress, submission_of
 from message_relay.amqp.events import Delivered
+from message_relay.amqp.outcome_publisher import OutcomePublisher
 from message_relay.amqp.protocol import ConnectionProtocol, Login
-from message_relay.amqp.settings import AmqpSettings, BrokerSettings, QueueSettings, EndpointSettings
+from message_relay.amqp.settings import AmqpSettings, BrokerSettings, EndpointSettings
 from message_relay.amqp.source import ConfiguredEndpoints
 from message_relay.amqp.transport import Broker, BrokerPublisher
 from message_relay.core.ports import Attempt, FinalOutcome, Submission, SubmissionResult
@@ -153,9 +154,10 @@
         """Returns all bytes that publish the final outcome of a message submitted through a queue."""
         broker = Broker(BrokerSettings("b", ["127.0.0.1:5672"]), Random(0))
         broker.connection = self._connection
-        intake = QueueIntake([], {"b": broker}, _AcceptingRelay(), {}, Random(0))
+        publisher = OutcomePublisher({"b": broker}, _AcceptingRelay(), Random(0))
+        address = ReplyAddress("b", reply, correlation)
         outcome = FinalOutcome(message_id, state, after_ms)
-        publishing = asyncio.create_task(intake._publish(broker, outcome, reply, correlation))
+        publishing = asyncio.create_task(publisher._publish_once(broker, outcome, address))
         while not self._transport.data:
             await asyncio.sleep(0)
         self._connection.data_received(confirm)
@@ -189,11 +191,8 @@
 
 def submission_of_delivery(properties: Properties, body: bytes) -> Values:
     """Returns the submission that is read from a queue's delivery."""
-    broker = Broker(BrokerSettings("b", ["127.0.0.1:5672"]), Random(0))
-    intake = QueueIntake(
-        [QueueSettings("b", "orders")], {"b": broker}, _AcceptingRelay(), {"pay": 4000.0}, Random(0)
-    )
-    submission = intake.queues[0].submission(Delivered(1, "consumer", 9, False, "orders", properties, body))
+    delivery = Delivered(1, "consumer", 9, False, "orders", properties, body)
+    submission = submission_of(delivery, "b", {"pay": 4000.0})
     return {
         "id": submission.id,
         "class": submission.class_name,
