Random cuts test: which confirms are late follows from the message, not from chance

Cause: the test asks that at least one keyed message is sent again, but left it to chance (2% of all confirms) whether one of the 200 keyed ones had a late confirm. By calculation none has in about one run of a hundred, and then the test fails. Change: ten keyed messages, named by their number, are confirmed late the first time that they are sent; each is so in every run. The assertions stay.

--- a/tests/amqp/test_handover.py
+++ b/tests/amqp/test_handover.py
@@ -13,7 +13,7 @@
 
 from benchmarks.handover import TimedBroker
 from benchmarks.handover_soak import LossyBroker, LossySession, soak
-from fakes.amqp_broker import Broker, Channel, Faults, Session
+from fakes.amqp_broker import Broker, Channel, Faults, Message, Session
 from message_relay.amqp.intake import QueueIntake
 from message_relay.amqp.settings import AmqpSettings, BrokerSettings, EndpointSettings
 from message_relay.core.clock import unix_time_ms
@@ -371,7 +371,19 @@
 
 MAX_CUTS = 8  # more would make the relays wait long before they connect again
 KEY_WINDOW_S = SETTINGS["classes"][0]["window-ms"] / 1000
-LATE_CONFIRMS = {"stall": 0.02}  # chance of a confirm after the attempt's time-out
+LATE_EVERY = 60  # one message of this many is confirmed after the attempt's time-out; a multiple of 3
+
+
+class LateConfirmSession(Session):
+    """Confirms some keyed messages late, the first time that they are sent."""
+
+    def published(self, channel: Channel, message: Message) -> None:
+        target = self.broker
+        assert isinstance(target, TimedBroker)
+        message_id = str(message.properties.message_id)
+        is_late = int(message_id[1:]) % LATE_EVERY == 1 and message_id not in target.effect_times
+        target.faults = Faults({"stall": float(is_late)})
+        super().published(channel, message)
 
 
 def test_random_cuts_between_two_relays_repeat_nothing_and_lose_nothing(tmp_path: Path) -> None:
@@ -390,11 +402,10 @@
         targets = [TimedBroker(), TimedBroker()]
         for target in targets:
             target.declare("q")
-            target.faults = Faults(LATE_CONFIRMS)
         async with (
             serving(source, LossySession) as source_port,
-            serving(targets[0]) as first_port,
-            serving(targets[1]) as second_port,
+            serving(targets[0], LateConfirmSession) as first_port,
+            serving(targets[1], LateConfirmSession) as second_port,
         ):
             relays = []
             for target_port in (first_port, second_port):
