Handover soak: frozen relays, and cuts that lose what the broker sends

Need: the soak only lost what arrived at the broker, and only killed relays. A relay that is frozen while its connections are reset, and an ack that was processed without its proof being seen, had not been tried. Change: a cut loses what is received, sent or both; half of the disruptions of a relay are freezes of 0.2 to 3 s, in half of which its connections to the queue's broker are reset. What is counted stays.

--- a/benchmarks/handover_soak.py
+++ b/benchmarks/handover_soak.py
@@ -3,8 +3,9 @@
     python -m benchmarks.handover_soak [--json] [--seconds 60] [--seed 1] [--rate 60] [--durability none]
 
 Two relay processes consume a queue of one broker, and each delivers to a broker of its own; the brokers run
-in this process. At random moments the first broker ignores all that arrives on a connection from some frame
-on, and resets it up to 0.5 s later; relays are killed, and started again on their state folders. `twice`
+in this process. At random moments the first broker loses all that arrives on a connection from some frame on,
+or all that it sends, or both, and resets it up to 0.5 s later. Relays are killed, and started again on their
+state folders, or stopped for a while (SIGSTOP) during which their connections may be reset. `twice`
 counts messages that took effect twice: those of class `pay` must not, and an `order` only by the same relay,
 while its destination knows its key. `failed, ran` counts those that took effect and were told to have failed.
 `returned, ran` counts those that took effect although a client was told that they are safe to submit again,
@@ -26,6 +27,7 @@
 import tempfile
 import time
 from dataclasses import dataclass
+from enum import Enum
 from pathlib import Path
 from typing import Any
 
@@ -41,7 +43,9 @@
 EXPIRATIONS_MS = (800, 2000, 5000)
 FRAMES_TO_CUT = (30, 400)  # frames of a connection until it is cut
 MAX_SILENCE_S = 0.5  # from the cut of a connection until its reset
-KILL_INTERVAL_S = (2.0, 6.0)
+DISRUPTION_INTERVAL_S = (2.0, 6.0)  # from one kill or freeze of a relay to the next
+FREEZE_S = (0.2, 3.0)
+FREEZE_RESET_CHANCE = 0.5  # of a frozen relay: its connections are reset
 QUIET_S = 7.0  # without progress: longer than any message may wait
 PATIENCE_S = 90.0  # after the last message
 
@@ -66,6 +70,14 @@
     sink: TimedBroker
 
 
+class Cut(Enum):
+    """What gets lost on a connection before it is reset."""
+
+    RECEIVED = "all that arrives at the broker"
+    SENT = "all that the broker sends"
+    BOTH = "both"
+
+
 class LossyBroker(Broker):
     """A broker that cuts each connection at a random moment, until there were `max_cuts`."""
 
@@ -81,7 +93,7 @@
 
 
 class LossySession(Session):
-    """From a random frame on it ignores all that arrives; some time later it resets the connection."""
+    """From a random frame on it loses what arrives, or what it sends; later it resets the connection."""
 
     broker: LossyBroker
 
@@ -89,19 +101,30 @@
         super().__init__(broker)
         self.relay_name = relay_name
         self.frames_left = broker.rng.randint(*broker.frames_to_cut)
+        self.cut: Cut | None = None
 
     def handle_frame(self, number: int, frame_: Any) -> None:
-        if self.frames_left <= 0:
-            return  # a broker never processes a frame of which it has ignored an earlier one
-        if self.broker.cuts < self.broker.max_cuts:
+        if self.cut is None and self.broker.cuts < self.broker.max_cuts:
             self.frames_left -= 1
-        if self.frames_left > 0:
+            if self.frames_left <= 0:
+                self.start_cut()
+        if self.cut in (
+            None,
+            Cut.SENT,
+        ):  # a broker never processes a frame of which it has lost an earlier one
             super().handle_frame(number, frame_)
-            return
+
+    def start_cut(self) -> None:
+        """Begins to lose bytes; the reset follows."""
         self.broker.cuts += 1
+        self.cut = self.broker.rng.choice(list(Cut))
         delay_s = self.broker.rng.uniform(0.0, MAX_SILENCE_S)
         asyncio.get_running_loop().call_later(delay_s, self.transport.abort)
 
+    def send(self, value: Any, number: int = 0) -> None:
+        if self.cut in (None, Cut.RECEIVED):
+            super().send(value, number)
+
     def published(self, channel: Channel, message: Message) -> None:
         outcome = json.loads(message.body)
         answer = Answer(self.relay_name, outcome["id"], outcome["state"], time.monotonic())
@@ -109,17 +132,48 @@
         super().published(channel, message)
 
 
-async def run_relay(setup: RelaySetup, rng: random.Random, kills_end: asyncio.Event) -> int:
-    """Runs one relay and kills it at random moments; returns the number of kills."""
-    kills = 0
-    while not kills_end.is_set():
+@dataclass(slots=True)
+class Disruptions:
+    """How often relays were disrupted."""
+
+    kills: int = 0
+    freezes: int = 0
+
+
+async def run_relay(
+    setup: RelaySetup, source: LossyBroker, rng: random.Random, disruptions_end: asyncio.Event
+) -> Disruptions:
+    """Runs one relay; kills or freezes it at random moments."""
+    disruptions = Disruptions()
+    while not disruptions_end.is_set():
         async with relay(setup.folder, "", setup.operator, relay_settings=kill_settings()) as target:
-            try:
-                await asyncio.wait_for(kills_end.wait(), rng.uniform(*KILL_INTERVAL_S))
-            except TimeoutError:
-                kills += 1
-                os.kill(target.pid, signal.SIGKILL)
-    return kills
+            while True:
+                try:
+                    await asyncio.wait_for(disruptions_end.wait(), rng.uniform(*DISRUPTION_INTERVAL_S))
+                    break
+                except TimeoutError:
+                    pass
+                if rng.random() < 0.5:
+                    disruptions.kills += 1
+                    os.kill(target.pid, signal.SIGKILL)
+                    break
+                disruptions.freezes += 1
+                await freeze(target.pid, setup.name, source, rng)
+    return disruptions
+
+
+async def freeze(pid: int, relay_name: str, source: LossyBroker, rng: random.Random) -> None:
+    """Stops a relay for a while; in some cases its broker resets its connections meanwhile."""
+    os.kill(pid, signal.SIGSTOP)
+    try:
+        await asyncio.sleep(rng.uniform(*FREEZE_S) / 2)
+        if rng.random() < FREEZE_RESET_CHANCE:
+            for session in list(source.sessions):
+                if isinstance(session, LossySession) and session.relay_name == relay_name:
+                    session.transport.abort()
+        await asyncio.sleep(rng.uniform(*FREEZE_S) / 2)
+    finally:
+        os.kill(pid, signal.SIGCONT)
 
 
 async def settle(source: LossyBroker, first: RelaySetup, second: RelaySetup) -> None:
@@ -238,9 +292,10 @@
         setups = [
             await set_up(name, Path(folder) / name, source, durability, servers) for name in RELAY_NAMES
         ]
-        kills_end = asyncio.Event()
+        disruptions_end = asyncio.Event()
         relays = [
-            asyncio.create_task(run_relay(setup, random.Random(rng.random()), kills_end)) for setup in setups
+            asyncio.create_task(run_relay(setup, source, random.Random(rng.random()), disruptions_end))
+            for setup in setups
         ]
         started_at, number = time.monotonic(), 0
         while time.monotonic() - started_at < seconds:
@@ -248,12 +303,13 @@
             publish(source, number, class_name, expiration=str(expiration_ms), reply_to="answers")
             number += 1
             await asyncio.sleep(max(0.0, started_at + number / rate - time.monotonic()))
-        kills_end.set()
-        kills = sum(await asyncio.gather(*relays))
+        disruptions_end.set()
+        disruptions = await asyncio.gather(*relays)
         source.max_cuts = source.cuts
         await settle(source, *setups)
     counts = judged(records(source, setups, number), source.cuts)
-    return {"durability": durability, "seed": seed, "kills": kills, **counts}
+    kills, freezes = sum(each.kills for each in disruptions), sum(each.freezes for each in disruptions)
+    return {"durability": durability, "seed": seed, "kills": kills, "freezes": freezes, **counts}
 
 
 def main() -> int:
@@ -269,8 +325,8 @@
     report(
         [row],
         args.json,
-        ("messages  cuts  kills  took effect  answered  failed, ran  twice  returned, ran  no end",),
-        "{messages:8}{cuts:6}{kills:7}{took effect:13}{answered:10}{failed, ran:13}{twice:7}"
+        ("messages  cuts  kills  freezes  took effect  answered  failed, ran  twice  returned, ran  no end",),
+        "{messages:8}{cuts:6}{kills:7}{freezes:9}{took effect:13}{answered:10}{failed, ran:13}{twice:7}"
         "{returned, ran:15}{no end:8}",
     )
     return 1 if row["twice"] or row["returned, ran"] or row["no end"] else 0
