AMQP intake: what a message has waited in the relay counts against its expiration

What callers saw: a message with an expiration of 200 ms took effect later than that, and nobody was told, where the relay was full or waited for the proof of an earlier ack before it accepted the message. Cause: a delivery that is not accepted yet waits in the consumer, and its remaining time was computed at its acceptance. The wait for a full relay is older; the wait for a proof made it more frequent. Change: a delivery has the time of its arrival; what has passed since is taken off its expiration, or what has passed since its timestamp, if that is more. What has expired is accepted with no time left, and ends with its answer. A message without an expiration has the time of its class from its acceptance, as before.

--- a/message_relay/amqp/deliveries.py
+++ b/message_relay/amqp/deliveries.py
@@ -27,6 +27,7 @@
 MAX_REPLY_ADDRESS = 400  # characters of reply_to and correlation_id; if longer, no outcome is published
 MAX_REMAINING_MS = 999_999_999
 MAX_EXPIRATION_DIGITS = 9
+TIMESTAMP_RESOLUTION_MS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,10 +63,13 @@
     return str(delivery.properties.message_id or "")
 
 
-def submission_of(delivery: Delivered, broker: str, max_remaining_ms: Mapping[str, float]) -> Submission:
+def submission_of(
+    delivery: Delivered, broker: str, max_remaining_ms: Mapping[str, float], waited_ms: int = 0
+) -> Submission:
     """Converts a delivery of this broker into a submission. Raises InvalidMessageError.
 
-    `max_remaining_ms`: by class, the time of a message without an expiration.
+    `max_remaining_ms`: by class, the time of a message without an expiration. `waited_ms`: how long this
+    relay has had the delivery without accepting it.
     """
     properties = delivery.properties
     headers = properties.headers or {}
@@ -83,7 +87,7 @@
         str(headers.get("tenant", "")),
         destination,
         None if key is None else str(key),
-        _remaining_ms(properties, max_remaining_ms.get(class_name, 0.0)),
+        _remaining_ms(properties, max_remaining_ms.get(class_name, 0.0), waited_ms),
         "",
         delivery.body,
         origin_of(broker, properties),
@@ -91,14 +95,14 @@
     )
 
 
-def _remaining_ms(properties: commands.Basic.Properties, max_remaining_ms: float) -> int:
+def _remaining_ms(properties: commands.Basic.Properties, max_remaining_ms: float, waited_ms: int) -> int:
     expiration = properties.expiration
     if expiration is None or expiration == "":
         return int(max_remaining_ms)
     if not expiration.isdecimal() or len(expiration) > MAX_EXPIRATION_DIGITS:
         raise InvalidMessageError("left", f"expiration {expiration[:20]!r} is not a number of ms")
-    lifetime_ms = int(expiration)
+    age_ms = waited_ms
     if properties.timestamp is not None:
-        age = time.time() - properties.timestamp.timestamp()
-        lifetime_ms -= max(0, int(1000 * age) - 1000)  # the timestamp has whole seconds
-    return min(MAX_REMAINING_MS, max(0, lifetime_ms))
+        since_timestamp_ms = int(1000 * (time.time() - properties.timestamp.timestamp()))
+        age_ms = max(age_ms, since_timestamp_ms - TIMESTAMP_RESOLUTION_MS)
+    return min(MAX_REMAINING_MS, max(0, int(expiration) - age_ms))
--- a/message_relay/amqp/queue_consumer.py
+++ b/message_relay/amqp/queue_consumer.py
@@ -16,10 +16,11 @@
 import logging
 from collections import deque
 from collections.abc import Mapping
+from dataclasses import dataclass
 from functools import partial
 from random import Random
 
-from ..core.ports import HandoverAcceptor, InvalidMessageError
+from ..core.ports import HandoverAcceptor, InvalidMessageError, Submission
 from ..structured_logging import LogEvent
 from .connection import BrokerConnection, NotConnectedError
 from .deliveries import message_id_of, submission_of
@@ -36,6 +37,14 @@
 MAX_LOGGED_ID = 200  # characters
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingDelivery:
+    """A delivery that the relay has not accepted yet, and when it arrived, on the loop's clock in seconds."""
+
+    delivery: Delivered
+    arrived_at: float
+
+
 class QueueConsumer:
     """Consumes one queue, and holds its deliveries while the relay has no capacity."""
 
@@ -59,7 +68,7 @@
         self.consumer_number = (
             0  # of the current consumer: channel numbers and tags are reused by the next one
         )
-        self.deliveries: deque[Delivered] = deque()  # no more than prefetch
+        self.deliveries: deque[WaitingDelivery] = deque()  # no more than prefetch
         self.journalling = 0
         self.unproved_since: deque[float] = deque()  # times of the acks of this consumer, oldest first
         self.retry_timer: asyncio.TimerHandle | None = None  # set while the relay has no capacity
@@ -100,7 +109,7 @@
         self.closed.set()
 
     def on_delivery(self, delivery: Delivered) -> None:
-        self.deliveries.append(delivery)
+        self.deliveries.append(WaitingDelivery(delivery, asyncio.get_running_loop().time()))
         self.submit_deliveries()
 
     # -- deliveries --------------------------------------------------------------------------------------
@@ -108,14 +117,13 @@
     def submit_deliveries(self) -> None:
         """Submits the waiting deliveries in order, as far as the relay has capacity."""
         while self.deliveries and not self.stopped:
-            delivery = self.deliveries[0]
+            waiting = self.deliveries[0]
+            delivery = waiting.delivery
             if not self.acceptor.has_capacity or self._is_proof_late():
                 self._schedule_retry()
                 return
             try:
-                result = self.acceptor.accept(
-                    submission_of(delivery, self.settings.broker, self.max_remaining_ms)
-                )
+                result = self.acceptor.accept(self._submission(waiting))
             except InvalidMessageError as error:
                 self.deliveries.popleft()
                 self.rejected += 1
@@ -142,6 +150,11 @@
                 on_journalled = partial(self._on_journalled, delivery, self.consumer_number)
                 result.durable.add_done_callback(partial(on_journalled, awaits_handover=awaits_handover))
 
+    def _submission(self, waiting: WaitingDelivery) -> Submission:
+        """Converts a delivery; the time that it has waited here counts. Raises InvalidMessageError."""
+        waited_ms = int(1000 * (asyncio.get_running_loop().time() - waiting.arrived_at))
+        return submission_of(waiting.delivery, self.settings.broker, self.max_remaining_ms, waited_ms)
+
     def _is_proof_late(self) -> bool:
         """Whether the connection may be lost: what is acknowledged on it now could come to two relays."""
         now = asyncio.get_running_loop().time()
--- a/tests/amqp/test_handover.py
+++ b/tests/amqp/test_handover.py
@@ -221,6 +221,38 @@
     run(work())
 
 
+def test_message_that_expired_while_it_waited_for_a_proof_is_not_delivered(tmp_path: Path) -> None:
+    """Guards against an `expiration` that counts only from the end of the wait for an earlier ack's proof."""
+
+    async def work() -> None:
+        source, target = brokers()
+        answers = source.queues["answers"].waiting
+        async with serving(source, PausedSession) as source_port, serving(target) as target_port:
+            relay = await relay_of(tmp_path, amqp_settings(source_port, target_port))
+            intake = relay.host.intakes["amqp"]
+            assert isinstance(intake, QueueIntake)
+            (consumer,) = intake.queues
+            await until(lambda: bool(source.queues["in"].consumers))
+            PausedSession.is_paused = True
+            publish(source, "first", message_type="unsafe")
+            await until(consumer._is_proof_late)
+            classes = ("unsafe", "keyed", "safe")
+            for class_name in classes:
+                publish(source, class_name, message_type=class_name, expiration="200", reply_to="answers")
+            await until(lambda: len(consumer.deliveries) == len(classes))
+            await asyncio.sleep(0.2)
+            PausedSession.is_paused = False
+            for session in source.sessions:
+                assert isinstance(session, PausedSession)
+                session.read_all()
+            await until(lambda: not unacknowledged(source.queues["in"]) and relay.host.is_idle)
+            assert target.effects == [("first", "kfirst")]
+            assert {json.loads(answer.body)["id"] for answer in answers} == set(classes)
+            await relay.close()
+
+    run(work())
+
+
 def test_message_that_may_be_repeated_does_not_wait_for_its_ack(tmp_path: Path) -> None:
     async def work() -> None:
         source, target = brokers()
--- a/tests/amqp/test_intake.py
+++ b/tests/amqp/test_intake.py
@@ -160,6 +160,32 @@
     run(work())
 
 
+def test_message_that_expired_while_the_relay_was_full_is_not_delivered(tmp_path: Path) -> None:
+    """Guards against an `expiration` that counts only from the end of the wait for capacity."""
+
+    async def work() -> None:
+        source, target = brokers()
+        target.blocked = True
+        for n in range(8):
+            publish(source, f"m{n}")
+        relay_settings = settings()
+        relay_settings["limits"]["open-cap"] = 10
+        async with serving(source) as source_port, serving(target) as target_port:
+            relay = await relay_of(tmp_path, amqp_settings(source_port, target_port), settings=relay_settings)
+            await until(lambda: len(relay.accepted) == 8 and not unacknowledged(source.queues["in"]))
+            publish(source, "late", message_type="safe", expiration="200", reply_to="answers")
+            await until(lambda: not source.queues["in"].waiting)
+            await asyncio.sleep(0.3)
+            target.blocked = False
+            target.run_command("unblock", {})
+            await until(lambda: not unacknowledged(source.queues["in"]) and relay.host.is_idle)
+            assert len(target.effects) == 8 and ("late", "klate") not in target.effects
+            assert [json.loads(answer.body)["id"] for answer in source.queues["answers"].waiting] == ["late"]
+            await relay.close()
+
+    run(work())
+
+
 def test_final_outcomes_are_published_to_the_reply_queue_also_after_a_restart(tmp_path: Path) -> None:
     async def work() -> None:
         source, target = brokers(Faults({"refuse": 1.0}))
