Queue consumer: one step a function where a delivery is submitted

Change: four functions; the arguments of _on_journalled are in the order of their binding, and its test follows. No behaviour changes.

--- a/message_relay/amqp/queue_consumer.py
+++ b/message_relay/amqp/queue_consumer.py
@@ -20,7 +20,7 @@
 from functools import partial
 from random import Random
 
-from ..core.ports import HandoverAcceptor, InvalidMessageError, Submission
+from ..core.ports import HandoverAcceptor, InvalidMessageError, Submission, SubmissionResult
 from ..structured_logging import LogEvent
 from .connection import BrokerConnection, NotConnectedError
 from .deliveries import message_id_of, submission_of
@@ -117,38 +117,44 @@
     def submit_deliveries(self) -> None:
         """Submits the waiting deliveries in order, as far as the relay has capacity."""
         while self.deliveries and not self.stopped:
-            waiting = self.deliveries[0]
-            delivery = waiting.delivery
-            if not self.acceptor.has_capacity or self._is_proof_late():
-                self._schedule_retry()
-                return
-            try:
-                result = self.acceptor.accept(self._submission(waiting))
-            except InvalidMessageError as error:
-                self.deliveries.popleft()
-                self.rejected += 1
-                log.warning(
-                    LogEvent(
-                        "queue: message rejected",
-                        queue=self.settings.queue,
-                        id=message_id_of(delivery)[:MAX_LOGGED_ID],
-                        why=error,
-                    )
-                )
-                self.settle(delivery, False)
-                continue
-            if not result.accepted:
+            may_submit = self.acceptor.has_capacity and not self._is_proof_late()
+            if not may_submit or not self._submit_oldest():
                 self._schedule_retry()
                 return
+
+    def _submit_oldest(self) -> bool:
+        """Submits the oldest waiting delivery; returns False if the relay cannot accept it yet."""
+        waiting = self.deliveries[0]
+        try:
+            result = self.acceptor.accept(self._submission(waiting))
+        except InvalidMessageError as error:
             self.deliveries.popleft()
-            self.reconnect_policy.has_confirmed = True
-            awaits_handover = result.awaits_handover
-            if result.durable is None:
-                self._acknowledge(delivery, awaits_handover)
-            else:
-                self.journalling += 1
-                on_journalled = partial(self._on_journalled, delivery, self.consumer_number)
-                result.durable.add_done_callback(partial(on_journalled, awaits_handover=awaits_handover))
+            self._reject(waiting.delivery, error)
+            return True
+        if not result.accepted:
+            return False
+        self.deliveries.popleft()
+        self.reconnect_policy.has_confirmed = True
+        self._acknowledge_once_durable(waiting.delivery, result)
+        return True
+
+    def _reject(self, delivery: Delivered, error: InvalidMessageError) -> None:
+        """Rejects an invalid delivery without requeueing."""
+        self.rejected += 1
+        message_id = message_id_of(delivery)[:MAX_LOGGED_ID]
+        queue = self.settings.queue
+        log.warning(LogEvent("queue: message rejected", queue=queue, id=message_id, why=error))
+        self.settle(delivery, False)
+
+    def _acknowledge_once_durable(self, delivery: Delivered, result: SubmissionResult) -> None:
+        """Acknowledges an accepted delivery, at once if its journal record needs no sync."""
+        if result.durable is None:
+            self._acknowledge(delivery, result.awaits_handover)
+            return
+        self.journalling += 1
+        result.durable.add_done_callback(
+            partial(self._on_journalled, delivery, self.consumer_number, result.awaits_handover)
+        )
 
     def _submission(self, waiting: WaitingDelivery) -> Submission:
         """Converts a delivery; the time that it has waited here counts. Raises InvalidMessageError."""
@@ -172,8 +178,8 @@
         self,
         delivery: Delivered,
         consumer_number: int,
+        awaits_handover: bool,
         durable: asyncio.Future[None],
-        awaits_handover: bool = False,
     ) -> None:
         """Acknowledges a journalled delivery, if its consumer is still the current one.
 
--- a/tests/amqp/test_intake.py
+++ b/tests/amqp/test_intake.py
@@ -252,9 +252,9 @@
         durable: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         durable.set_result(None)
         delivery = Delivered(2, "c", 1, False, "in", Properties(), b"")
-        queue._on_journalled(delivery, 1, durable)
+        queue._on_journalled(delivery, 1, False, durable)
         queue.consumer_number = 2
-        queue._on_journalled(delivery, 1, durable)
+        queue._on_journalled(delivery, 1, False, durable)
         assert connection.acknowledged == [1]
 
     run(work())
