--- a/benchmarks/handover_soak.py
+++ b/benchmarks/handover_soak.py
@@ -195,6 +195,7 @@
 class MessageRecord:
     """What the ledgers of all brokers say about a message."""
 
+    message_id: str
     class_name: str
     effects: dict[str, list[float]]  # times, by the relay that sent it
     answers: list[Answer]
@@ -224,6 +225,19 @@
         """Returns whether a client was told this state."""
         return any(answer.state == state for answer in self.answers)
 
+    def breaks_a_rule(self) -> bool:
+        """Returns whether any of the counts that must be 0 includes it."""
+        has_end = bool(self.effects or self.answers)
+        return not has_end or (self.must_not_repeat and (self.ran_twice() or self.has_unsafe_return()))
+
+    def trace(self) -> str:
+        """Returns what happened to it, in order, in seconds from the first event."""
+        happened = [(at, f"took effect by {name}") for name, times in self.effects.items() for at in times]
+        happened += [(answer.at, f"{answer.state} by {answer.relay}") for answer in self.answers]
+        start = min((at for at, _ in happened), default=0.0)
+        steps = [f"{at - start:.3f} {what}" for at, what in sorted(happened)]
+        return f"{self.message_id} {self.class_name}: " + ", ".join(steps)
+
     def has_unsafe_return(self) -> bool:
         """Returns whether it took effect, and submitting it again as a client was told could do harm."""
         return bool(self.effects) and any(
@@ -235,7 +249,8 @@
 def records(source: LossyBroker, setups: list[RelaySetup], messages: int) -> list[MessageRecord]:
     """Collects what the ledgers say about each message."""
     collected = {
-        f"m{number}": MessageRecord(CLASSES[number % len(CLASSES)], {}, []) for number in range(messages)
+        f"m{number}": MessageRecord(f"m{number}", CLASSES[number % len(CLASSES)], {}, [])
+        for number in range(messages)
     }
     for setup in setups:
         for message_id, times in setup.sink.effect_times.items():
@@ -262,6 +277,7 @@
             for each in at_risk
         ),
         "no end": sum(not each.effects and not each.answers for each in messages),
+        "broken": [each.trace() for each in messages if each.breaks_a_rule()],
     }
 
 
