AMQP intake: a keyed message that may have run ends as failed, not as returned

What callers saw: a message that may be repeated only with its key took effect, its confirm was lost, and its client was told `returned`, which says that sending it again is harmless. After the key's window it is not. Cause: the scheduler rejects such a message wherever any endpoint would drop the repeat (can_reject_safely), without regard to the window. The platform's clients come again within seconds; a client of a queue comes at any time, and its answer waits as long as its broker is away. Change: MessageLifecycle.finish turns `returned` into `failed` for a message of another intake than HTTP that may have run and is not safe (idempotency.allows_late_resubmission). HTTP's messages end as before.

--- a/message_relay/core/message_lifecycle.py
+++ b/message_relay/core/message_lifecycle.py
@@ -13,12 +13,12 @@
 from dataclasses import dataclass
 
 from ..decisions.events import Event, Message, MessageCancelled
-from ..decisions.idempotency import requires_handover
+from ..decisions.idempotency import allows_late_resubmission, requires_handover
 from ..decisions.load_shedding import SHEDDING_THRESHOLD
 from ..decisions.model import FOREVER, Effect, Settings
 from ..store.errors import JournalError
 from ..store.journal import Journal
-from ..store.records import JournalEntry
+from ..store.records import DEFAULT_ORIGIN, JournalEntry
 from ..structured_logging import LogEvent
 from . import resume
 from .acceptance import SubmissionValidator, journal_entry
@@ -279,9 +279,22 @@
     def finish(self, number: int, state: str, after_ms: float = 0.0) -> None:
         """Gives a pending message its final state, as the scheduler decided."""
         accepted = self.accepted.get(number)
-        if accepted is not None:
-            self.release(number)
-            self.outcomes.record(accepted.entry, state, after_ms)
+        if accepted is None:
+            return
+        self.release(number)
+        if state == "returned" and not self._is_resubmission_harmless(accepted.entry):
+            state, after_ms = "failed", 0.0
+        self.outcomes.record(accepted.entry, state, after_ms)
+
+    def _is_resubmission_harmless(self, entry: JournalEntry) -> bool:
+        """Returns whether a client may submit a message again that the scheduler has rejected.
+
+        The scheduler expects it soon, as of the platform's clients. The client of another intake may submit
+        it when its destination no longer knows its key.
+        """
+        if entry.origin == DEFAULT_ORIGIN:
+            return True
+        return allows_late_resubmission(self.effect(entry), entry.may_have_run)
 
     def release(self, number: int) -> None:
         """Removes a message from the pending ones; an attempt in flight keeps its own reference."""
--- a/message_relay/decisions/idempotency.py
+++ b/message_relay/decisions/idempotency.py
@@ -15,6 +15,14 @@
     return effect is not Effect.SAFE
 
 
+def allows_late_resubmission(effect: Effect, may_have_run: bool) -> bool:
+    """Returns whether submitting a message again is harmless however much later that is.
+
+    A destination drops repeats of a key only within the key's window.
+    """
+    return effect is Effect.SAFE or not may_have_run
+
+
 def retry_affinity(entry: PendingMessage) -> RetryAffinity | None:
     """Returns the zone or endpoint to which retries are limited; None allows any endpoint.
 
--- a/message_relay/store/records.py
+++ b/message_relay/store/records.py
@@ -87,6 +87,11 @@
         """Whether the message still needs a final outcome or a notification."""
         return not self.final_state or self.needs_notification
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt may have had an effect, as far as it is known."""
+        return self.uncertain_attempt is not None or self.attempt_in_flight is not None
+
     def assume_in_flight_has_run(self) -> None:
         """Treats the attempt in flight, if any, as one that may have run, since its outcome is unknown."""
         if self.attempt_in_flight is not None:
--- a/tests/amqp/test_intake.py
+++ b/tests/amqp/test_intake.py
@@ -218,6 +218,34 @@
     run(work())
 
 
+@pytest.mark.parametrize(
+    ("class_name", "fault", "state"),
+    [
+        ("keyed", "drop", "failed"),
+        ("keyed", "refuse", "returned"),
+        ("unsafe", "drop", "failed"),
+        ("unsafe", "refuse", "returned"),
+        ("safe", "drop", "returned"),
+    ],
+)
+def test_message_is_returned_only_if_submitting_it_again_later_is_harmless(
+    tmp_path: Path, class_name: str, fault: str, state: str
+) -> None:
+    """Guards against `returned` for a keyed message that ran: its client may come after the key's window."""
+
+    async def work() -> None:
+        source, target = brokers(Faults({fault: 1.0}))
+        answers = source.queues["answers"].waiting
+        async with serving(source) as source_port, serving(target) as target_port:
+            relay = await relay_of(tmp_path, amqp_settings(source_port, target_port))
+            publish(source, "m", message_type=class_name, expiration="900", reply_to="answers")
+            await until(lambda: bool(answers) and relay.host.is_idle)
+            assert [json.loads(answer.body)["state"] for answer in answers] == [state]
+            await relay.close()
+
+    run(work())
+
+
 def test_consuming_resumes_after_a_cancelled_consumer_and_a_lost_connection(tmp_path: Path) -> None:
     async def work() -> None:
         source, target = brokers()
