Canary guard: the baseline ends right before the version, not up to a second earlier

What callers saw: a version that closed a destination to all, proposed with a guard about two seconds after another one, was not taken back; nothing of 1,500 messages was delivered with it. Cause: the baseline came from samples a second apart, and begins anew with each version. Where the newest sample had fewer messages than the guard wants there was no baseline, and a watch without one never decides. Change: the baseline ends with the counts of the check before the version was seen in force; a guard that has none is logged. The test of real processes waits for 80 accepted messages besides its 1.5 s, which it had relied on; its assertions stay.

--- a/message_relay/consensus/canary_guard.py
+++ b/message_relay/consensus/canary_guard.py
@@ -76,6 +76,12 @@
     return counts.delivered / counts.completed if counts.completed >= guard.least_count else None
 
 
+def total_counts(leases: Iterable[RelayLease]) -> DeliveryCounts:
+    """Return the messages of all relays together."""
+    counts = [lease.counts for lease in leases]
+    return DeliveryCounts(sum(item.delivered for item in counts), sum(item.completed for item in counts))
+
+
 @dataclass
 class RecentOutcomes:
     """The fleet's delivered share over the last `span_s`: the baseline for a version without a canary."""
@@ -85,18 +91,22 @@
 
     def add(self, now: float, leases: Iterable[RelayLease]) -> None:
         """Add a sample; at most `SAMPLES_PER_SPAN` are taken in a span."""
-        counts = [lease.counts for lease in leases]
         if self.samples and now - self.samples[-1][0] < self.span_s / SAMPLES_PER_SPAN:
             return
-        total = DeliveryCounts(sum(item.delivered for item in counts), sum(item.completed for item in counts))
+        total = total_counts(leases)
         if self.samples and total.completed < self.samples[-1][1].completed:
             self.samples.clear()  # a process has restarted: differences would be wrong
         self.samples = [sample for sample in self.samples if sample[0] > now - self.span_s] + [(now, total)]
 
-    def delivered_share(self, least_count: int) -> float | None:
-        """Return the share; None if fewer messages than `least_count` were completed."""
-        if len(self.samples) < 2:
+    def delivered_share(self, least_count: int, latest: DeliveryCounts | None = None) -> float | None:
+        """Return the share; None if fewer messages than `least_count` were completed.
+
+        `latest` are counts of a later time than the newest sample's, if there are any.
+        """
+        if not self.samples:
             return None
         (_, first), (_, last) = self.samples[0], self.samples[-1]
+        if latest is not None and latest.completed >= last.completed:  # fewer: a process has restarted
+            last = latest
         completed = last.completed - first.completed
         return (last.delivered - first.delivered) / completed if completed >= least_count else None
--- a/message_relay/consensus/version_watch.py
+++ b/message_relay/consensus/version_watch.py
@@ -6,9 +6,11 @@
 import logging
 import time
 
-from .canary_guard import CanaryWatch, RecentOutcomes, Verdict
+from ..structured_logging import LogEvent
+from .canary_guard import CanaryWatch, RecentOutcomes, Verdict, total_counts
 from .context import ConsensusContext
 from .lease_grantor import LeaseGrantor
+from .lease_protocol import DeliveryCounts
 from .proposer import Proposer
 from .replicated_log import ReplicatedLog
 from .rules import RulesError
@@ -30,6 +32,7 @@
         self.proposer = proposer
         self.watch: CanaryWatch | None = None
         self.recent_outcomes = RecentOutcomes()
+        self.latest_counts: DeliveryCounts | None = None  # of all relays, at the previous check
 
     async def run(self) -> None:
         """Check at each interval."""
@@ -51,6 +54,7 @@
         if watch is None:
             return
         self.recent_outcomes.add(now, grantor.leases.values())
+        self.latest_counts = total_counts(grantor.leases.values())
         if not replicated_log.is_leader or newest.guard is None or newest.stage is Stage.WITHDRAWN:
             return
         verdict, cause = watch.evaluate(now, grantor.leases.items())
@@ -70,7 +74,10 @@
         if applies_to_all and grantor.cleared_version < newest.number:
             return None
         least_count = newest.guard.least_count if newest.guard is not None else 1
-        self.watch = CanaryWatch(newest, now, self.recent_outcomes.delivered_share(least_count))
+        baseline_share = self.recent_outcomes.delivered_share(least_count, self.latest_counts)
+        if newest.guard is not None and applies_to_all and baseline_share is None:
+            log.warning(LogEvent("canary guard has no baseline", version=newest.number, least=least_count))
+        self.watch = CanaryWatch(newest, now, baseline_share)
         self.recent_outcomes = RecentOutcomes(self.recent_outcomes.span_s)
         return self.watch
 
--- a/tests/consensus/test_cluster.py
+++ b/tests/consensus/test_cluster.py
@@ -225,6 +225,8 @@
             assert answer.exit_code == 1 and "destinations.x: a number or '*' is needed" in answer.output
             await fleet.wait_for_version(str(newest))
             async with traffic(fleet, 80.0) as clients:
+                # The guard compares with at least 20 messages that were completed before the version.
+                await wait_for_accepted(clients, 80)
                 await asyncio.sleep(1.5)
                 file.write_text(json.dumps({"destinations": {"1": {"endpoints": ["nobody"]}}}))
                 answer = await command(
