AMQP protocol: handshake, channels, contents and publish confirms are own modules

Login and MAX_UNCONFIRMED move with them, and the imports of three test modules follow. What was a flag (`active`) reads as one (`is_flow_active`). No behaviour changes.

--- a/message_relay/amqp/connection.py
+++ b/message_relay/amqp/connection.py
@@ -15,7 +15,8 @@
 from ..structured_logging import LogEvent
 from . import events
 from .events import Publish, PublishStatus
-from .protocol import ConnectionProtocol, Login, State
+from .handshake import Login
+from .protocol import ConnectionProtocol, State
 
 log = logging.getLogger(__name__)
 
--- a/message_relay/amqp/protocol.py
+++ b/message_relay/amqp/protocol.py
@@ -26,12 +26,8 @@
   connection is lost, this count decides whether a publish is LOST or UNWRITTEN. A publish of three frames of
   which two were written has had no effect: a broker routes a message once its whole content has arrived
   (1.2.3 of the description of publisher confirms, and 4.2.6 of the specification).
-- A basic.return proves that a message was not routed and settles it at once. The ack that follows only
-  removes the tag.
-- A confirm for a publish that was given up is reported as late. A confirm for a tag that was settled before
-  is counted and ignored. A confirm for a tag that was never used, or for tag 0 without the multiple flag,
-  breaks the connection: no later confirm could be trusted.
-- A nack may cover several tags, too. Confirms may arrive in any order.
+- Confirms and returns settle publishes as publish_confirms.py describes; a confirm that cannot be right
+  breaks the connection. A confirm for a publish that was given up is reported as late.
 - After channel.close is sent, frames of the channel are ignored until its close-ok.
 - basic.ack has no reply. Tracked acks are reported as processed once the reply to a later synchronous method
   has arrived: basic.qos with the unchanged prefetch, or channel.close (ack_tracker.py). If the broker closes
@@ -40,15 +36,14 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 from pamqp import base, body, commands, header, heartbeat
 
-from .ack_tracker import AckTracker
+from .channel import Channel, ChannelState
+from .content import Content, PartialContent
 from .events import (
     AcksProcessed,
     Blocked,
@@ -66,12 +61,9 @@
     PublishStatus,
 )
 from .frames import MIN_FRAME_BYTES, Frame, FrameError, FrameReader, encode_content, encode_frame
+from .handshake import CHANNEL_MAX, Login, negotiate, start_ok
 
 PROTOCOL_HEADER = b"AMQP\x00\x00\x09\x01"
-FRAME_MAX = 131_072  # bytes, requested from the broker; a body of 64 KiB fits into one frame
-CHANNEL_MAX = 64  # requested from the broker; only a few are used
-MAX_UNCONFIRMED = 1024  # unconfirmed publishes of one channel, including those given up
-MAX_CONTENT_BYTES = 64 * 1024  # a longer delivery is skipped, and reported with its size only
 DEAD_AFTER_HEARTBEATS = 2.0  # heartbeat intervals without a byte after which the broker is dead (4.2.7)
 
 
@@ -79,45 +71,6 @@
     START, SECURE, OPENING, OPEN, CLOSING, CLOSED, BROKEN = range(7)
 
 
-class ChannelState(Enum):
-    """State of a channel; see the table above."""
-
-    OPENING, SETTING, READY, CLOSING, CLOSED = range(5)
-
-
-@dataclass(slots=True)
-class PartialContent:
-    """A method that carries content, and the part of that content received so far."""
-
-    method: base.Frame
-    properties: commands.Basic.Properties | None = None
-    size: int = 0
-    received_size: int = 0
-    parts: list[bytes] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class Channel:
-    number: int
-    prefetch: int  # 0: a channel for publishing, with confirms
-    state: ChannelState = ChannelState.OPENING
-    last_tag: int = 0  # delivery tag of the latest publish
-    unconfirmed: OrderedDict[int, Publish] = field(default_factory=OrderedDict)
-    content: PartialContent | None = None
-    active: bool = True
-    acks: AckTracker = field(default_factory=AckTracker)
-
-
-@dataclass(frozen=True, slots=True)
-class Login:
-    user: str = "guest"
-    password: str = field(default="guest", repr=False)
-    vhost: str = "/"
-    external: bool = False  # SASL EXTERNAL: the client certificate identifies the relay
-    heartbeat_s: int = 10  # requested from the broker; 0: no heartbeats
-    name: str = "linnetstile"
-
-
 class ProtocolUsageError(RuntimeError):
     """A method was called that the current state does not allow: a fault of the caller."""
 
@@ -224,15 +177,7 @@
     def may_publish(self, number: int) -> bool:
         """Whether `publish` is allowed: not under flow control, if blocked, or with too many unconfirmed."""
         channel = self.channels.get(number)
-        return (
-            self.state is State.OPEN
-            and not self.blocked
-            and channel is not None
-            and channel.state is ChannelState.READY
-            and channel.prefetch == 0
-            and channel.active
-            and len(channel.unconfirmed) < MAX_UNCONFIRMED
-        )
+        return self.state is State.OPEN and not self.blocked and channel is not None and channel.may_publish
 
     def publish(
         self,
@@ -248,11 +193,7 @@
         channel = self.channels[number]
         method = commands.Basic.Publish(exchange=exchange, routing_key=routing_key, mandatory=True)
         self._append(encode_content(method, properties, data, number, self.frame_max))
-        channel.last_tag += 1
-        sent = channel.unconfirmed[channel.last_tag] = Publish(
-            number, channel.last_tag, message_id, self.produced
-        )
-        return sent
+        return channel.confirms.add(number, message_id, self.produced)
 
     def give_up(self, publish: Publish) -> None:
         """Stops waiting for the confirm; one that still arrives is reported as late."""
@@ -261,7 +202,7 @@
     def given_up(self, number: int) -> int:
         """Returns how many publishes of a channel were given up and may still be confirmed."""
         channel = self.channels.get(number)
-        return 0 if channel is None else sum(publish.given_up for publish in channel.unconfirmed.values())
+        return 0 if channel is None else channel.confirms.given_up
 
     def consume(self, number: int, queue: str, consumer: str) -> None:
         channel = self._ready_channel(number)
@@ -309,11 +250,8 @@
     @property
     def unconfirmed(self) -> int:
         """How many publishes wait for a confirm and were not given up."""
-        return sum(
-            not publish.given_up
-            for channel in self.channels.values()
-            for publish in channel.unconfirmed.values()
-        )
+        confirms = [channel.confirms for channel in self.channels.values()]
+        return sum(len(publishes) - publishes.given_up for publishes in confirms)
 
     def _ready_channel(self, number: int) -> Channel:
         channel = self.channels.get(number)
@@ -378,48 +316,15 @@
         handler(frame)
 
     def _on_start(self, frame: commands.Connection.Start) -> None:
-        mechanism = "EXTERNAL" if self.login.external else "PLAIN"
-        offered = str(frame.mechanisms).split()
-        if (frame.version_major, frame.version_minor) != (0, 9):
-            raise FrameError(501, f"the broker speaks {frame.version_major}-{frame.version_minor}")
-        if mechanism not in offered:
-            raise FrameError(504, f"the broker offers {' '.join(offered)[:100]}, and not {mechanism}")
-        response = "" if self.login.external else f"\0{self.login.user}\0{self.login.password}"
-        capabilities: dict[str, Any] = {
-            "publisher_confirms": True,
-            "basic.nack": True,
-            "connection.blocked": True,
-            "consumer_cancel_notify": True,
-        }
-        self._send_frame(
-            commands.Connection.StartOk(
-                {"product": "linnetstile", "connection_name": self.login.name, "capabilities": capabilities},
-                mechanism,
-                response,
-            )
-        )
+        self._send_frame(start_ok(self.login, frame))
         self.state = State.SECURE
 
     def _on_tune(self, frame: commands.Connection.Tune) -> None:
-        """Negotiates the limits: the lower of both values, where 0 means no limit (1.4.2.6)."""
-
-        def lower_limit(client_limit: int, server_limit: int) -> int:
-            return (
-                min(client_limit, server_limit)
-                if client_limit and server_limit
-                else client_limit or server_limit
-            )
-
-        self.frame_max = lower_limit(FRAME_MAX, frame.frame_max or 0)
-        if self.frame_max < MIN_FRAME_BYTES:
-            raise FrameError(
-                501, f"the broker wants frames of {self.frame_max} bytes: {MIN_FRAME_BYTES} are the least"
-            )
-        self.channel_max = lower_limit(CHANNEL_MAX, frame.channel_max or 0)
-        heartbeats = (self.login.heartbeat_s, frame.heartbeat or 0)
-        self.heartbeat_s = float(min(heartbeats) if all(heartbeats) else 0)
+        limits = negotiate(self.login, frame)
+        self.frame_max, self.channel_max = limits.frame_max, limits.channel_max
+        self.heartbeat_s = float(limits.heartbeat_s)
         self.reader.max_frame_bytes = self.frame_max
-        self._send_frame(commands.Connection.TuneOk(self.channel_max, self.frame_max, int(self.heartbeat_s)))
+        self._send_frame(commands.Connection.TuneOk(limits.channel_max, limits.frame_max, limits.heartbeat_s))
         self._send_frame(commands.Connection.Open(self.login.vhost))
         self.state = State.OPENING
 
@@ -473,17 +378,13 @@
             case commands.Basic.QosOk() if channel.acks.batches:
                 self._report_acks(number, channel.acks.finish_batch())
             case commands.Channel.Flow() if channel.state is ChannelState.READY:
-                channel.active = bool(frame.active)
-                self._send_frame(commands.Channel.FlowOk(channel.active), number)
-                self.events.append(Flow(number, channel.active))
+                channel.is_flow_active = bool(frame.active)
+                self._send_frame(commands.Channel.FlowOk(channel.is_flow_active), number)
+                self.events.append(Flow(number, channel.is_flow_active))
             case commands.Basic.Ack() if channel.prefetch == 0:
-                self._handle_confirm(
-                    channel, frame.delivery_tag or 0, bool(frame.multiple), PublishStatus.ACKED
-                )
+                self._handle_confirm(channel, frame, PublishStatus.ACKED)
             case commands.Basic.Nack() if channel.prefetch == 0:
-                self._handle_confirm(
-                    channel, frame.delivery_tag or 0, bool(frame.multiple), PublishStatus.NACKED
-                )
+                self._handle_confirm(channel, frame, PublishStatus.NACKED)
             case commands.Basic.Return() | commands.Basic.Deliver():
                 channel.content = PartialContent(frame)
             case commands.Basic.ConsumeOk():
@@ -504,34 +405,27 @@
     def _handle_content_header(self, channel: Channel, frame: header.ContentHeader) -> None:
         if channel.state is ChannelState.CLOSING:
             return
-        content = channel.content
-        if content is None or content.properties is not None:
+        if channel.content is None:
             raise FrameError(505, "a content header that nothing announced")
-        content.properties, content.size = frame.properties, frame.body_size or 0
-        self._finish_content(channel, content)
+        channel.content.add_header(frame)
+        self._finish_content(channel, channel.content)
 
     def _handle_content_body(self, channel: Channel, frame: body.ContentBody) -> None:
         if channel.state is ChannelState.CLOSING:
             return
-        content = channel.content
-        if content is None or content.properties is None:
+        if channel.content is None:
             raise FrameError(505, "a content body without its header")
-        data = frame.value or b""
-        content.received_size += len(data)
-        if content.received_size > content.size:
-            raise FrameError(501, f"a content of {content.received_size} bytes that was to be {content.size}")
-        if content.size <= MAX_CONTENT_BYTES and not isinstance(content.method, commands.Basic.Return):
-            content.parts.append(data)
-        self._finish_content(channel, content)
-
-    def _finish_content(self, channel: Channel, content: PartialContent) -> None:
-        if content.received_size < content.size:
+        channel.content.add_body(frame)
+        self._finish_content(channel, channel.content)
+
+    def _finish_content(self, channel: Channel, partial_content: PartialContent) -> None:
+        content = partial_content.complete()
+        if content is None:
             return
         channel.content = None
-        properties, method = content.properties, content.method
-        assert properties is not None
+        method = content.method
         if isinstance(method, commands.Basic.Return):
-            self._handle_return(channel, method, properties)
+            self._handle_return(channel, method, content)
         elif isinstance(method, commands.Basic.Deliver):
             self.events.append(
                 Delivered(
@@ -540,52 +434,34 @@
                     method.delivery_tag or 0,
                     bool(method.redelivered),
                     str(method.routing_key),
-                    properties,
-                    b"".join(content.parts),
-                    content.size if content.size > MAX_CONTENT_BYTES else 0,
+                    content.properties,
+                    content.data,
+                    content.size if content.is_too_long else 0,
                 )
             )
 
-    def _handle_return(
-        self, channel: Channel, method: commands.Basic.Return, properties: commands.Basic.Properties
-    ) -> None:
-        for publish in channel.unconfirmed.values():
-            if publish.message_id == properties.message_id and publish.status is PublishStatus.OUT:
-                publish.reason = f"{method.reply_code} {method.reply_text}"[:200]
-                self._settle(publish, PublishStatus.RETURNED)
-                return
-        self.ignored_confirms += 1
-
     # -- confirms ----------------------------------------------------------------------------------------
 
-    def _handle_confirm(self, channel: Channel, tag: int, multiple: bool, status: PublishStatus) -> None:
-        if tag > channel.last_tag or tag == 0 and not multiple:
-            raise FrameError(530, f"a confirm for tag {tag}, and {channel.last_tag} is the latest")
-        if not multiple:
-            publish = channel.unconfirmed.pop(tag, None)
-            if publish is None:
-                self.ignored_confirms += 1
-            else:
-                self._settle(publish, status)
-            return
-        highest_tag = tag or channel.last_tag
-        while channel.unconfirmed and next(iter(channel.unconfirmed)) <= highest_tag:
-            self._settle(channel.unconfirmed.popitem(last=False)[1], status)
+    def _handle_return(self, channel: Channel, method: commands.Basic.Return, content: Content) -> None:
+        reason = f"{method.reply_code} {method.reply_text}"[:200]
+        self._report_settled(channel.confirms.on_return(content.properties.message_id, reason))
 
-    def _settle(self, publish: Publish, status: PublishStatus) -> None:
-        if publish.status is not PublishStatus.OUT:
-            return  # it was returned before; this ack only removes its tag
-        publish.status = status
-        self.events.append(PublishSettled(publish, publish.given_up))
+    def _handle_confirm(
+        self, channel: Channel, frame: commands.Basic.Ack | commands.Basic.Nack, status: PublishStatus
+    ) -> None:
+        tag, is_multiple = frame.delivery_tag or 0, bool(frame.multiple)
+        self._report_settled(channel.confirms.on_confirm(tag, is_multiple, status))
+
+    def _report_settled(self, publishes: list[Publish] | None) -> None:
+        """Reports what a confirm or return has settled; None: it matched no open publish."""
+        if publishes is None:
+            self.ignored_confirms += 1
+            return
+        self.events += [PublishSettled(publish, publish.given_up) for publish in publishes]
 
     def _settle_unconfirmed(self, channel: Channel, reason: str) -> None:
         """Settles all unconfirmed publishes of a channel as LOST or UNWRITTEN."""
-        for publish in channel.unconfirmed.values():
-            publish.reason = publish.reason or reason
-            self._settle(
-                publish, PublishStatus.LOST if publish.end_offset <= self.written else PublishStatus.UNWRITTEN
-            )
-        channel.unconfirmed.clear()
+        self._report_settled(channel.confirms.on_closed(self.written, reason))
         channel.content = None
 
     # -- closing -----------------------------------------------------------------------------------------
--- a/message_relay/amqp/transport.py
+++ b/message_relay/amqp/transport.py
@@ -26,7 +26,7 @@
 from ..structured_logging import LogEvent
 from .connection import BrokerConnection, NotConnectedError
 from .events import Publish, PublishStatus
-from .protocol import Login
+from .handshake import Login
 from .reconnect_policy import ReconnectPolicy
 from .settings import (
     ADDRESS_PREFIX,
--- a/tests/amqp/peer.py
+++ b/tests/amqp/peer.py
@@ -5,7 +5,8 @@
 from pamqp import base, body, commands, frame, header
 
 from message_relay.amqp.events import Event
-from message_relay.amqp.protocol import ConnectionProtocol, Login
+from message_relay.amqp.handshake import Login
+from message_relay.amqp.protocol import ConnectionProtocol
 
 Properties = commands.Basic.Properties
 
--- a/tests/amqp/test_machine.py
+++ b/tests/amqp/test_machine.py
@@ -11,6 +11,7 @@
 from pamqp import base, body, commands, frame, header
 
 from message_relay.amqp import protocol
+from message_relay.amqp.channel import MAX_UNCONFIRMED
 from message_relay.amqp.events import (
     AcksProcessed,
     Blocked,
@@ -27,7 +28,8 @@
     PublishStatus,
 )
 from message_relay.amqp.frames import FrameError, FrameReader
-from message_relay.amqp.protocol import ConnectionProtocol, Login, State
+from message_relay.amqp.handshake import Login
+from message_relay.amqp.protocol import ConnectionProtocol, State
 
 from .peer import (
     START,
@@ -246,7 +248,7 @@
     assert feed(machine, encode_method(commands.Channel.Flow(False), 1)) == [Flow(1, False)]
     assert not machine.may_publish(1)
     feed(machine, encode_method(commands.Channel.Flow(True), 1))
-    for n in range(protocol.MAX_UNCONFIRMED):
+    for n in range(MAX_UNCONFIRMED):
         publish(machine, f"m{n}")
     assert not machine.may_publish(1)
 
--- a/tests/compatibility/amqp_binding.py
+++ b/tests/compatibility/amqp_binding.py
@@ -15,7 +15,8 @@
 from message_relay.amqp.deliveries import ReplyAddress, submission_of
 from message_relay.amqp.events import Delivered
 from message_relay.amqp.outcome_publisher import OutcomePublisher
-from message_relay.amqp.protocol import ConnectionProtocol, Login
+from message_relay.amqp.handshake import Login
+from message_relay.amqp.protocol import ConnectionProtocol
 from message_relay.amqp.settings import AmqpSettings, BrokerSettings, EndpointSettings
 from message_relay.amqp.source import ConfiguredEndpoints
 from message_relay.amqp.transport import Broker, BrokerPublisher
