Queue consumer: a redelivery of a message that the relay has does not wait for capacity

What callers saw: with a prefetch near open-cap (200 and 210) a broker lost the acks of one burst, reset the connection after 1 s and delivered all 200 payments again to the same relay; 178 ended as failed 16 s later, untried. HTTP clients got 503 meanwhile. Cause: a message whose ack may be lost takes a place until its redelivery, and its redelivery waited for a place. Change: what the relay has accepted before is submitted whatever its capacity, as over HTTP; it takes no new place. Measured: both plays of the new test failed before (standing relay, restart) and pass.

--- a/message_relay/amqp/queue_consumer.py
+++ b/message_relay/amqp/queue_consumer.py
@@ -115,25 +115,38 @@
     # -- deliveries --------------------------------------------------------------------------------------
 
     def submit_deliveries(self) -> None:
-        """Submits the waiting deliveries in order, as far as the relay has capacity."""
+        """Submits the waiting deliveries in order, as far as the relay has capacity.
+
+        Those of messages that it has accepted before do not wait for capacity: such a message may itself wait
+        for its redelivery, and take capacity meanwhile.
+        """
         while self.deliveries and not self.stopped:
-            may_submit = self.acceptor.has_capacity and not self._is_proof_late()
-            if not may_submit or not self._submit_oldest():
+            if self._is_proof_late():
+                self._schedule_retry()
+                return
+            if not self.acceptor.has_capacity or not self._submit(self.deliveries[0]):
+                self._submit_known()
                 self._schedule_retry()
                 return
+            self.deliveries.popleft()
+
+    def _submit_known(self) -> None:
+        """Submits the waiting deliveries of messages that the relay has accepted before."""
+        self.deliveries = deque(
+            waiting
+            for waiting in self.deliveries
+            if not (self.acceptor.has_message(message_id_of(waiting.delivery)) and self._submit(waiting))
+        )
 
-    def _submit_oldest(self) -> bool:
-        """Submits the oldest waiting delivery; returns False if the relay cannot accept it yet."""
-        waiting = self.deliveries[0]
+    def _submit(self, waiting: WaitingDelivery) -> bool:
+        """Submits a delivery; returns False if the relay cannot accept it yet."""
         try:
             result = self.acceptor.accept(self._submission(waiting))
         except InvalidMessageError as error:
-            self.deliveries.popleft()
             self._reject(waiting.delivery, error)
             return True
         if not result.accepted:
             return False
-        self.deliveries.popleft()
         self.reconnect_policy.has_confirmed = True
         self._acknowledge_once_durable(waiting.delivery, result)
         return True
--- a/message_relay/core/message_lifecycle.py
+++ b/message_relay/core/message_lifecycle.py
@@ -112,6 +112,10 @@
             and not self.is_retiring
         )
 
+    def has_message(self, message_id: str) -> bool:
+        """Returns whether a message was accepted before, whatever its state."""
+        return message_id in self.journal.entries
+
     def accept(self, submission: Submission) -> SubmissionResult:
         """Journals or rejects a submission synchronously.
 
@@ -120,7 +124,7 @@
         self.validator.validate(submission)
         if self.on_submission is not None:
             self.on_submission(submission)
-        if submission.id in self.journal.entries:  # a repeated submission, whatever the state of the message
+        if self.has_message(submission.id):
             return self._accept_again(submission.id)
         unavailable = self._unavailable_reason(submission)
         if unavailable:
--- a/message_relay/core/ports.py
+++ b/message_relay/core/ports.py
@@ -96,6 +96,9 @@
 class HandoverAcceptor(MessageAcceptor, Protocol):
     """Also accepts messages of which the source keeps a copy until it has confirmed the handover."""
 
+    def has_message(self, message_id: str, /) -> bool:
+        """Whether a message was accepted before: its submission needs no capacity."""
+
     def confirm_handover(self, message_id: str, /) -> None:
         """Notes that the source of a message has given up its copy: no relay will receive it again."""
 
--- a/tests/amqp/test_handover.py
+++ b/tests/amqp/test_handover.py
@@ -128,6 +128,36 @@
     run(work())
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_redelivery_to_a_full_relay_needs_no_capacity(tmp_path: Path, is_restarted: bool) -> None:
+    """Guards against messages that fail at their deadline: their redeliveries wait for capacity they take."""
+
+    async def work() -> None:
+        source, target = brokers()
+        answers = source.queues["answers"].waiting
+        relay_settings = settings()
+        relay_settings["limits"]["open-cap"] = 10
+        async with serving(source) as source_port, serving(target) as target_port:
+            amqp = amqp_settings(source_port, target_port)
+            relay = await relay_of(tmp_path, amqp, settings=relay_settings)
+            await until(lambda: bool(source.queues["in"].consumers))
+            source.unresponsive = True
+            for n in range(12):
+                publish(source, f"m{n}", message_type="unsafe", expiration="6000", reply_to="answers")
+            await until(lambda: bool(relay.journal.entries) and not relay.messages.has_capacity)
+            if is_restarted:
+                await relay.close()
+                source.unresponsive = False
+                relay = await relay_of(tmp_path, amqp, settings=relay_settings)
+            else:
+                reset_connection(source)
+            await until(lambda: len(target.effects) + len(answers) == 12)
+            assert not answers and len(set(target.effects)) == 12
+            await relay.close()
+
+    run(work())
+
+
 def test_nothing_more_is_accepted_while_the_proof_of_an_ack_is_late(tmp_path: Path) -> None:
     """Guards against a whole prefetch of messages that are acknowledged on a dead connection."""
 
