AMQP intake: at most half of the pending messages await the proof of their acks

What callers saw: a broker lost the acks of a burst (prefetch 200, open-cap 210) and gave the messages to another consumer; HTTP clients of the relay got 503 until the deadline of what was in doubt, 16 s: 157 of 471. Cause: what awaits its handover counts as pending, and once the connection is lost it does so for all its time; nothing but the limit of all pending messages bound it. Change: at most half of the places may await a handover; beyond that deliveries stay unacknowledged in their queue. Measured: the new test failed before (8 of 10 places) and passes.

--- a/message_relay/core/handover.py
+++ b/message_relay/core/handover.py
@@ -21,6 +21,10 @@
 from ..store.records import JournalEntry
 from .clock import unix_time_ms
 
+# Share of the places for pending messages that may await their handover. If a broker is lost, they keep these
+# until their deadlines; the others are left to the messages of other clients.
+MAX_HANDOVER_SHARE = 0.5
+
 
 @dataclass(slots=True)
 class PendingHandover:
@@ -42,6 +46,10 @@
     def __len__(self) -> int:
         return len(self.by_id)
 
+    def has_capacity(self, max_pending_messages: int) -> bool:
+        """Returns whether one more message may await its handover."""
+        return len(self.by_id) + 1 <= MAX_HANDOVER_SHARE * max_pending_messages
+
     def entries(self) -> list[JournalEntry]:
         """Returns the journal entries of all messages that await their handover."""
         return [pending.entry for pending in self.by_id.values()]
--- a/message_relay/core/message_lifecycle.py
+++ b/message_relay/core/message_lifecycle.py
@@ -106,9 +106,11 @@
 
     @property
     def has_capacity(self) -> bool:
-        """Whether one more message can be accepted without displacing a pending one."""
+        """Whether one more message can await its handover, and displaces no pending one."""
+        max_pending = self.settings.max_pending_messages
         return (
-            self.pending_count + 1 < SHEDDING_THRESHOLD * self.settings.max_pending_messages
+            self.pending_count + 1 < SHEDDING_THRESHOLD * max_pending
+            and self.handovers.has_capacity(max_pending)
             and not self.is_retiring
         )
 
--- a/message_relay/core/ports.py
+++ b/message_relay/core/ports.py
@@ -78,7 +78,10 @@
 
     @property
     def has_capacity(self) -> bool:
-        """False once one more message would displace a pending one; an intake that can wait does so."""
+        """False once one more message would displace a pending one, or too many await their handover.
+
+        An intake that can wait does so.
+        """
 
     def accept(self, submission: Submission, /) -> SubmissionResult:
         """Journals a submission, or rejects it. Raises InvalidMessageError."""
--- a/tests/amqp/test_handover.py
+++ b/tests/amqp/test_handover.py
@@ -158,6 +158,29 @@
     run(work())
 
 
+def test_messages_in_doubt_leave_places_to_other_clients(tmp_path: Path) -> None:
+    """Guards against a relay that rejects its clients until what a lost broker had left has expired."""
+
+    async def work() -> None:
+        source, target = brokers()
+        target.blocked = True
+        relay_settings = settings()
+        relay_settings["limits"]["open-cap"] = 10
+        async with serving(source) as source_port, serving(target) as target_port:
+            amqp = amqp_settings(source_port, target_port)
+            relay = await relay_of(tmp_path, amqp, settings=relay_settings)
+            await until(lambda: bool(source.queues["in"].consumers))
+            source.unresponsive = True
+            for n in range(12):
+                publish(source, f"m{n}", message_type="unsafe")
+            await until(lambda: bool(relay.journal.entries) and not relay.messages.has_capacity)
+            assert len(relay.messages.handovers) == 5
+            assert all(relay.messages.accept(submission(f"s{n}", "safe")).accepted for n in range(3))
+            await relay.close()
+
+    run(work())
+
+
 def test_nothing_more_is_accepted_while_the_proof_of_an_ack_is_late(tmp_path: Path) -> None:
     """Guards against a whole prefetch of messages that are acknowledged on a dead connection."""
 
