Queue consumer: a full relay looks for known deliveries once a poll, not at each arrival

Cause: since the redeliveries of known messages are submitted without capacity, each arrival at a full relay looked through all that waited: a burst of 1,000 (the largest prefetch) held up the event loop for 140 ms.

--- a/message_relay/amqp/queue_consumer.py
+++ b/message_relay/amqp/queue_consumer.py
@@ -115,23 +115,20 @@
     # -- deliveries --------------------------------------------------------------------------------------
 
     def submit_deliveries(self) -> None:
-        """Submits the waiting deliveries in order, as far as the relay has capacity.
-
-        Those of messages that it has accepted before do not wait for capacity: such a message may itself wait
-        for its redelivery, and take capacity meanwhile.
-        """
+        """Submits the waiting deliveries in order, as far as the relay has capacity."""
         while self.deliveries and not self.stopped:
-            if self._is_proof_late():
-                self._schedule_retry()
-                return
-            if not self.acceptor.has_capacity or not self._submit(self.deliveries[0]):
-                self._submit_known()
+            may_submit = self.acceptor.has_capacity and not self._is_proof_late()
+            if not may_submit or not self._submit(self.deliveries[0]):
                 self._schedule_retry()
                 return
             self.deliveries.popleft()
 
     def _submit_known(self) -> None:
-        """Submits the waiting deliveries of messages that the relay has accepted before."""
+        """Submits the waiting deliveries of messages that the relay has accepted before.
+
+        They do not wait for capacity: such a message may itself wait for its redelivery, and take capacity
+        meanwhile.
+        """
         self.deliveries = deque(
             waiting
             for waiting in self.deliveries
@@ -185,6 +182,8 @@
 
     def _retry(self) -> None:
         self.retry_timer = None
+        if not self._is_proof_late():
+            self._submit_known()
         self.submit_deliveries()
 
     def _on_journalled(
