AMQP: ends of channels and publishes have own functions, public items docstrings

Need: two functions of over 50 lines held all that can happen to a channel, and 30 public items of the package had no docstring. No behaviour changes.

--- a/message_relay/amqp/connection.py
+++ b/message_relay/amqp/connection.py
@@ -23,14 +23,17 @@
 Properties = commands.Basic.Properties
 # A channel with this many given-up publishes is replaced, once nothing else on the connection is unconfirmed.
 MAX_GIVEN_UP = 256
+ANSWERED = (PublishStatus.ACKED, PublishStatus.NACKED, PublishStatus.RETURNED)  # by the broker
 
 
 class Consumer(Protocol):
     """Receives the deliveries of one channel."""
 
-    def on_channel_ready(self, channel: int) -> None: ...
+    def on_channel_ready(self, channel: int) -> None:
+        """Called once, when the channel is open and `subscribe` is allowed."""
 
-    def on_delivery(self, delivery: events.Delivered) -> None: ...
+    def on_delivery(self, delivery: events.Delivered) -> None:
+        """Called for each delivery; it has to be settled or acknowledged."""
 
     def on_consumer_closed(self, reason: str) -> None:
         """Called once, when the consumer, its channel or the connection has ended."""
@@ -41,6 +44,8 @@
 
 
 class BrokerConnection(asyncio.Protocol):
+    """A connection with one channel for publishes and one for each consumer."""
+
     def __init__(
         self, login: Login, on_closed: Callable[[str], None], on_late_confirm: Callable[[Publish], None]
     ) -> None:
@@ -48,9 +53,7 @@
         self.machine = ConnectionProtocol(login, self.loop.time())
         self.on_closed, self.on_late_confirm = on_closed, on_late_confirm
         self.transport: asyncio.Transport | None = None
-        self.publish_channel: asyncio.Future[int] = (
-            self.loop.create_future()
-        )  # number of the channel to publish on
+        self.publish_channel: asyncio.Future[int] = self.loop.create_future()  # its number, once it is open
         self.confirmations: dict[Publish, asyncio.Future[PublishStatus]] = {}
         self.consumers: dict[int, Consumer] = {}  # by channel number
         self.drained = asyncio.Event()
@@ -132,22 +135,21 @@
                     self.publish_channel = self.loop.create_future()
                     if self.machine.state is State.OPEN:
                         self.machine.open_channel()
-                case events.PublishSettled(publish, late):
-                    future = self.confirmations.pop(publish, None)
-                    if future is not None and not future.done():
-                        future.set_result(publish.status)
-                    elif late and publish.status in (
-                        PublishStatus.ACKED,
-                        PublishStatus.NACKED,
-                        PublishStatus.RETURNED,
-                    ):
-                        self.on_late_confirm(publish)
+                case events.PublishSettled(publish, is_late):
+                    self._on_publish_settled(publish, is_late)
                 case events.ConnectionClosed(reason):
                     self._on_connection_closed(reason)
                 case _:
                     pass
         self._flush()
 
+    def _on_publish_settled(self, publish: Publish, is_late: bool) -> None:
+        future = self.confirmations.pop(publish, None)
+        if future is not None and not future.done():
+            future.set_result(publish.status)
+        elif is_late and publish.status in ANSWERED:
+            self.on_late_confirm(publish)
+
     def _on_connection_closed(self, reason: str) -> None:
         if self.is_closed:
             return
@@ -178,9 +180,11 @@
 
     @property
     def blocked(self) -> bool:
+        """Whether the broker takes no publishes on this connection."""
         return self.machine.blocked
 
     def may_publish(self) -> bool:
+        """Whether `publish` is allowed now."""
         return (
             not self.is_closed
             and self.drained.is_set()
@@ -208,6 +212,7 @@
         return channel
 
     def subscribe(self, channel: int, queue: str) -> None:
+        """Consumes a queue on the channel of a consumer."""
         self.machine.consume(channel, queue, f"linnetstile-{channel}")
         self._flush()
 
@@ -260,6 +265,7 @@
             self._flush()
 
     def give_up(self, publish: Publish) -> None:
+        """Stops waiting for the confirm of a publish; `on_late_confirm` is called if it still arrives."""
         self.confirmations.pop(publish, None)
         self.machine.give_up(publish)
         # Guards against a broker that never confirms: the channel would reach MAX_UNCONFIRMED.
--- a/message_relay/amqp/intake.py
+++ b/message_relay/amqp/intake.py
@@ -35,10 +35,12 @@
         self.outcome_publisher = OutcomePublisher(brokers, acceptor, rng)
 
     async def open(self) -> None:
+        """Starts to consume all queues."""
         for queue in self.queues:
             self.tasks.start(queue.run())
 
     def notify_outcome(self, outcome: FinalOutcome) -> None:
+        """Publishes a final outcome to the reply queue of its message."""
         self.outcome_publisher.publish(outcome)
 
     def reload(self, config: Config) -> None:
@@ -48,18 +50,22 @@
         """Nothing to do: what is not acknowledged stays in its queue."""
 
     def stop(self) -> None:
+        """Consumes no more; what was not accepted goes back to its queue."""
         for queue in self.queues:
             queue.stop()
 
     @property
     def open_requests(self) -> int:
+        """Deliveries that are acknowledged once their journal records are durable."""
         return sum(queue.journalling for queue in self.queues)
 
     @property
     def pending_outcomes(self) -> int:
+        """Final outcomes that are not confirmed by their broker yet."""
         return len(self.outcome_publisher.pending)
 
     async def close(self) -> None:
+        """Ends all consumers and publishes at once."""
         self.stop()
         await self.tasks.cancel()
         await self.outcome_publisher.close()
--- a/message_relay/amqp/protocol.py
+++ b/message_relay/amqp/protocol.py
@@ -68,6 +68,8 @@
 
 
 class State(Enum):
+    """State of the connection; see the table above."""
+
     START, SECURE, OPENING, OPEN, CLOSING, CLOSED, BROKEN = range(7)
 
 
@@ -76,6 +78,8 @@
 
 
 class ConnectionProtocol:
+    """One connection to a broker, as its client."""
+
     def __init__(self, login: Login, now: float) -> None:
         """`now`, here and below, is in seconds of any monotonic clock."""
         self.login, self.state = login, State.START
@@ -205,11 +209,13 @@
         return 0 if channel is None else channel.confirms.given_up
 
     def consume(self, number: int, queue: str, consumer: str) -> None:
+        """Consumes a queue; `ConsumerStarted` and its deliveries follow."""
         channel = self._ready_channel(number)
         self._require(channel.prefetch > 0, f"channel {number} is for publishing")
         self._send_frame(commands.Basic.Consume(queue=queue, consumer_tag=consumer), number)
 
     def cancel(self, number: int, consumer: str) -> None:
+        """Ends a consumer; its channel stays open."""
         self._ready_channel(number)
         self._send_frame(commands.Basic.Cancel(consumer_tag=consumer), number)
 
@@ -227,6 +233,7 @@
             self._send_frame(commands.Basic.Qos(prefetch_count=channel.prefetch), number)
 
     def reject(self, number: int, tag: int, requeue: bool) -> None:
+        """Rejects a delivery, which goes back to its queue or to the dead-letter exchange of that."""
         self._ready_channel(number)
         self._send_frame(commands.Basic.Reject(delivery_tag=tag, requeue=requeue), number)
 
@@ -343,24 +350,13 @@
     def _handle_channel_frame(self, channel: Channel, frame: base.Frame) -> None:
         number = channel.number
         if channel.state is ChannelState.CLOSING:
-            if isinstance(frame, commands.Channel.CloseOk):
-                del self.channels[number]
-                self._report_acks(number, channel.acks.finish_all())
-                self.events.append(ChannelClosed(number, 200, "done"))
-            elif isinstance(frame, commands.Channel.Close):
-                # The broker closed the channel first, and may have ignored what arrived after that.
-                channel.acks.clear()
-                self._send_frame(commands.Channel.CloseOk(), number)
+            self._handle_frame_of_closing_channel(channel, frame)
             return
         if channel.content is not None:
             raise FrameError(505, f"{frame.name} in the midst of a content")
-        if isinstance(frame, commands.Channel.Close):
-            self._send_frame(commands.Channel.CloseOk(), number)
-            self._settle_unconfirmed(channel, f"the broker closed the channel: {frame.reply_text}")
-            del self.channels[number]
-            self.events.append(ChannelClosed(number, frame.reply_code or 0, str(frame.reply_text)[:200]))
-            return
         match frame:
+            case commands.Channel.Close():
+                self._on_channel_close(channel, frame)
             case commands.Channel.OpenOk() if channel.state is ChannelState.OPENING:
                 channel.state = ChannelState.SETTING
                 self._send_frame(
@@ -396,6 +392,24 @@
             case _:
                 raise FrameError(503, f"{frame.name} on channel {number}, which is {channel.state.name}")
 
+    def _handle_frame_of_closing_channel(self, channel: Channel, frame: base.Frame) -> None:
+        """Handles a frame after our channel.close; all but the end of the channel are ignored."""
+        number = channel.number
+        if isinstance(frame, commands.Channel.CloseOk):
+            del self.channels[number]
+            self._report_acks(number, channel.acks.finish_all())
+            self.events.append(ChannelClosed(number, 200, "done"))
+        elif isinstance(frame, commands.Channel.Close):
+            # The broker closed the channel first, and may have ignored what arrived after that.
+            channel.acks.clear()
+            self._send_frame(commands.Channel.CloseOk(), number)
+
+    def _on_channel_close(self, channel: Channel, frame: commands.Channel.Close) -> None:
+        self._send_frame(commands.Channel.CloseOk(), channel.number)
+        self._settle_unconfirmed(channel, f"the broker closed the channel: {frame.reply_text}")
+        del self.channels[channel.number]
+        self.events.append(ChannelClosed(channel.number, frame.reply_code or 0, str(frame.reply_text)[:200]))
+
     def _report_acks(self, number: int, tags: list[int]) -> None:
         if tags:
             self.events.append(AcksProcessed(number, tuple(tags)))
--- a/message_relay/amqp/queue_consumer.py
+++ b/message_relay/amqp/queue_consumer.py
@@ -65,9 +65,8 @@
         self.reconnect_policy = ReconnectPolicy(1, rng)
         self.connection: BrokerConnection | None = None
         self.channel = 0
-        self.consumer_number = (
-            0  # of the current consumer: channel numbers and tags are reused by the next one
-        )
+        # Of the current consumer: channel numbers and tags are reused by the next one.
+        self.consumer_number = 0
         self.deliveries: deque[WaitingDelivery] = deque()  # no more than prefetch
         self.journalling = 0
         self.unproved_since: deque[float] = deque()  # times of the acks of this consumer, oldest first
@@ -99,16 +98,19 @@
             await asyncio.sleep(self.reconnect_policy.on_closed(loop.time()))
 
     def on_channel_ready(self, channel: int) -> None:
+        """Subscribes to the queue on the channel that has opened."""
         if self.connection is not None:
             self.connection.subscribe(channel, self.settings.queue)
 
     def on_consumer_closed(self, reason: str) -> None:
+        """Drops what waits, and lets `run` consume again."""
         if not self.stopped:
             log.warning(LogEvent("queue: consumer closed", queue=self.settings.queue, why=reason))
         self.deliveries.clear()  # not acknowledged, so delivered again
         self.closed.set()
 
     def on_delivery(self, delivery: Delivered) -> None:
+        """Submits a delivery, or lets it wait for capacity."""
         self.deliveries.append(WaitingDelivery(delivery, asyncio.get_running_loop().time()))
         self.submit_deliveries()
 
@@ -240,6 +242,7 @@
         return self.connection if is_open else None
 
     def stop(self) -> None:
+        """Consumes no more; what was not accepted goes back to the queue."""
         self.stopped = True
         if self.connection is not None:
             self.connection.close_consumer(self.channel)
--- a/message_relay/amqp/transport.py
+++ b/message_relay/amqp/transport.py
@@ -135,6 +135,7 @@
         )
 
     def close(self) -> None:
+        """Closes the connection in order, and connects no more."""
         self.closed = True
         if self.connect_task is not None:
             self.connect_task.cancel()
@@ -155,6 +156,7 @@
         }
 
     async def attempt(self, attempt: Attempt) -> AttemptResult:
+        """Publishes a message and waits for its confirm, within the time of the attempt."""
         target = self.targets.get(attempt.address[0])
         if target is None:
             return AttemptResult(Outcome.CONNECT_FAILED)
@@ -209,6 +211,7 @@
         """Nothing to do: heartbeats keep idle connections open."""
 
     def close(self) -> None:
+        """Closes the connections to all brokers."""
         for broker in self.brokers.values():
             broker.close()
 
