--- a/benchmarks/capacity/commands.py
+++ b/benchmarks/capacity/commands.py
@@ -21,8 +21,9 @@
 from message_relay.cli.status import as_json, fetch_reports
 from message_relay.fleet.operator import SupervisorSection
 from message_relay.fleet.plan import Plan, SupervisorAction
-from message_relay.fleet.report import Destination, Lag, Report, resident_memory_mb
+from message_relay.fleet.report import Destination, Lag, Report
 from message_relay.fleet.status import StatusSocket
+from message_relay.process_memory import resident_bytes
 
 from .form import Measure
 
@@ -70,7 +71,7 @@
                 await socket.open()
                 stack.callback(socket.close)
             gc.collect()
-            cpu, before = time.process_time(), resident_memory_mb()
+            cpu, before = time.process_time(), resident_bytes()
             reports, fleet, unreachable = await fetch_reports(folder)
             text = as_json(reports, fleet, unreachable)
             cpu = time.process_time() - cpu
@@ -78,7 +79,7 @@
             return {
                 "cpu_ms": 1e3 * cpu,
                 "bytes": float(len(text)),
-                "memory_bytes": 1e6 * (resident_memory_mb() - before),
+                "memory_bytes": resident_bytes() - before,
             }
 
     return asyncio.run(work())
--- a/benchmarks/capacity/decisions.py
+++ b/benchmarks/capacity/decisions.py
@@ -11,8 +11,8 @@
 from collections.abc import Mapping
 
 from benchmarks.decisions import Load
-from message_relay.fleet.report import resident_memory_mb
 from message_relay.gc_policy import run_gc_policy
+from message_relay.process_memory import resident_bytes
 
 from .form import Measure
 
@@ -42,10 +42,10 @@
 def pending(size: int) -> Mapping[str, float]:
     """Measure the objects of the decisions only: the body and the journal entry belong to the store."""
     asyncio.run(_apply_gc_policy())
-    before = resident_memory_mb()
+    before = resident_bytes()
     load = Load("open", size, DESTS)
     assert len(load.relay.pending.by_id) == size
-    return {"memory_bytes": 1e6 * (resident_memory_mb() - before)}
+    return {"memory_bytes": resident_bytes() - before}
 
 
 MEASURES: tuple[Measure, ...] = (
--- a/benchmarks/capacity/directory.py
+++ b/benchmarks/capacity/directory.py
@@ -20,9 +20,9 @@
 from benchmarks.relay import settings
 from message_relay import config
 from message_relay.composition import ComposedRelay, compose
-from message_relay.fleet.report import resident_memory_mb
 from message_relay.gc_policy import run_gc_policy
 from message_relay.http.discovery_client import parse_listing
+from message_relay.process_memory import resident_bytes
 
 from .form import Measure
 
@@ -103,10 +103,10 @@
 
     def work(built: ComposedRelay) -> Mapping[str, float]:
         body = full_list(size)
-        before, cpu = 1e6 * resident_memory_mb(), time.process_time()
+        before, cpu = resident_bytes(), time.process_time()
         turns = process_response(built, body)
         cpu = time.process_time() - cpu
-        after, peak = 1e6 * resident_memory_mb(), 1e6 * peak_rss_mb()
+        after, peak = resident_bytes(), 1e6 * peak_rss_mb()
         assert len(built.relay.scheduler.endpoints) == size
         return {
             "list.json_bytes": float(len(body)),
--- a/benchmarks/capacity/sharded_directory.py
+++ b/benchmarks/capacity/sharded_directory.py
@@ -14,7 +14,7 @@
 import tracemalloc
 from collections.abc import Iterator, Mapping
 
-from message_relay.fleet.report import resident_memory_mb
+from message_relay.process_memory import resident_bytes
 from message_relay.sharded_directory.rendezvous_hash import shard_of
 from message_relay.sharded_directory.shard_client import ShardClient
 from message_relay.sharded_directory.shard_server import ShardServer
@@ -75,7 +75,7 @@
 
 def measure_server(size: int) -> Mapping[str, float]:
     gc.collect()
-    before, started_at = resident_memory_mb(), time.process_time()
+    before, started_at = resident_bytes(), time.process_time()
     server, turns = loaded_server(size)
     elapsed = time.process_time() - started_at
     gc.collect()
@@ -85,7 +85,7 @@
     creation = time.process_time() - creation  # the part of the time that creates the rows
     assert server.status(0.0).endpoints == size
     return {
-        "memory_bytes": (resident_memory_mb() - before) * 1e6,
+        "memory_bytes": resident_bytes() - before,
         "load_cpu_ms": (elapsed - creation) * 1e3,
         "turn_ms": max(turns),
     }
--- a/benchmarks/capacity/store.py
+++ b/benchmarks/capacity/store.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 
-from message_relay.fleet.report import resident_memory_mb
+from message_relay.process_memory import resident_bytes
 from message_relay.store.journal import Journal
 from message_relay.store.records import JournalEntry
 
@@ -44,13 +44,13 @@
     with tempfile.TemporaryDirectory() as name:
         _fill_in_child(Path(name), size)
         gc.collect()
-        before, cpu = resident_memory_mb(), time.process_time()
+        before, cpu = resident_bytes(), time.process_time()
         journal = Journal(Path(name), BYTES_PER_MESSAGE * (size + EVENTS) + 10_000_000)
         cpu = time.process_time() - cpu
         assert len(journal.entries) == size
         costs = {
             "cpu_ms": 1e3 * cpu,
-            "memory_bytes": 1e6 * (resident_memory_mb() - before),
+            "memory_bytes": resident_bytes() - before,
             "disk_bytes": float(journal.disk_bytes),
         }
         journal.close()
--- a/message_relay/fleet/report.py
+++ b/message_relay/fleet/report.py
@@ -7,16 +7,15 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 import msgspec
 
 from ..core.relay import Relay
 from ..decisions.destinations import DestinationState
+from ..process_memory import resident_bytes
 
 REPORT_VERSION = 1
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
 class Destination(msgspec.Struct, frozen=True):
@@ -102,11 +101,6 @@
     version: int = REPORT_VERSION
 
 
-def resident_memory_mb() -> float:
-    """Return the resident memory of this process (proc(5), statm)."""
-    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE_BYTES / 1e6
-
-
 def report_of(
     relay: Relay,
     number: int,
@@ -151,7 +145,7 @@
         journal_bytes=relay.journal.disk_bytes,
         journal_live=relay.journal.live_bytes,
         journal_limit=relay.journal.budget_bytes,
-        rss_mb=resident_memory_mb(),
+        rss_mb=resident_bytes() / 1e6,
         cpu_s=time.process_time(),
         lag=lag,
         destinations=[
