--- a/message_relay/store/capacity.py
+++ b/message_relay/store/capacity.py
@@ -13,6 +13,9 @@
 from .records import JournalEntry
 
 BLOCK_BYTES = 512
+# Memory of a known message beside its texts and its body, which the size on the disk covers: objects of the
+# entry, of the tables of the journal, and of the scheduler while it is pending.
+MESSAGE_OBJECT_BYTES = 1_100
 MAX_RECORD_BYTES = 70 * 1024  # upper bound for a frame: a body of 64 KiB, names and numbers
 MIN_SEGMENT_BYTES = 32 * 1024
 MAX_SEGMENT_BYTES = 4 << 20
--- a/message_relay/store/journal.py
+++ b/message_relay/store/journal.py
@@ -19,10 +19,11 @@
 import errno
 import heapq
 import logging
+from collections import OrderedDict
 from pathlib import Path
 
 from ..structured_logging import LogEvent
-from .capacity import DiskCapacity, max_disk_bytes
+from .capacity import MESSAGE_OBJECT_BYTES, DiskCapacity, max_disk_bytes
 from .compaction import Compactor
 from .durability import Durability
 from .errors import JournalError, JournalFullError, UnsupportedFormatError
@@ -53,6 +54,9 @@
 # delivered again later, it is accepted as a new message: no attempt of it was made.
 HANDOVER_RETENTION_MS = 3_600_000.0
 MAX_RETAINED_HANDOVERS = 512
+# The heap of finished messages is rebuilt once it has so many entries for each of them, and these more.
+STALE_HEAP_FACTOR = 2
+MIN_STALE_HEAP_ENTRIES = 64
 
 
 class Journal:
@@ -62,11 +66,17 @@
     entry; they raise JournalError if the record can't be written."""
 
     def __init__(
-        self, folder: Path, disk_bytes: int, files: FileStore | None = None, sync_ms: float | None = None
+        self,
+        folder: Path,
+        disk_bytes: int,
+        files: FileStore | None = None,
+        sync_ms: float | None = None,
+        memory_bytes: int | None = None,
     ) -> None:
         """Recovers the journal of an earlier process.
 
-        `disk_bytes`: the journal's budget in the directory; `sync_ms`: see durability.py, None: no syncs.
+        `disk_bytes`: the journal's budget in the directory; `sync_ms`: see durability.py, None: no syncs;
+        `memory_bytes`: the limit for all known messages in memory, None: no limit.
         Raises UnsupportedFormatError; OSError if the directory can't be used."""
         self.files: FileStore = files or DirectoryFileStore(folder)
         self.durability: Durability | None = None
@@ -74,11 +84,13 @@
             self.durability = Durability(self.files, sync_ms)
             self.durability.on_sync_failed = self._rewrite_after_failed_sync
         self.capacity = DiskCapacity(disk_bytes)
+        self.memory_limit_bytes = memory_bytes
         self.messages = MessageTable()
         self.entries = self.messages.entries
         self.log = SegmentLog(self.files, self.capacity, self.messages, self.durability)
         self.compactor = Compactor(self.log, self.messages, self.capacity)
         self.retained: list[tuple[float, str]] = []  # heap of finished messages: (expiry, id)
+        self.finished: OrderedDict[str, None] = OrderedDict()  # finished messages, first finished first
         self.retained_handovers: dict[str, None] = {}  # finished messages that await their handover, in order
         self.overdue: dict[str, None] = {}  # messages whose latest state is not on the disk
         self.findings: list[str] = []  # damage found at the start of this process
@@ -99,6 +111,11 @@
         """Upper bound for the size of all known messages if each was rewritten."""
         return self.messages.total_bytes
 
+    @property
+    def memory_bytes(self) -> int:
+        """Estimate of the memory that all known messages take."""
+        return self.live_bytes + len(self.entries) * MESSAGE_OBJECT_BYTES
+
     @property
     def written_bytes(self) -> int:
         """Bytes of records written since the start, without copies."""
@@ -109,15 +126,25 @@
         """Bytes that compaction has copied since the start."""
         return self.log.copied_bytes
 
+    def _has_room(self, size: int) -> bool:
+        """Return whether another message of this size on the disk fits, on the disk and in memory."""
+        if self._exceeds_memory(size + MESSAGE_OBJECT_BYTES):
+            return False
+        return self.capacity.can_accept(self.live_bytes, size)
+
+    def _exceeds_memory(self, added_bytes: int) -> bool:
+        limit_bytes = self.memory_limit_bytes
+        return limit_bytes is not None and self.memory_bytes + added_bytes > limit_bytes
+
     # -- records -----------------------------------------------------------------------------------------
 
     def append_accepted(self, entry: JournalEntry) -> None:
         """Adds a message; call it before answering the client. Raises JournalFullError if it does not fit."""
         size = max_disk_bytes(entry)
-        if not self.capacity.can_accept(self.live_bytes, size):
-            self._remove_finished()
-            if not self.capacity.can_accept(self.live_bytes, size):
-                raise JournalFullError("no disk space for another message")
+        while not self._has_room(size):
+            if not self.finished:
+                raise JournalFullError("no space for another message")
+            self._remove(next(iter(self.finished)))
         if self.overdue:
             self.write_overdue()  # raises if it fails: then no new message is accepted either
         self.log.append(RecordType.ACCEPTED, entry.id, encode_snapshot(entry))
@@ -249,22 +276,25 @@
         self.messages.put(entry, max_disk_bytes(entry))
         if entry.is_unfinished:
             return
+        if len(self.retained) > STALE_HEAP_FACTOR * len(self.finished) + MIN_STALE_HEAP_ENTRIES:
+            self._rebuild_retained()
         heapq.heappush(self.retained, (_retained_until_ms(entry), entry.id))
+        self.finished[entry.id] = None
         if entry.awaits_handover:
             self.retained_handovers[entry.id] = None
 
+    def _rebuild_retained(self) -> None:
+        """Drops the heap's entries of messages that were removed early."""
+        entries = (self.entries[message_id] for message_id in self.finished)
+        self.retained = [(_retained_until_ms(entry), entry.id) for entry in entries]
+        heapq.heapify(self.retained)
+
     def _remove(self, message_id: str) -> None:
         self.retained_handovers.pop(message_id, None)
+        self.finished.pop(message_id, None)
         self.messages.remove(message_id)
         self.log.remove(message_id)
 
-    def _remove_finished(self) -> None:
-        """Removes all finished messages before their deadline, to make space for a new message."""
-        for _, message_id in self.retained:
-            if message_id in self.entries and not self.entries[message_id].is_unfinished:
-                self._remove(message_id)
-        self.retained.clear()
-
     # -- start and repair --------------------------------------------------------------------------------
 
     def _restore(self) -> None:
@@ -273,6 +303,8 @@
         for entry in state.entries.values():
             self._update_table(entry)
             self.log.segment_of.setdefault(entry.id, Segment(0))  # only the id is left of such a message
+        while self._exceeds_memory(0) and self.finished:
+            self._remove(next(iter(self.finished)))
         self.findings = state.findings
         if state.torn_bytes:
             log.warning(LogEvent("journal torn write dropped", bytes=state.torn_bytes))
@@ -282,7 +314,7 @@
 
     def _read_state(self) -> RecoveredState:
         try:
-            state = recover(self.files)
+            state = recover(self.files, self.memory_limit_bytes)
         except UnsupportedFormatError as error:
             raise UnsupportedFormatError(
                 f"journal: {error}: start one that does, or name another folder"
--- a/message_relay/store/recovery.py
+++ b/message_relay/store/recovery.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
+from .capacity import MESSAGE_OBJECT_BYTES
 from .file_store import FileStore
 from .record_format import (
     HEADER_BYTES,
@@ -80,7 +81,9 @@
 class LogReader:
     """Reads all segments once, in order, and applies their records."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory_bytes: int | None = None) -> None:
+        """`memory_bytes`: beyond it, finished messages are forgotten, oldest first; None: never."""
+        self.max_entries = None if memory_bytes is None else memory_bytes // MESSAGE_OBJECT_BYTES
         self.state = RecoveredState()
         self.entries = self.state.entries
         self.partial: dict[str, JournalEntry] = {}  # messages without a snapshot: state from other records
@@ -102,9 +105,22 @@
             self._check_number(current.segment, previous_number)
             previous_number = current.segment.number
             self._read_segment(current, following)
+            self._forget_finished(self.entries)
+            self._forget_finished(self.partial)
         self._finish()
         return self.state
 
+    def _forget_finished(self, entries: dict[str, JournalEntry]) -> None:
+        """Bounds the memory of a start: a log may name far more finished messages than may be known."""
+        excess = 0 if self.max_entries is None else len(entries) - self.max_entries
+        if excess <= 0:
+            return
+        finished = [message_id for message_id, entry in entries.items() if not entry.is_unfinished]
+        for message_id in finished[:excess]:
+            del entries[message_id]
+        for segment in self.state.segments:
+            segment.live_ids = {each: None for each in segment.live_ids if each in self.entries}
+
     def _check_number(self, segment: Segment, previous_number: int | None) -> None:
         if previous_number is not None and segment.number != previous_number + 1:
             self._add_damage(segment, f"segments {previous_number + 1} to {segment.number - 1} are missing")
@@ -289,6 +305,8 @@
                 segment_of[message_id].live_ids[message_id] = None
 
 
-def recover(files: FileStore) -> RecoveredState:
-    """Reads the journal of a directory. Raises UnsupportedFormatError; OSError if it can't be read."""
-    return LogReader().read(files)
+def recover(files: FileStore, memory_bytes: int | None = None) -> RecoveredState:
+    """Reads the journal of a directory. Raises UnsupportedFormatError; OSError if it can't be read.
+
+    `memory_bytes`: see LogReader."""
+    return LogReader(memory_bytes).read(files)
--- a/tests/store/test_journal.py
+++ b/tests/store/test_journal.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from message_relay.store.capacity import BLOCK_BYTES, max_disk_bytes
+from message_relay.store.capacity import BLOCK_BYTES, MESSAGE_OBJECT_BYTES, max_disk_bytes
 from message_relay.store.errors import JournalError, JournalFullError, UnsupportedFormatError
 from message_relay.store.file_store import DirectoryFileStore
 from message_relay.store.inspection import record_lines
@@ -453,3 +453,34 @@
     journal.close()
     uncertain = Journal(folder, BUDGET_BYTES).entries["m"].uncertain_attempt
     assert (None if uncertain is None else uncertain.started_at_ms) == first
+
+
+def test_a_flood_of_finished_messages_takes_no_more_than_its_memory(tmp_path: Path) -> None:
+    """Small messages with deadlines far away took 11 MB in 25 s, and so did the next start."""
+    limit = 100 * (MESSAGE_OBJECT_BYTES + 600)
+    journal = Journal(tmp_path, 3_000_000, memory_bytes=limit)
+    unfinished = entry("unfinished", due=1e15)
+    journal.append_accepted(unfinished)
+    for number in range(2000):
+        message = entry(f"m{number}", due=1e15)
+        journal.append_accepted(message)
+        journal.append_final_outcome(message, "delivered")
+        assert journal.memory_bytes <= limit + MESSAGE_OBJECT_BYTES
+    assert "unfinished" in journal.entries and "m1999" in journal.entries and "m0" not in journal.entries
+    assert len(journal.retained) <= 3 * len(journal.finished) + 64
+    journal.close()
+    again = Journal(tmp_path, 3_000_000, memory_bytes=limit)
+    assert "unfinished" in again.entries and "m1999" in again.entries
+    assert again.memory_bytes <= limit and len(again.entries) == len(again.finished) + 1
+    again.close()
+
+
+def test_no_message_is_accepted_beyond_the_memory_of_unfinished_ones(tmp_path: Path) -> None:
+    journal = Journal(tmp_path, 3_000_000, memory_bytes=20 * (MESSAGE_OBJECT_BYTES + 2600))
+    for number in range(15):
+        journal.append_accepted(entry(f"m{number}", due=1e15))
+    with pytest.raises(JournalFullError):
+        for number in range(15, 50):
+            journal.append_accepted(entry(f"m{number}", due=1e15))
+    assert 15 <= len(journal.entries) < 40
+    journal.close()
