Client intake: unfinished requests have a share of memory and of the loop's turn

Seen: 700 clients with bodies of 400,000 bytes took 120 MB at any limit, half bodies 65 MB, heads of short fields 60 MB; beside the latter and beside 40 bodies in chunks of one byte usual clients got no answer and /healthz took over 5 s. Cause: a read took up to 256 KB a connection and the parser kept it after the response; a head became objects of ten times its size, checked in quadratic time, 50 to 110 ms in one turn; 20,000 chunks were parsed in one turn. Change: RequestReader collects a head as bytes, 100 fields at most, and parses it once; a body is charged to one account before it arrives, else 503, and an old unfinished request makes room; reads share a buffer of 16 KB; ParseTurns gives all connections 5 ms an iteration; a costly request's connection ends 1 s after its answer, so that clients who repeat at once do not fill the accept queue; 1,024 chunks a body at most.

--- a/message_relay/core/message_lifecycle.py
+++ b/message_relay/core/message_lifecycle.py
@@ -25,6 +25,7 @@
 from .clock import unix_time_ms
 from .handover import PendingHandovers
 from .journal_writes import try_write
+from .log_limit import LogLimit
 from .outcome_notification import OutcomeCallback, OutcomeNotification
 from .ports import DestinationInterest, Submission, SubmissionResult
 
@@ -85,6 +86,7 @@
         self.unresumed: list[JournalEntry] = []  # messages of an earlier process, until `resume`
         self.number_of: Callable[[str], int] | None = None  # returns an endpoint's number; set by `resume`
         self._restore(resume.unfinished_entries(journal))
+        self._rejection_log = LogLimit()
         self.is_ready = False
         self.is_retiring = False  # permanently accepts no new messages
         self.on_submission: Callable[[Submission], None] | None = None  # called for each valid submission
@@ -146,7 +148,9 @@
         try:
             self.journal.append_accepted(entry)
         except JournalError as error:
-            log.warning(LogEvent("message rejected", id=submission.id, why=error))
+            count = self._rejection_log.add(self.now() / 1000)
+            if count:
+                log.warning(LogEvent("message rejected", id=submission.id, why=error, count=count))
             return SubmissionResult(False, reason=str(error), retry_after_s=UNAVAILABLE_RETRY_AFTER_S)
         if awaits_handover:
             self.handovers.add(entry)
--- a/message_relay/http/client_connection.py
+++ b/message_relay/http/client_connection.py
@@ -19,18 +19,18 @@
 
 import h11
 
+from ..core.memory_account import MemoryAccount
 from . import client_limits
-from .client_limits import MAX_BODY_BYTES, MAX_DISCARDED_BYTES, MAX_HEAD_BYTES
+from .client_limits import MAX_DISCARDED_BYTES
 from .client_messages import (
     ClientRequest,
     ClientResponse,
     encode_response,
-    find_head_fault,
-    oversized_response,
     parse_plain_request,
     response_events,
 )
-from .headers import headers_by_name
+from .parse_turns import ParseTurns
+from .request_reader import Progress, RejectedRequestError, RequestReader
 from .socket_state import is_socket_ready
 
 log = logging.getLogger(__name__)
@@ -39,6 +39,7 @@
 CancelMessage = Callable[[str], bool]  # argument: message id; returns False if it may have been delivered
 # After a rejection a client submits its next message on the same connection, as after an acceptance.
 SUBMISSION_STATUSES = frozenset((202, 503))
+COSTLY_REQUEST_STATUSES = frozenset((413, 431))  # the end of the connection is delayed
 INVALID_REQUEST_STATUSES = frozenset((400, 404, 405))
 
 
@@ -65,6 +66,24 @@
     def is_stopping(self) -> bool:
         """Whether each response ends its connection, because the process is stopping."""
 
+    @property
+    def read_buffer(self) -> memoryview:
+        """Receives one read of a connection; its content is valid until the next one."""
+
+    @property
+    def parse_turns(self) -> ParseTurns:
+        """Parses the input that h11 has to parse."""
+
+    @property
+    def input_account(self) -> MemoryAccount:
+        """The memory of all unfinished requests."""
+
+    def make_room(self, connection: ClientConnection, size: int) -> bool:
+        """Charge `size` bytes of a connection's unfinished request, ending older ones if necessary."""
+
+    def mark_receiving(self, connection: ClientConnection, is_receiving: bool) -> None:
+        """Note whether the connection holds memory for an unfinished request."""
+
     def add(self, connection: ClientConnection) -> None:
         """Register a new connection, on which nothing has arrived yet."""
 
@@ -81,7 +100,7 @@
         """Note that the connection has sent its last response."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """The server side of one HTTP/1.1 connection, with one request at a time.
 
     The listener calls `on_deadline` once `deadline`, on the loop's clock, has passed.
@@ -89,9 +108,9 @@
 
     def __init__(self, group: ConnectionGroup) -> None:
         self.group = group
-        # Created at the first request that `parse_plain_request` does not parse; many connections never send
-        # any.
-        self.parser: h11.Connection | None = None
+        self.reader: RequestReader | None = None  # of a request that `parse_plain_request` does not parse
+        self.held_bytes = 0  # charged for the unfinished request
+        self.request_started_at = 0.0  # on the loop's clock; valid during a request
         self.transport: asyncio.Transport | None = None
         self.request: ClientRequest | None = None
         # Ids of accepted messages whose responses are not fully written.
@@ -104,6 +123,8 @@
         self.has_submitted = False  # a message was accepted or rejected on this connection
         self.closes_after_response = False
         self.is_lingering = False  # the last response was sent; further input is discarded
+        self.is_end_sent = False  # the sending side is shut down
+        self.linger_s = client_limits.LINGER_S
         self.discarded_bytes = 0
 
     # -- called by the loop ------------------------------------------------------------------------------
@@ -124,6 +145,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the messages whose clients never received a response."""
         self.group.remove(self)
+        self._drop_input()
         # A client that got no response submits the message again; the first copy must not be processed.
         for message_id in self.unsent_ids:
             self.group.cancel(message_id)
@@ -138,19 +160,27 @@
         self.unsent_ids.clear()
         self._resume_reading()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that all connections share."""
+        return self.group.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Handle bytes of a request, or discard them after the last response."""
         if self.is_lingering:
-            self.discarded_bytes += len(data)
+            self.discarded_bytes += nbytes
             if self.discarded_bytes > MAX_DISCARDED_BYTES:
                 self.abort()
             return
-        self._feed(data)
+        self._receive(bytes(self.group.read_buffer[:nbytes]))
 
     def eof_received(self) -> bool | None:
         """Answer a truncated request; the transport closes itself."""
-        if not self.is_lingering:
-            self._feed(b"")
+        if self.is_lingering:
+            return None
+        if self.is_idle:
+            self._close()
+        else:
+            self._respond_and_end(ClientResponse(400, "the request is incomplete"))
         return None
 
     # -- requests ----------------------------------------------------------------------------------------
@@ -158,7 +188,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request has started."""
-        return self.request is None and (self.parser is None or not self.parser.trailing_data[0])
+        return self.request is None and self.reader is None
 
     @property
     def is_idle_and_unread(self) -> bool:
@@ -180,7 +210,9 @@
 
     def on_deadline(self) -> None:
         """End the connection, or answer its request, when its deadline has passed."""
-        if self.is_lingering:
+        if self.is_lingering and not self.is_end_sent:
+            self._send_end()
+        elif self.is_lingering:
             self.abort()
         elif self.is_idle_and_unread:
             self._start_lingering()
@@ -199,66 +231,97 @@
             return ClientResponse(503, "the message could not be kept")
         return ClientResponse(500, "the message could not be kept")  # an attempt may take effect
 
-    def _feed(self, data: bytes) -> None:
-        if self.is_idle and data:
-            now = asyncio.get_running_loop().time()
-            later_deadline = now + client_limits.REQUEST_TIMEOUT_S
-            self.deadline = self.first_request_deadline if self.is_new else later_deadline
-            self.is_new = False
-            self.group.mark_active(self)
+    def _receive(self, data: bytes) -> None:
+        if self.is_idle:
+            self._start_request()
         try:
-            if self.parser is None:
+            if self.reader is None:
                 request = parse_plain_request(data)
                 if request is not None:
                     self.request = request
                     self._on_request_complete(None, request)
                     return
-                self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
-            self.parser.receive_data(data)
-            while not self.is_lingering and self._handle_next_event(self.parser):
-                pass
-        except h11.RemoteProtocolError as error:
-            self._respond_and_end(ClientResponse(error.error_status_hint, str(error)))
-        except Exception:
-            # An internal error must not leave the client without a response.
-            log.exception("client request failed")
-            self._respond_and_end(ClientResponse(500, "internal error"))
-
-    def _handle_next_event(self, parser: h11.Connection) -> bool:
-        """Handle one h11 event; False if there is nothing more to handle now."""
-        match parser.next_event():
-            case h11.Request() as head:
-                return self._on_request_head(parser, head)
-            case h11.Data(data=chunk) if self.request is not None:
-                if len(self.request.body) + len(chunk) > MAX_BODY_BYTES:
-                    self._respond_and_end(oversized_response())
-                    return False
-                self.request.body += chunk
-                return True
-            case h11.EndOfMessage() if self.request is not None:
-                self._on_request_complete(parser, self.request)
-                return False
-            case h11.ConnectionClosed():
-                self._close()
+                self.reader = RequestReader()
+            self.reader.receive(data)
+            if self.group.parse_turns.parse(self) and self.transport is not None:
+                self.transport.pause_reading()
+        except Exception as error:
+            self._reject(error)
+
+    def _start_request(self) -> None:
+        now = asyncio.get_running_loop().time()
+        later_deadline = now + client_limits.REQUEST_TIMEOUT_S
+        self.deadline = self.first_request_deadline if self.is_new else later_deadline
+        self.request_started_at = now
+        self.is_new = False
+        self.group.mark_active(self)
+
+    def parse_some(self) -> bool:
+        """Parse a bounded part of the input; returns whether there is more to parse now."""
+        reader = self.reader
+        if reader is None or self.transport is None or self.transport.is_closing():
+            return False
+        try:
+            progress = reader.advance()
+            self.request = reader.request
+            if not self._charge(reader.held_bytes):
                 return False
+            if progress is Progress.HAS_MORE:
+                return True
+            self.transport.resume_reading()
+            if progress is Progress.COMPLETE and self.request is not None:
+                self._on_request_complete(reader, self.request)
+            elif self.request is not None:
+                self._continue_if_expected(reader)
+        except Exception as error:
+            self._reject(error)
+        return False
+
+    def _reject(self, error: Exception) -> None:
+        """End the connection with the response to a request that cannot be handled."""
+        match error:
+            case RejectedRequestError(response=response):
+                self._respond_and_end(response)
+            case h11.RemoteProtocolError():
+                self._respond_and_end(ClientResponse(error.error_status_hint, str(error)))
             case _:
-                return False
+                # An internal error must not leave the client without a response.
+                log.error("client request failed", exc_info=error)
+                self._respond_and_end(ClientResponse(500, "internal error"))
+
+    def _continue_if_expected(self, reader: RequestReader) -> None:
+        if reader.parser is not None and reader.parser.they_are_waiting_for_100_continue:
+            self._write_events(reader.parser, h11.InformationalResponse(status_code=100, headers=[]))
 
-    def _on_request_head(self, parser: h11.Connection, head: h11.Request) -> bool:
-        """Start a request, or reject it because of its head; returns whether to read its body."""
-        fault = find_head_fault(head)
-        if fault is not None:
-            self._respond_and_end(fault)
+    # -- memory of the unfinished request ----------------------------------------------------------------
+
+    def _charge(self, held_bytes: int) -> bool:
+        """Charge what the unfinished request holds; without room, turn its client away and return False."""
+        added_bytes = held_bytes - self.held_bytes
+        if not self.group.make_room(self, added_bytes):
+            retry_after_s = client_limits.MEMORY_RETRY_AFTER_S
+            self._respond_and_end(
+                ClientResponse(503, "unfinished requests use the memory", retry_after_s=retry_after_s),
+                delays_end=True,
+            )
             return False
-        self.request = ClientRequest(
-            head.method.decode("ascii"), head.target.decode("latin-1"), headers_by_name(head.headers)
-        )
-        if parser.they_are_waiting_for_100_continue:
-            self._write_events(h11.InformationalResponse(status_code=100, headers=[]))
+        self.held_bytes = held_bytes
+        self.group.mark_receiving(self, held_bytes > 0)
         return True
 
-    def _on_request_complete(self, parser: h11.Connection | None, request: ClientRequest) -> None:
-        if parser is not None and parser.trailing_data[0].strip(b"\r\n"):
+    def _drop_input(self) -> None:
+        self.request = None
+        self.reader = None
+        self.group.input_account.release(self.held_bytes)
+        self.held_bytes = 0
+        self.group.mark_receiving(self, False)
+
+    def end_slow_request(self) -> None:
+        """End an unfinished request whose memory others need."""
+        self._respond_and_end(ClientResponse(408, "the request did not come in time"))
+
+    def _on_request_complete(self, reader: RequestReader | None, request: ClientRequest) -> None:
+        if reader is not None and reader.drop_trailing_data():
             # Clients send one request at a time. Pipelined requests, which could occupy the loop by the
             # hundred, and a body longer than its Content-Length are rejected before the first message is
             # accepted.
@@ -268,7 +331,7 @@
             return
         response = self._handle(request)
         if response.durable is None or response.durable.done():
-            self._respond(parser, response)
+            self._respond(response)
             return
         if response.accepted_id is not None:
             # If the connection is lost meanwhile, the client has not received the response.
@@ -276,11 +339,9 @@
         if self.transport is not None:
             self.transport.pause_reading()
         self.deadline = asyncio.get_running_loop().time() + client_limits.DURABILITY_TIMEOUT_S
-        response.durable.add_done_callback(lambda durable: self._on_durable(parser, response, durable))
+        response.durable.add_done_callback(lambda durable: self._on_durable(response, durable))
 
-    def _on_durable(
-        self, parser: h11.Connection | None, response: ClientResponse, durable: asyncio.Future[None]
-    ) -> None:
+    def _on_durable(self, response: ClientResponse, durable: asyncio.Future[None]) -> None:
         """Send a response that waited for the journal's sync."""
         if self.transport is None or self.transport.is_closing() or self.is_lingering or durable.cancelled():
             return  # the message is cancelled where the connection ends
@@ -289,7 +350,7 @@
             self._respond_and_end(self._cancel_unsent())
             return
         self.unsent_ids.clear()
-        self._respond(parser, response)
+        self._respond(response)
         self._resume_reading()
 
     def _handle(self, request: ClientRequest) -> ClientResponse:
@@ -301,22 +362,19 @@
 
     # -- responses ---------------------------------------------------------------------------------------
 
-    def _respond(self, parser: h11.Connection | None, response: ClientResponse) -> None:
+    def _respond(self, response: ClientResponse) -> None:
         """Write a response, then wait for the next request or end the connection."""
         # The number of client connections is limited: clients that send one request and stay connected must
         # not exclude others.
         ends = self.group.is_crowded or self.group.is_stopping
         self.closes_after_response = self.closes_after_response or ends
+        parser = None if self.reader is None else self.reader.parser
         self._write_response(response)
-        self.request = None
+        self._drop_input()
         is_reusable = parser is None or parser.our_state is h11.DONE
         if self.closes_after_response or not is_reusable:
             self._start_lingering()
             return
-        if parser is not None:
-            parser.start_next_cycle()
-            if not parser.trailing_data[0]:
-                self.parser = None  # the next request may be parsed without h11
         self.has_submitted = self.has_submitted or response.status in SUBMISSION_STATUSES
         self.idle_since = asyncio.get_running_loop().time()
         self.deadline = self.idle_since + client_limits.IDLE_TIMEOUT_S
@@ -326,30 +384,44 @@
             self.transport.pause_reading()
             asyncio.get_running_loop().call_later(client_limits.PENALTY_S, self._resume_reading)
 
-    def _respond_and_end(self, response: ClientResponse) -> None:
+    def _respond_and_end(self, response: ClientResponse, delays_end: bool = False) -> None:
         """Write the last response, if one can still be sent, and end the connection."""
         self.closes_after_response = True
-        if self.parser is None or self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        parser = None if self.reader is None else self.reader.parser
+        if parser is None or parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._write_response(response)
         is_oversized = response.status == 413
-        self._start_lingering(client_limits.OVERSIZED_LINGER_S if is_oversized else client_limits.LINGER_S)
+        self.linger_s = client_limits.OVERSIZED_LINGER_S if is_oversized else client_limits.LINGER_S
+        self._start_lingering(delays_end or response.status in COSTLY_REQUEST_STATUSES)
+
+    def _start_lingering(self, delays_end: bool = False) -> None:
+        """Start the lingering close, as for every connection: no response follows, input is discarded.
 
-    def _start_lingering(self, linger_s: float | None = None) -> None:
-        """Start the lingering close, as for every connection: no response follows, input is discarded."""
+        With `delays_end` the client sees the end of the connection later than the response. Clients that
+        submit the same again as soon as it ends must not take the time of the others.
+        """
         self.closes_after_response = True
         self.is_lingering = True
-        self.request = None
-        now = asyncio.get_running_loop().time()
-        self.deadline = now + (client_limits.LINGER_S if linger_s is None else linger_s)
+        self._drop_input()
         self.group.mark_lingering(self)
+        if delays_end:
+            self.deadline = asyncio.get_running_loop().time() + client_limits.END_DELAY_S
+            self._resume_reading()
+        else:
+            self._send_end()
+
+    def _send_end(self) -> None:
+        """Shut down the sending side, and wait for the client to close its own."""
+        self.is_end_sent = True
+        self.deadline = asyncio.get_running_loop().time() + self.linger_s
         if self.transport is not None and not self.transport.is_closing():
             with suppress(OSError):  # the client has disconnected
                 self.transport.write_eof()
             self.transport.resume_reading()
 
     def _write_response(self, response: ClientResponse) -> None:
-        if self.parser is not None:
-            self._write_events(*response_events(response, self.closes_after_response))
+        if self.reader is not None and self.reader.parser is not None:
+            self._write_events(self.reader.parser, *response_events(response, self.closes_after_response))
         elif self.transport is not None:
             self.transport.write(encode_response(response, self.closes_after_response))
         if response.accepted_id is not None:
@@ -363,9 +435,9 @@
         elif transport.get_write_buffer_size():
             self.unsent_ids.append(message_id)
 
-    def _write_events(self, *events: h11.Event) -> None:
-        if self.transport is not None and self.parser is not None:
-            self.transport.write(b"".join(self.parser.send(event) or b"" for event in events))
+    def _write_events(self, parser: h11.Connection, *events: h11.Event) -> None:
+        if self.transport is not None:
+            self.transport.write(b"".join(parser.send(event) or b"" for event in events))
 
     def _resume_reading(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/message_relay/http/client_intake.py
+++ b/message_relay/http/client_intake.py
@@ -7,8 +7,10 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 from ..config import Config
+from ..core.memory_account import MemoryAccount
 from ..core.ports import FinalOutcome, InvalidMessageError, MessageAcceptor, Submission
 from ..core.tasks import BackgroundTasks
 from .agent import AgentClient
@@ -32,7 +34,8 @@
 class ClientIntake:
     """Accepts messages on up to `max_connections` client connections.
 
-    With `crowding_threshold` or more idle connections, no further one is kept open.
+    With `crowding_threshold` or more idle connections, no further one is kept open. `input_account`: the
+    memory of unfinished requests.
     """
 
     def __init__(
@@ -41,13 +44,20 @@
         config: Config,
         max_connections: int,
         crowding_threshold: int,
+        input_account: MemoryAccount | None = None,
+        on_connection_closed: Callable[[], None] = lambda: None,
         inherited_socket: socket.socket | None = None,
     ) -> None:
         self.acceptor = acceptor
         self.listen_address = config.listen
         self.inherited_socket = inherited_socket
         self.listener = ClientListener(
-            self.handle_request, acceptor.cancel, max_connections, crowding_threshold
+            self.handle_request,
+            acceptor.cancel,
+            max_connections,
+            crowding_threshold,
+            input_account,
+            on_connection_closed,
         )
         self.notifier = OutcomeNotifier(AgentClient(config.discovery), acceptor.mark_notified)
         self.tasks = BackgroundTasks()
--- a/message_relay/http/client_limits.py
+++ b/message_relay/http/client_limits.py
@@ -9,6 +9,10 @@
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
+MAX_HEADER_FIELDS = 100
+MAX_CHUNKS = 1024  # of one body
+READ_BYTES = 16 * 1024  # one read; all connections share the buffer
+MAX_RESPONSE_TEXT = 500  # characters
 MAX_DISCARDED_BYTES = 64 << 20  # input discarded from one connection after its last response
 
 # For a new connection that has sent no byte; connections without an open request are promised 2 s.
@@ -30,8 +34,14 @@
 LINGER_S = 1.0
 # The same after a body that is far too long.
 OVERSIZED_LINGER_S = 4.0
+# From the response to a request that exceeds a limit until the end of its connection.
+END_DELAY_S = 1.0
 # Maximum wait of a response for its journal sync; clients wait 0.4 s.
 DURABILITY_TIMEOUT_S = 5.0
+# Retry-After of a client that is turned away because others use the memory for unfinished requests.
+MEMORY_RETRY_AFTER_S = 0.5
+# An unfinished request of this age may be ended to make room for others. Clients wait 0.4 s.
+MIN_RECEIVE_S = 0.5
 # Pause in reading after an invalid request.
 PENALTY_S = 0.1
 # Interval between two checks for expired deadlines.
--- a/message_relay/http/client_listener.py
+++ b/message_relay/http/client_listener.py
@@ -5,10 +5,15 @@
 import asyncio
 import logging
 import socket
+import time
+from collections.abc import Callable
 
+from ..core.memory_account import MemoryAccount
+from ..core.memory_plan import MAX_INPUT_BYTES
 from . import client_limits
 from .client_connection import CancelMessage, ClientConnection, RequestHandler
 from .listener import Listener
+from .parse_turns import ParseTurns
 
 log = logging.getLogger(__name__)
 
@@ -16,21 +21,35 @@
 
 
 class ClientListener:
-    """Accepts up to `max_connections` connections; it is crowded with `crowding_threshold` idle ones."""
+    """Accepts up to `max_connections` connections; it is crowded with `crowding_threshold` idle ones.
+
+    `input_account`: the memory of all unfinished requests, by default as much as the largest share.
+    """
 
     def __init__(
-        self, handle: RequestHandler, cancel: CancelMessage, max_connections: int, crowding_threshold: int
+        self,
+        handle: RequestHandler,
+        cancel: CancelMessage,
+        max_connections: int,
+        crowding_threshold: int,
+        input_account: MemoryAccount | None = None,
+        on_closed: Callable[[], None] = lambda: None,
     ) -> None:
         self.handle = handle
         self.cancel = cancel
         self.max_connections = max_connections
         self.crowding_threshold = crowding_threshold
+        self.input_account = input_account or MemoryAccount("input", MAX_INPUT_BYTES, time.monotonic)
+        self.on_closed = on_closed  # called for each connection that is removed
+        self.parse_turns = ParseTurns()
+        self.read_buffer = memoryview(bytearray(client_limits.READ_BYTES))
         self.connections: set[ClientConnection] = set()
+        self.receiving: Group = {}  # hold memory for an unfinished request; longest first
         self.silent: Group = {}  # no byte received yet; oldest first
         self.idle_without_submission: Group = {}  # idle, and have submitted no message
         self.idle_submitters: Group = {}  # idle, and have submitted a message; longest idle first
         self.lingering: Group = {}  # the last response was sent; oldest first
-        self.listener = Listener(lambda: ClientConnection(self), self._has_capacity)
+        self.listener = Listener(lambda: ClientConnection(self), self._has_capacity, self._has_free_capacity)
         self.is_stopping = False  # each response ends its connection
         self.is_stopped = False
 
@@ -74,7 +93,9 @@
 
     def remove(self, connection: ClientConnection) -> None:
         """Unregister a closed connection, and accept another in its place."""
-        self.connections.discard(connection)
+        if connection in self.connections:
+            self.connections.discard(connection)
+            self.on_closed()
         self._remove_from_groups(connection)
         self.listener.resume()
 
@@ -97,12 +118,41 @@
         for group in (self.silent, self.idle_without_submission, self.idle_submitters, self.lingering):
             group.pop(connection, None)
 
+    # -- memory ------------------------------------------------------------------------------------------
+
+    def mark_receiving(self, connection: ClientConnection, is_receiving: bool) -> None:
+        """Note whether the connection holds memory for an unfinished request."""
+        if is_receiving:
+            self.receiving.setdefault(connection)
+        else:
+            self.receiving.pop(connection, None)
+
+    def make_room(self, connection: ClientConnection, size: int) -> bool:
+        """Charge `size` bytes of a connection's unfinished request, ending older ones if necessary.
+
+        Returns False, and charges nothing, if no other unfinished request is old enough to be ended.
+        """
+        while not self.input_account.charge(size):
+            oldest = next(iter(self.receiving), None)
+            now = asyncio.get_running_loop().time()
+            self.input_account.record_refusal()
+            if oldest is None or oldest is connection:
+                return False
+            if now - oldest.request_started_at < client_limits.MIN_RECEIVE_S:
+                return False
+            oldest.end_slow_request()
+        return True
+
     # -- capacity ----------------------------------------------------------------------------------------
 
     def _has_capacity(self) -> bool:
         open_count = len(self.connections) + self.listener.starting_count
         return open_count < self.max_connections or self._evict_one()
 
+    def _has_free_capacity(self) -> bool:
+        """Return whether half of the connections are free."""
+        return 2 * (len(self.connections) + self.listener.starting_count) < self.max_connections
+
     def _evict_one(self) -> bool:
         """Evict a connection without an open request; returns whether there was one.
 
--- a/message_relay/http/client_messages.py
+++ b/message_relay/http/client_messages.py
@@ -13,22 +13,22 @@
 
 import h11
 
-from .client_limits import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from .client_limits import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_RESPONSE_TEXT
 
-# Rejected if repeated: the next HTTP implementation to read the message might use the other value.
-SINGLE_VALUE_HEADERS = frozenset(
+# The headers that describe a message.
+SUBMISSION_HEADERS = frozenset(
     (
-        "host",
-        "transfer-encoding",
-        "idempotency-key",
-        "x-addressing",
-        "x-customer",
-        "x-expires-in-ms",
-        "x-qos",
-        "x-second-try",
-        "x-trace-id",
+        b"idempotency-key",
+        b"x-addressing",
+        b"x-customer",
+        b"x-expires-in-ms",
+        b"x-qos",
+        b"x-second-try",
+        b"x-trace-id",
     )
 )
+# Rejected if repeated: the next HTTP implementation to read the message might use the other value.
+SINGLE_VALUE_HEADERS = SUBMISSION_HEADERS | {b"host", b"transfer-encoding"}
 # A complete request in the most common form. h11 parses everything that this accepts to the same request
 # (tests/http/test_plain_messages.py).
 PLAIN_REQUEST = re.compile(
@@ -83,11 +83,20 @@
     @property
     def body(self) -> bytes:
         """The text as one line."""
-        return (self.text + "\n" if self.text else "").encode()
+        return (self.text[:MAX_RESPONSE_TEXT] + "\n" if self.text else "").encode()
 
 
-def parse_plain_request(data: bytes) -> ClientRequest | None:
-    """Parse a complete request in the common form without trailing bytes; None if h11 has to parse it."""
+@dataclass(frozen=True, slots=True)
+class PlainHead:
+    """The head of a request in the common form. `request` has no body yet."""
+
+    request: ClientRequest
+    body_start: int  # offset in the parsed data
+    content_length: int
+
+
+def parse_plain_head(data: bytes | bytearray) -> PlainHead | None:
+    """Parse a complete head in the common form; None if h11 has to parse it."""
     head = PLAIN_REQUEST.match(data)
     if head is None or head.end() > MAX_HEAD_BYTES // 2:
         return None
@@ -103,10 +112,17 @@
     length = headers.get("content-length", "0")
     if not length.isdecimal() or len(length) > MAX_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES:
         return None
-    if len(data) != head.end() + int(length):
+    request = ClientRequest(head[1].decode("ascii"), head[2].decode("ascii"), headers)
+    return PlainHead(request, head.end(), int(length))
+
+
+def parse_plain_request(data: bytes) -> ClientRequest | None:
+    """Parse a complete request in the common form without trailing bytes; None if it is any other."""
+    head = parse_plain_head(data)
+    if head is None or len(data) != head.body_start + head.content_length:
         return None
-    body = bytearray(data[head.end() :])
-    return ClientRequest(head[1].decode("ascii"), head[2].decode("ascii"), headers, body)
+    head.request.body += data[head.body_start :]
+    return head.request
 
 
 def encode_response(response: ClientResponse, closes: bool) -> bytes:
@@ -140,13 +156,14 @@
 
 def find_head_fault(head: h11.Request) -> ClientResponse | None:
     """Return the rejection of a head that h11 accepts but this relay does not; None if it is acceptable."""
-    names = [name for name, _ in head.headers]
-    if b"transfer-encoding" in names and b"content-length" in names:
+    seen: set[bytes] = set()
+    for name, _ in head.headers:
+        if name in seen and name in SINGLE_VALUE_HEADERS:
+            return ClientResponse(400, f"{name.decode('ascii')}: given more than once")
+        seen.add(name)
+    if b"transfer-encoding" in seen and b"content-length" in seen:
         # Prevents request smuggling: implementations differ in which of the two they use.
         return ClientResponse(400, "Content-Length and Transfer-Encoding exclude each other")
-    for name in set(names):
-        if names.count(name) > 1 and name.decode("latin-1") in SINGLE_VALUE_HEADERS:
-            return ClientResponse(400, f"{name.decode('latin-1')}: given more than once")
     length = dict(head.headers).get(b"content-length", b"0")
     if int(length) > MAX_BODY_BYTES:
         return oversized_response()
--- a/message_relay/http/listener.py
+++ b/message_relay/http/listener.py
@@ -19,8 +19,9 @@
 
 log = logging.getLogger(__name__)
 
-BACKLOG = 512  # length of the kernel's queue; in a short one a flood would displace later connections
+BACKLOG = 1024  # length of the kernel's queue; in a short one a flood would displace later connections
 ACCEPT_BATCH = 16  # per loop iteration; composition.OWN_SOCKETS reserves descriptors for them
+MAX_FREE_ACCEPTS = 64  # per loop iteration, while connections are far below their limit
 RESOURCE_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -28,14 +29,18 @@
     """Listening sockets that stop accepting while there is no capacity.
 
     `has_capacity` is called before each connection is accepted. Once it returns False, no connection is
-    accepted until `resume` is called.
+    accepted until `resume` is called. `has_free_capacity` returns whether there is capacity without it.
     """
 
     def __init__(
-        self, protocol_factory: Callable[[], asyncio.Protocol], has_capacity: Callable[[], bool]
+        self,
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        has_capacity: Callable[[], bool],
+        has_free_capacity: Callable[[], bool] = lambda: False,
     ) -> None:
         self.protocol_factory = protocol_factory
         self.has_capacity = has_capacity
+        self.has_free_capacity = has_free_capacity
         self.sockets: list[socket.socket] = []
         self.starting_count = 0  # accepted connections whose protocol is not connected yet
         self.is_paused = False
@@ -78,7 +83,9 @@
             asyncio.get_running_loop().remove_reader(sock.fileno())
 
     def _accept_ready(self, sock: socket.socket, limit: int) -> None:
-        for _ in range(limit):
+        for count in range(max(limit, MAX_FREE_ACCEPTS)):
+            if count >= limit and not self.has_free_capacity():
+                return
             # Checked first: `has_capacity` may evict a connection, which is only justified if another one
             # waits.
             if not poll_socket(sock, select.POLLIN):
