Memory plan: each share of limits.memory_mb is derived at the start, and kept

On the platform, where nothing uses TLS, asyncio is loaded without ssl, which takes 5 MB; the file with brokers loads it as before.

--- a/message_relay/amqp/settings.py
+++ b/message_relay/amqp/settings.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
-import ssl
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import TYPE_CHECKING, Annotated, Literal
 
 import msgspec
 from msgspec import Meta
 
+if TYPE_CHECKING:
+    import ssl
+
 ADDRESS_PREFIX = "amqp:"  # of an endpoint's address: no host name contains a colon
 MAX_PORT = 65535
 
@@ -101,6 +103,8 @@
     """
     if broker.tls is None:
         return None
+    import ssl  # only where it is used: it takes 5 MB
+
     try:
         context = ssl.create_default_context(cafile=broker.tls.ca or None)
         context.minimum_version = ssl.TLSVersion.TLSv1_2
--- a/message_relay/composition.py
+++ b/message_relay/composition.py
@@ -8,22 +8,33 @@
 
 import logging
 import socket
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from random import Random
 
 from .amqp.settings import AmqpSettings
 from .config import Config, ConfigError
+from .core.memory_account import MemoryAccount
+from .core.memory_plan import (
+    MAX_INPUT_BYTES,
+    MAX_LIST_BYTES,
+    InsufficientMemoryError,
+    MemoryPlan,
+    plan_memory,
+)
 from .core.ports import EndpointSource, EndpointUpdate, Intake, Transport, UpdateMerge
 from .core.relay import Relay
 from .core.transport_router import TransportRouter
 from .endpoint_discovery.source_merge import SourceMerge
 from .fleet.socket_activation import CLIENT_SOCKET
+from .gc_policy import DEFAULT_GROWTH_BYTES, GC_GROWTH_DIVISOR, ConnectionGarbage
 from .http import client_intake
 from .http.discovery_calls import MAX_CALLS
 from .http.discovery_client import DiscoveryClient
 from .http.endpoint_client import EndpointClient
 from .http.listener import ACCEPT_BATCH
+from .process_memory import resident_bytes
 from .structured_logging import LogEvent
 
 log = logging.getLogger(__name__)
@@ -49,6 +60,7 @@
     intake: client_intake.ClientIntake
     transport: EndpointClient
     discovery: DiscoveryClient
+    memory: MemoryPlan | None  # None: the configuration names no limit
     initial_endpoints: EndpointUpdate | None
 
     async def start(self) -> None:
@@ -68,22 +80,33 @@
 def compose(
     config: Config, sockets: Mapping[str, socket.socket] | None = None, amqp: AmqpSettings | None = None
 ) -> ComposedRelay:
-    """Builds a relay. Raises ConfigError if the brokers cannot be used.
+    """Builds a relay. Raises ConfigError if the brokers cannot be used, or the memory limit is too small.
 
     `sockets`: listening sockets inherited from a service manager. `amqp`: the settings of the operator's
     brokers.
     """
-    relay = Relay(config)
-    client, max_clients = _endpoint_client(config)
+    max_clients = _max_clients(config)
+    memory = _plan_memory(config, max_clients)
+    relay = Relay(config, memory)
+    client = _endpoint_client(config, memory)
+    max_clients = max_clients if memory is None else memory.max_clients
     intake = client_intake.ClientIntake(
         relay.messages,
         config,
         max_clients,
-        config.sockets // CROWDING_DIVISOR,
+        min(config.sockets // CROWDING_DIVISOR, max(1, max_clients // 2)),
+        MemoryAccount("input", memory.input_bytes if memory else MAX_INPUT_BYTES, time.monotonic),
+        ConnectionGarbage(garbage_limit_bytes(memory)).add_connection,
         (sockets or {}).get(CLIENT_SOCKET),
     )
     settings = config.settings
-    discovery = DiscoveryClient(config.discovery, settings.relays, config.seed, settings.polls_discovery)
+    discovery = DiscoveryClient(
+        config.discovery,
+        settings.relays,
+        config.seed,
+        settings.polls_discovery,
+        max_list_bytes=memory.max_list_bytes if memory else MAX_LIST_BYTES,
+    )
     intakes: dict[str, Intake] = {client_intake.NAME: intake}
     transport: Transport = client
     sources: list[EndpointSource] = [discovery]
@@ -95,24 +118,56 @@
         sources.append(brokers.source)
         update_merge = SourceMerge([DISCOVERY_SOURCE, AMQP_SOURCE])
     relay.connect(intakes, transport, sources, update_merge)
-    return ComposedRelay(relay, intake, client, discovery, _initial_endpoints(config, discovery))
+    return ComposedRelay(relay, intake, client, discovery, memory, _initial_endpoints(config, discovery))
+
 
+def garbage_limit_bytes(memory: MemoryPlan | None) -> int:
+    """Returns how much garbage may be there before it is collected."""
+    return DEFAULT_GROWTH_BYTES if memory is None else memory.limit_bytes // GC_GROWTH_DIVISOR
 
-def _endpoint_client(config: Config) -> tuple[EndpointClient, int]:
-    """Creates the endpoint client, and returns with it the number of client connections to allow.
+
+def _max_clients(config: Config) -> int:
+    """Returns the number of client connections that the descriptors allow.
 
     Client connections get only the descriptors that calls cannot need, so that a flood of connections leaves
     a descriptor for every call.
     """
+    max_attempts = 2 * config.settings.max_concurrent_attempts  # as many may wait for late connections
+    others = OWN_SOCKETS + max_attempts + _max_idle(config) + _max_receiving(config)
+    return max(1, config.sockets - others)
+
+
+def _plan_memory(config: Config, max_clients: int) -> MemoryPlan | None:
+    """Divides the memory limit, before anything is received. Raises ConfigError if it is too small."""
+    if config.memory_mb is None:
+        return None
+    is_on_platform = config.sync_ms is None
+    try:
+        return plan_memory(
+            config.memory_mb, resident_bytes(), config.disk_bytes, max_clients, files_count=is_on_platform
+        )
+    except InsufficientMemoryError as error:
+        raise ConfigError(str(error)) from error
+
+
+def _max_idle(config: Config) -> int:
+    return max(1, config.sockets // IDLE_DIVISOR)
+
+
+def _max_receiving(config: Config) -> int:
+    return max(1, config.sockets // RECEIVING_DIVISOR)
+
+
+def _endpoint_client(config: Config, memory: MemoryPlan | None) -> EndpointClient:
     settings = config.settings
-    max_idle = max(1, config.sockets // IDLE_DIVISOR)
-    max_receiving = max(1, config.sockets // RECEIVING_DIVISOR)
-    max_attempts = 2 * settings.max_concurrent_attempts  # as many may wait for late connections
-    max_clients = config.sockets - OWN_SOCKETS - max_attempts - max_idle - max_receiving
-    client = EndpointClient(
-        settings.idle_ms, settings.connect_timeout_ms, max_idle, max_receiving, settings.report_fields
+    max_receiving = _max_receiving(config)
+    return EndpointClient(
+        settings.idle_ms,
+        settings.connect_timeout_ms,
+        _max_idle(config),
+        max_receiving if memory is None else min(max_receiving, memory.max_receiving),
+        settings.report_fields,
     )
-    return client, max(1, max_clients)
 
 
 def _initial_endpoints(config: Config, discovery: DiscoveryClient) -> EndpointUpdate | None:
--- a/message_relay/config.py
+++ b/message_relay/config.py
@@ -39,6 +39,7 @@
     known_endpoints: dict[str, Any]
     settings: Settings
     zones: tuple[str, ...]
+    memory_mb: float | None = None  # limit of the process; None: not limited
     sync_ms: float | None = None  # of the journal, see store/durability.py; None: no sync, as on the platform
 
 
@@ -125,6 +126,7 @@
             known_endpoints=raw.known or {},
             settings=settings,
             zones=zones.zones,
+            memory_mb=raw.limits.memory_mb,
         )
     except OSError as error:
         raise ConfigError(f"RELAY_CONFIG: {error}") from error
--- a/message_relay/core/relay.py
+++ b/message_relay/core/relay.py
@@ -19,6 +19,7 @@
 from .clock import unix_time_ms
 from .directory import EndpointDirectory
 from .endpoint_sources import EndpointSources
+from .memory_plan import MemoryPlan
 from .message_lifecycle import MessageLifecycle
 from .ports import (
     CallPolicy,
@@ -55,13 +56,21 @@
     transport: Transport
     attempt_runner: AttemptRunner
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, memory: MemoryPlan | None = None) -> None:
+        """`memory`: the shares of the memory limit; None: messages are limited by the disk alone."""
         self.config = config
+        self.memory = memory
         self.settings = config.settings
         self.scheduler = DeliveryScheduler(config.settings, config.seed)
         self.driver = SchedulerDriver(self.scheduler, config.settings.tick_ms, self._execute)
         self.lock = DirectoryLock(config.state)
-        self.journal = Journal(config.state, config.disk_bytes - 2 * MAX_FILE_BYTES, sync_ms=config.sync_ms)
+        files_bytes = config.disk_bytes if memory is None else memory.files_bytes
+        self.journal = Journal(
+            config.state,
+            files_bytes - 2 * MAX_FILE_BYTES,
+            sync_ms=config.sync_ms,
+            memory_bytes=None if memory is None else memory.messages_bytes,
+        )
         self.snapshot_file = DestinationSnapshotFile(config.state)
         self.directory = EndpointDirectory(config.settings, config.zones)
         self.messages = MessageLifecycle(
@@ -136,6 +145,7 @@
         if not initial_endpoints or self.destination_interest is not None:
             initial_endpoints = EndpointUpdate(is_full=False)
         self._apply_update(initial_endpoints)
+        self._limit_messages()
         if self.destination_interest is None:
             self._update_known_destinations({entry.destination for entry in self.messages.pending_entries()})
         self.messages.request_unresumed_destinations()
@@ -240,9 +250,16 @@
         """Runs once a second; iterates only over destinations and connections in use."""
         self.transport.sweep()
         self.messages.expire_destinations()
+        self._limit_messages()
         self.journal.compact(unix_time_ms())
         self._save_snapshot()
 
+    def _limit_messages(self) -> None:
+        """Gives the messages the memory that the listed endpoints leave."""
+        if self.memory is not None:
+            endpoint_count = len(self.directory.by_number)
+            self.journal.memory_limit_bytes = self.memory.messages_bytes_beside(endpoint_count)
+
     def _save_snapshot(self) -> None:
         """Writes the learned state of destinations.
 
--- a/message_relay/http/agent.py
+++ b/message_relay/http/agent.py
@@ -11,13 +11,12 @@
 from typing import NamedTuple
 
 from ..config import Address
+from ..core.memory_plan import MAX_LIST_BYTES
 from .connection import EndpointConnection
 from .connection_pool import ConnectionPool
 from .errors import AgentError, ConnectionLostError
 
-# Enough for a list of about 26,000 endpoints, which take 2 KB of memory each, of 192 MB, and block the loop
-# for half a second. A longer response is rejected, and the known list stays in use.
-ANSWER_BYTES = 4 << 20
+ANSWER_BYTES = MAX_LIST_BYTES  # a longer response is rejected, and the known list stays in use
 MAX_IDLE = 2  # connections of one client: one rests while the other carries a request
 POOL_KEY = (0, ("", 0))  # all connections of a pool lead to the same agent
 
@@ -32,8 +31,9 @@
 class AgentClient:
     """The client of the agent at one address."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, max_answer_bytes: int = ANSWER_BYTES) -> None:
         self.address = address
+        self.max_answer_bytes = max_answer_bytes
         self.connection: EndpointConnection | None = None  # carries the current request
         self.pool = ConnectionPool(math.inf, MAX_IDLE)
 
@@ -53,7 +53,9 @@
             raise AgentError(str(error)) from error
 
     async def _exchange(self, method: str, target: str, body: bytes) -> AgentResponse:
-        connection = self.pool.pop(POOL_KEY) or await EndpointConnection.open(self.address, ANSWER_BYTES)
+        connection = self.pool.pop(POOL_KEY) or await EndpointConnection.open(
+            self.address, self.max_answer_bytes
+        )
         self.connection = connection
         try:
             host = f"{self.address[0]}:{self.address[1]}"
--- a/message_relay/http/discovery_client.py
+++ b/message_relay/http/discovery_client.py
@@ -18,7 +18,7 @@
 from ..decisions.model import Listing
 from ..endpoint_discovery.poll_schedule import LATE_ANSWER_MS, PollSchedule
 from ..structured_logging import LogEvent
-from .agent import AgentClient
+from .agent import ANSWER_BYTES, AgentClient
 from .discovery_calls import CallsInFlight, DiscoveryCall
 from .errors import AgentError
 
@@ -100,14 +100,20 @@
     """Polls the agent's list. A failed poll does not change the known version, so no change is missed."""
 
     def __init__(
-        self, agent_address: Address, relay_count: int = 1, seed: int = 0, shared: bool = True
+        self,
+        agent_address: Address,
+        relay_count: int = 1,
+        seed: int = 0,
+        shared: bool = True,
+        max_list_bytes: int = ANSWER_BYTES,
     ) -> None:
         """Create a client with its own poll schedule.
 
         `relay_count`: number of relays that poll; with `shared` all of them poll the same agent. `seed`: for
-        this relay's random pauses.
+        this relay's random pauses. `max_list_bytes`: a longer list is rejected.
         """
-        self.agent = AgentClient(agent_address)
+        self.max_list_bytes = max_list_bytes
+        self.agent = AgentClient(agent_address, max_list_bytes)
         self.version = -1  # version of the known list; negative: none
         self.poll_schedule = PollSchedule(relay_count, random.Random(seed), shared)
         self.calls = CallsInFlight()
@@ -122,7 +128,7 @@
     def reload(self, config: Config) -> None:
         """Switch to the configured agent. Versions are local to an agent, so its full list is requested."""
         self.close()
-        self.agent = AgentClient(config.discovery)
+        self.agent = AgentClient(config.discovery, self.max_list_bytes)
         self.version = -1
         self.calls = CallsInFlight()
         self.poll_schedule.reset()
@@ -153,7 +159,7 @@
     def start_call(self) -> DiscoveryCall:
         """Request the changes since the known version, or the full list."""
         if self.calls.uses(self.agent):
-            self.agent = AgentClient(self.agent.address)
+            self.agent = AgentClient(self.agent.address, self.max_list_bytes)
         watch_ms = round(self.poll_schedule.watch_duration_ms()) if self.version >= 0 else 0
         late_after_s = self.poll_schedule.call_timeout_ms(watch_ms) / 1000
         self.next_call_at = asyncio.get_running_loop().time() + late_after_s
--- a/message_relay/relay_process.py
+++ b/message_relay/relay_process.py
@@ -7,7 +7,7 @@
 import signal
 
 from .amqp.settings import AmqpSettings
-from .composition import compose
+from .composition import compose, garbage_limit_bytes
 from .config import Config, ConfigError, load
 from .fleet.socket_activation import inherited_sockets
 from .fleet.systemd_notify import SystemdNotifier
@@ -53,7 +53,7 @@
         config = self.relay.config
         log.info(LogEvent("serving", name=config.name, listen="{}:{}".format(*config.listen)))
         self.relay.tasks.start(self.watch_reloads())
-        self.relay.tasks.start(run_gc_policy(lambda: self.relay.messages.pending_count))
+        self.relay.tasks.start(self._collect_garbage())
         await self.signals.stop.wait()
         self.notifier.stopping()
         try:
@@ -62,6 +62,14 @@
             self.on_stopped()
             self.notifier.close()
 
+    async def _collect_garbage(self) -> None:
+        relay = self.relay
+        await run_gc_policy(
+            lambda: relay.messages.pending_count,
+            lambda: relay.journal.memory_bytes,
+            garbage_limit_bytes(self.composed.memory),
+        )
+
     async def on_serving(self) -> None:
         """Called when the relay accepts messages, before the service manager is notified."""
 
--- /dev/null
+++ b/tests/core/test_memory_plan.py
@@ -0,0 +1,74 @@
+"""The shares of a memory limit, and the limits that follow from them."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from message_relay import config
+from message_relay.composition import compose
+from message_relay.config import ConfigError
+from message_relay.core.memory_plan import (
+    BYTES_PER_MB,
+    CLIENT_BYTES,
+    ENDPOINT_BYTES,
+    MIN_SPARE_BYTES,
+    WARM_UP_BYTES,
+    InsufficientMemoryError,
+    plan_memory,
+)
+
+from ..loopback import Server, raw_config, run
+
+USED_BYTES = 22 * BYTES_PER_MB
+
+
+@given(
+    limit_mb=st.floats(27, 2000),
+    disk_bytes=st.integers(1, 1 << 31),
+    max_clients=st.integers(1, 1024),
+    endpoint_count=st.integers(0, 4000),
+)
+def test_all_shares_together_stay_within_the_limit(
+    limit_mb: float, disk_bytes: int, max_clients: int, endpoint_count: int
+) -> None:
+    plan = plan_memory(limit_mb, USED_BYTES, disk_bytes, max_clients, files_count=True)
+    messages_bytes = plan.messages_bytes_beside(endpoint_count)
+    lists_bytes = max(plan.lists_bytes, endpoint_count * ENDPOINT_BYTES)
+    shares = (
+        plan.files_bytes,
+        plan.max_clients * CLIENT_BYTES,
+        plan.input_bytes,
+        lists_bytes,
+        messages_bytes,
+    )
+    assert plan.program_bytes + sum(shares) <= plan.limit_bytes
+    assert plan.messages_bytes > 0 and plan.max_clients >= 1
+
+
+def test_at_the_least_memory_of_the_pages_hundreds_of_clients_and_messages_have_room() -> None:
+    plan = plan_memory(32, USED_BYTES, 3_000_000, 766, files_count=True)
+    assert plan.max_clients >= 700 and plan.messages_bytes >= 500_000 and plan.input_bytes >= 10 * 65536
+
+
+def test_a_limit_that_the_program_alone_exceeds_is_refused_with_one_that_would_do() -> None:
+    too_small = (USED_BYTES + WARM_UP_BYTES + MIN_SPARE_BYTES) / BYTES_PER_MB
+    with pytest.raises(InsufficientMemoryError, match=r"limits\.memory_mb is 25: the program needs about 26"):
+        plan_memory(25, USED_BYTES, 3_000_000, 766, files_count=True)
+    plan_memory(too_small, USED_BYTES, 3_000_000, 766, files_count=True)
+
+
+def test_a_process_with_too_small_a_limit_does_not_start(tmp_path: Path) -> None:
+    async def work() -> None:
+        server = await Server().start()
+        (tmp_path / "state").mkdir()
+        raw = raw_config(tmp_path / "state", server, limits={"memory_mb": 25, "sockets": 256, "disk_mb": 3})
+        (tmp_path / "config.json").write_text(json.dumps(raw))
+        with pytest.raises(ConfigError, match=r"limits\.memory_mb"):
+            compose(config.load({"RELAY_CONFIG": str(tmp_path / "config.json")}))
+
+    run(work())
