Attempts: a call does not go to an address that its endpoint has left

Seen: a new process came up at the address of an endpoint that had moved, and got a call that was decided before the move. Cause: the check before the first byte compared the listed address only where destinations are loaded on demand; else a connection that was being established was used whatever the list said meanwhile. Change: AttemptRunner._is_current compares number and address always; one that differs is not sent, and retried.

--- a/message_relay/core/attempt_runner.py
+++ b/message_relay/core/attempt_runner.py
@@ -164,15 +164,15 @@
                     await interest.wait_for_renewal()
 
     def _is_current(self, known: KnownEndpoint) -> bool:
-        """Returns whether the endpoint is still listed with the address that the attempt uses."""
-        if self.destination_interest is None:
-            return True
+        """Returns whether the endpoint is still listed with the address that the attempt uses.
+
+        Another process may have come up at the former address.
+        """
         current = self.directory.by_number.get(known.endpoint.id)
-        return (
-            current is not None
-            and current.key == known.key
-            and self.destination_interest.is_current(known.endpoint.destination)
-        )
+        if current is None or current.key != known.key:
+            return False
+        interest = self.destination_interest
+        return interest is None or interest.is_current(known.endpoint.destination)
 
     async def _wait_until_durable(self, may_write: Callable[[], bool], until_ms: float) -> bool:
         """Returns whether the attempt may continue.
