Client intake: an id whose client left stays known if it may have run

Seen: an id ran twice when it came again after its client had left.

One that was never sent, or may be repeated, is forgotten as before. Also here: the test of a call to a moved endpoint's address.

--- a/message_relay/core/message_lifecycle.py
+++ b/message_relay/core/message_lifecycle.py
@@ -18,7 +18,7 @@
 from ..decisions.model import FOREVER, Effect, Settings
 from ..store.errors import JournalError
 from ..store.journal import Journal
-from ..store.records import DEFAULT_ORIGIN, JournalEntry
+from ..store.records import CANCELLED_STATE, DEFAULT_ORIGIN, JournalEntry
 from ..structured_logging import LogEvent
 from . import resume
 from .acceptance import SubmissionValidator, journal_entry
@@ -160,6 +160,10 @@
         return SubmissionResult(True, is_new=True, durable=durable, awaits_handover=awaits_handover)
 
     def _accept_again(self, message_id: str) -> SubmissionResult:
+        if self.journal.entries[message_id].final_state == CANCELLED_STATE:
+            return SubmissionResult(
+                False, reason="its client left, and it may have taken effect", may_have_run=True
+            )
         number = self.numbers_by_id.get(message_id)
         if number is not None:
             self.accepted[number].claims += 1
@@ -192,7 +196,11 @@
         accepted.claims -= 1
         if accepted.claims > 0:  # another connection submitted it too, and got a response
             return False
-        try_write(lambda: self.journal.append_cancelled(accepted.entry))
+        if is_untried or self.effect(accepted.entry) is Effect.SAFE:
+            try_write(lambda: self.journal.append_cancelled(accepted.entry))
+        else:
+            # Stays known: the same id may come again, and must not run twice.
+            self.outcomes.record(accepted.entry, CANCELLED_STATE)
         self.release(number)
         self.on_event(MessageCancelled(number))
         return is_untried
--- a/message_relay/core/ports.py
+++ b/message_relay/core/ports.py
@@ -43,6 +43,7 @@
     accepted: bool
     is_new: bool = False  # False: a repeated submission
     reason: str = ""
+    may_have_run: bool = False  # of a message that is not accepted: it must not be submitted again
     retry_after_s: float = 0.0  # delay until a rejected message may be submitted again
     # The response to the client waits for this future; if it is cancelled, no response may be sent.
     durable: asyncio.Future[None] | None = None
--- a/message_relay/http/client_intake.py
+++ b/message_relay/http/client_intake.py
@@ -119,6 +119,8 @@
             return ClientResponse(400, f"{HEADER_OF_FIELD.get(error.field, error.field)}: {error.text}")
         if result.accepted:
             return ClientResponse(202, accepted_id=submission.id, durable=result.durable)
+        if result.may_have_run:
+            return ClientResponse(500, result.reason)
         return ClientResponse(503, result.reason, retry_after_s=result.retry_after_s)
 
 
--- a/message_relay/store/records.py
+++ b/message_relay/store/records.py
@@ -10,6 +10,8 @@
 UNKNOWN_ENDPOINT = "?"  # placeholder for an endpoint that no record names; not a valid name
 UNKNOWN_ZONE = -1
 DEFAULT_ORIGIN = "http"
+# Final state of a message whose client left without a response, and of which an attempt may have run.
+CANCELLED_STATE = "cancelled"
 
 
 class RecordType(IntEnum):
@@ -71,7 +73,7 @@
     attempt_count: int = 0
     attempt_in_flight: Attempt | None = None
     uncertain_attempt: Attempt | None = None  # the first attempt that may have run
-    final_state: str = ""  # delivered, failed, returned or over; empty: not finished yet
+    final_state: str = ""  # delivered, failed, returned, over or cancelled; empty: not finished yet
     retry_after_ms: float = 0.0
     is_notified: bool = False  # the platform has confirmed the notification
     origin: str = DEFAULT_ORIGIN  # the intake that received the submission
--- a/tests/core/test_relay.py
+++ b/tests/core/test_relay.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Sized
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -16,11 +17,12 @@
 from message_relay.decisions.model import ListKind
 from message_relay.endpoint_discovery import poll_schedule
 from message_relay.http.agent import AgentClient as AgentLink
+from message_relay.http.connection import EndpointConnection
 from message_relay.http.outcome_notifier import OutcomeNotifier
 from message_relay.store.journal import Journal
 from message_relay.store.records import JournalEntry
 
-from ..loopback import Agent, Client, Server, answer, host_of, listing, message, relay, run, until
+from ..loopback import OK, Agent, Client, Server, answer, host_of, listing, message, relay, run, until
 
 
 @pytest.fixture
@@ -506,3 +508,64 @@
         )
 
     run(work())
+
+
+@pytest.mark.parametrize("class_", ["unsafe", "keyed"])
+def test_an_id_that_was_sent_does_not_run_again_after_its_client_left(state: Path, class_: str) -> None:
+    """The id was forgotten with its client, and the same id was accepted, and sent, as a new message."""
+
+    async def work() -> None:
+        agent, server = await start_agent_and_server()
+        server.default_reply = None
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            assert await client.send(message("m", class_)) == 202
+            await server.arrivals.get()
+            assert not host.messages.cancel("m")
+            assert await client.send(message("m", class_)) == 500
+            server.default_reply = OK
+            assert await client.send(message("other", class_)) == 202
+            await until(lambda: host.journal.entries["other"].final_state == "delivered")
+            assert await client.send(message("m", class_)) == 500
+        async with relay(state, agent, server) as again, Client(again.ingress.port) as client:
+            assert await client.send(message("m", class_)) == 500
+        assert [seen.headers["x-trace-id"] for seen in server.seen] == ["m", "other"]
+
+    run(work())
+
+
+def test_an_id_that_was_never_sent_may_come_again_after_its_client_left(state: Path) -> None:
+    async def work() -> None:
+        agent, server = await start_agent_and_server()
+        async with relay(state, agent) as host, Client(host.ingress.port) as client:
+            host.apply_list(listing(server, generation=2, state="draining"))
+            assert await client.send(message("m", "unsafe")) == 202
+            assert host.messages.cancel("m") and await client.send(message("m", "unsafe")) == 202
+
+    run(work())
+
+
+def test_work_for_an_endpoint_that_moved_does_not_go_to_its_former_address(state: Path) -> None:
+    """A new process came up at the address of one that had moved, and got a call decided before that."""
+
+    async def work() -> None:
+        agent, old = await start_agent_and_server()
+        new = await Server().start()
+        async with relay(state, agent, old) as host, Client(host.ingress.port) as client:
+            known = next(iter(host.directory.by_number.values()))
+            moved = listing(new, generation=2, reset=False)
+            moved["instances"][0]["instanceId"] = known.name
+            connect = EndpointConnection.open
+
+            async def open_late(*args: Any, **options: Any) -> EndpointConnection:
+                connection = await connect(*args, **options)
+                if args[0] == old.address:
+                    host.apply_list(moved)  # while the connection is being established
+                return connection
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(EndpointConnection, "open", open_late)
+                assert await client.send(message("m", "keyed")) == 202
+                await until(lambda: bool(new.seen or old.seen))
+        assert not old.seen and [seen.headers["x-trace-id"] for seen in new.seen] == ["m"]
+
+    run(work())
