Client intake: a request with others behind it is rejected wherever a read ends

Seen, in the search for requests that are sent on after their client left: five requests of 16,384 bytes written at once, the first was accepted, since one read of the shared buffer ended with it. Cause: pipelining was found only within one read. Change: the check for a client that hung up also asks for unread input; there the request is answered 400 and its connection ends. Measured: the test got 202 before, 400 now; tests/http and tests/core pass.

--- a/message_relay/http/client_connection.py
+++ b/message_relay/http/client_connection.py
@@ -31,7 +31,7 @@
 )
 from .parse_turns import ParseTurns
 from .request_reader import Progress, RejectedRequestError, RequestReader
-from .socket_state import is_socket_ready
+from .socket_state import is_socket_ready, pending_events
 
 log = logging.getLogger(__name__)
 
@@ -40,6 +40,7 @@
 # After a rejection a client submits its next message on the same connection, as after an acceptance.
 SUBMISSION_STATUSES = frozenset((202, 503))
 COSTLY_REQUEST_STATUSES = frozenset((413, 431))  # the end of the connection is delayed
+PIPELINED_TEXT = "one request at a time on a connection, and no more than its length"
 INVALID_REQUEST_STATUSES = frozenset((400, 404, 405))
 
 
@@ -325,9 +326,7 @@
             # Clients send one request at a time. Pipelined requests, which could occupy the loop by the
             # hundred, and a body longer than its Content-Length are rejected before the first message is
             # accepted.
-            self._respond_and_end(
-                ClientResponse(400, "one request at a time on a connection, and no more than its length")
-            )
+            self._respond_and_end(ClientResponse(400, PIPELINED_TEXT))
             return
         response = self._handle(request)
         if response.durable is None or response.durable.done():
@@ -354,10 +353,14 @@
         self._resume_reading()
 
     def _handle(self, request: ClientRequest) -> ClientResponse:
-        if is_socket_ready(self.transport, select.POLLRDHUP):
+        events = pending_events(self.transport, select.POLLRDHUP | select.POLLIN)
+        if events & ~select.POLLIN:
             # Prevents a second copy: a client that closed the connection submits the message again. One that
             # only shut down its sending side reads this response, and may safely submit it again.
             return ClientResponse(503, "the client has hung up")
+        if events:
+            self.closes_after_response = True
+            return ClientResponse(400, PIPELINED_TEXT)
         return self.group.handle(request)
 
     # -- responses ---------------------------------------------------------------------------------------
--- a/tests/http/test_request_limits.py
+++ b/tests/http/test_request_limits.py
@@ -186,3 +186,18 @@
     ]
     account.release(6)
     assert (account.used_bytes, account.peak_bytes, account.refused_count) == (0, 10, 2)
+
+
+def test_a_request_that_ends_with_a_read_is_not_accepted_before_others_behind_it(tmp_path: Path) -> None:
+    """A client that wrote many requests at once and left must not have the first of them sent on."""
+
+    async def work() -> None:
+        async with RelayWithEndpoint(tmp_path) as host, Client(host.ingress.port) as client:
+            empty = len(message("m0", body=b"")) + len(str(client_limits.READ_BYTES)) - 1
+            body = b"x" * (client_limits.READ_BYTES - empty)
+            requests = [message(f"m{number}", body=body) for number in range(5)]
+            assert {len(each) for each in requests} == {client_limits.READ_BYTES}
+            client.writer.write(b"".join(requests))
+            assert await client.status() == 400 and not host.journal.entries
+
+    run(work())
