Status and log name what holds the memory; endpoint responses' limits have tests

Need: the incident's logs could not tell its hypotheses apart: nothing said how much memory was held, by whom, or that a client was turned away for it. Tests for the fields of a response's head and for bodies that are not kept, which came after their change.

--- a/message_relay/cli/status.py
+++ b/message_relay/cli/status.py
@@ -179,6 +179,14 @@
             field_gauge.labels(report.instance).set(getattr(report, name))
         lag.labels(report.instance).set(report.lag.most_ms)
         down.labels(report.instance).set(sum(destination.down for destination in report.destinations))
+    limited = [(report.instance, report.memory) for report in reports if report.memory]
+    if limited:
+        used = gauge("memory_share_bytes", "Memory held, by share of the limit", "instance", "share")
+        limit = gauge("memory_share_limit_bytes", "Limit of each share of memory", "instance", "share")
+        for instance, shares in limited:
+            for name, share in shares.items():
+                used.labels(instance, name).set(share.used_bytes)
+                limit.labels(instance, name).set(share.limit_bytes)
     if fleet is not None:
         gauge("instances_up", "Instances that are up").set(fleet.up)
         gauge("crash_loops", "Instances that crash again and again").set(
--- a/message_relay/composition.py
+++ b/message_relay/composition.py
@@ -34,6 +34,7 @@
 from .http.discovery_client import DiscoveryClient
 from .http.endpoint_client import EndpointClient
 from .http.listener import ACCEPT_BATCH
+from .memory_watch import MemoryWatch
 from .process_memory import resident_bytes
 from .structured_logging import LogEvent
 
@@ -61,6 +62,7 @@
     transport: EndpointClient
     discovery: DiscoveryClient
     memory: MemoryPlan | None  # None: the configuration names no limit
+    memory_watch: MemoryWatch | None
     initial_endpoints: EndpointUpdate | None
 
     async def start(self) -> None:
@@ -90,12 +92,14 @@
     relay = Relay(config, memory)
     client = _endpoint_client(config, memory)
     max_clients = max_clients if memory is None else memory.max_clients
+    input_bytes = memory.input_bytes if memory else MAX_INPUT_BYTES
+    input_account = MemoryAccount("input", input_bytes, time.monotonic)
     intake = client_intake.ClientIntake(
         relay.messages,
         config,
         max_clients,
         min(config.sockets // CROWDING_DIVISOR, max(1, max_clients // 2)),
-        MemoryAccount("input", memory.input_bytes if memory else MAX_INPUT_BYTES, time.monotonic),
+        input_account,
         ConnectionGarbage(garbage_limit_bytes(memory)).add_connection,
         (sockets or {}).get(CLIENT_SOCKET),
     )
@@ -118,7 +122,9 @@
         sources.append(brokers.source)
         update_merge = SourceMerge([DISCOVERY_SOURCE, AMQP_SOURCE])
     relay.connect(intakes, transport, sources, update_merge)
-    return ComposedRelay(relay, intake, client, discovery, memory, _initial_endpoints(config, discovery))
+    initial_endpoints = _initial_endpoints(config, discovery)
+    watch = None if memory is None else MemoryWatch(relay, memory, input_account)
+    return ComposedRelay(relay, intake, client, discovery, memory, watch, initial_endpoints)
 
 
 def garbage_limit_bytes(memory: MemoryPlan | None) -> int:
--- a/message_relay/fleet/instance.py
+++ b/message_relay/fleet/instance.py
@@ -109,6 +109,7 @@
             self.loop_lag.summary(),
             self.operator_config.status.destinations,
             shards,
+            self.composed.memory_watch,
         )
 
     async def on_serving(self) -> None:
--- a/message_relay/fleet/report.py
+++ b/message_relay/fleet/report.py
@@ -13,6 +13,7 @@
 
 from ..core.relay import Relay
 from ..decisions.destinations import DestinationState
+from ..memory_watch import MemoryShare, MemoryWatch
 from ..process_memory import resident_bytes
 
 REPORT_VERSION = 1
@@ -69,6 +70,8 @@
     destinations: list[Destination]
     more: int  # destinations not listed
     shards: dict[str, Any] | None = None  # sharded directory: state of client and server
+    # Use of the memory limit by share; not there if the configuration names no limit.
+    memory: dict[str, MemoryShare] | msgspec.UnsetType = msgspec.UNSET
     kind: str = "instance"
     version: int = REPORT_VERSION
 
@@ -109,6 +112,7 @@
     lag: Lag,
     max_destinations: int,
     shards: dict[str, Any] | None = None,
+    memory_watch: MemoryWatch | None = None,
 ) -> Report:
     """Builds the report of an instance.
 
@@ -154,6 +158,7 @@
         ],
         more=len(states) - len(listed),
         shards=shards,
+        memory=msgspec.UNSET if memory_watch is None else memory_watch.shares(),
     )
 
 
--- a/message_relay/relay_process.py
+++ b/message_relay/relay_process.py
@@ -54,6 +54,9 @@
         log.info(LogEvent("serving", name=config.name, listen="{}:{}".format(*config.listen)))
         self.relay.tasks.start(self.watch_reloads())
         self.relay.tasks.start(self._collect_garbage())
+        if self.composed.memory_watch is not None:
+            self.composed.memory_watch.log_plan()
+            self.relay.tasks.start(self.composed.memory_watch.run())
         await self.signals.stop.wait()
         self.notifier.stopping()
         try:
--- a/tests/core/test_memory_plan.py
+++ b/tests/core/test_memory_plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from pathlib import Path
 
@@ -9,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from message_relay import config
+from message_relay import config, memory_watch
 from message_relay.composition import compose
 from message_relay.config import ConfigError
 from message_relay.core.memory_plan import (
@@ -22,7 +23,7 @@
     plan_memory,
 )
 
-from ..loopback import Server, raw_config, run
+from ..loopback import Agent, Client, Server, message, raw_config, relay, run, until
 
 USED_BYTES = 22 * BYTES_PER_MB
 
@@ -62,6 +63,36 @@
     plan_memory(too_small, USED_BYTES, 3_000_000, 766, files_count=True)
 
 
+def test_the_status_and_the_log_name_what_holds_the_memory(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing said who held the memory of a process that passed its limit."""
+    monkeypatch.setattr(memory_watch, "CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(memory_watch, "resident_bytes", lambda: 950 * BYTES_PER_MB)
+    caplog.set_level("INFO")
+
+    async def work() -> None:
+        server, agent = await Server().start(), await Agent().start()
+        (tmp_path / "state").mkdir()
+        limits = {"memory_mb": 1000, "sockets": 256, "disk_mb": 3}
+        async with relay(tmp_path / "state", agent, server, limits=limits) as host:
+            watch = host.parts.memory_watch
+            assert watch is not None
+            watch.log_plan()
+            task = asyncio.ensure_future(watch.run())
+            async with Client(host.ingress.port) as client:
+                assert await client.send(message("m")) == 202
+                shares = watch.shares()
+                await until(lambda: "memory close to its limit" in caplog.text)
+            task.cancel()
+        assert set(shares) == {"files", "clients", "input", "lists", "messages"}
+        assert all(0 <= share.used_bytes <= share.limit_bytes for share in shares.values())
+        assert shares["messages"].used_bytes > 0 and shares["clients"].used_bytes == CLIENT_BYTES
+
+    run(work())
+    assert "memory plan limit=1000000000" in caplog.text and "resident=950000000" in caplog.text
+
+
 def test_a_process_with_too_small_a_limit_does_not_start(tmp_path: Path) -> None:
     async def work() -> None:
         server = await Server().start()
--- a/tests/http/test_endpoint_client.py
+++ b/tests/http/test_endpoint_client.py
@@ -10,6 +10,8 @@
 from message_relay.core.ports import AttemptResult
 from message_relay.decisions.model import Outcome
 from message_relay.http import endpoint_client
+from message_relay.http.connection import MAX_HEADER_FIELDS, EndpointConnection
+from message_relay.http.endpoint_client import MAX_BODY_BYTES
 
 from ..loopback import OK, Server, answer, run, until
 from .harness import make_attempt, make_client
@@ -322,3 +324,29 @@
         assert len(server.seen) == 1 and server.opened == 1
 
     run(work())
+
+
+@pytest.mark.parametrize(
+    ("fields", "outcome"), [(MAX_HEADER_FIELDS - 1, Outcome.ERROR), (MAX_HEADER_FIELDS, Outcome.RESET)]
+)
+def test_fields_of_a_response_head_are_limited(fields: int, outcome: Outcome) -> None:
+    """A head of thousands of short fields would be parsed in one turn of the loop."""
+    head = b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n" + b"x:\r\n" * fields + b"\r\n"
+
+    async def work() -> None:
+        server = await Server(default_reply=head).start()
+        result = await make_client().attempt(make_attempt(server.address))
+        assert result.outcome is outcome
+
+    run(work())
+
+
+def test_the_body_of_a_response_to_an_attempt_is_not_kept() -> None:
+    async def work() -> None:
+        server = await Server(default_reply=answer(500, body="x" * 60_000)).start()
+        connection = await EndpointConnection.open(server.address, MAX_BODY_BYTES, keeps_body=False)
+        _, body = await connection.request("POST", "/inbox", [("Host", "x")], b"")
+        assert body == b"" and connection.received_body_bytes == 60_000
+        connection.close()
+
+    run(work())
