--- a/benchmarks/costly_peers.py
+++ b/benchmarks/costly_peers.py
@@ -14,7 +14,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import json
 import os
 import random
@@ -35,6 +34,7 @@
 
 from .costly_clients import LIFE_MS, SESSIONS, run_clients
 from .kills import wait_until_healthy
+from .process_memory import memory_mb
 from .processes import settings
 from .report import report
 from .restarts import PORT, loopback_address
@@ -47,7 +47,6 @@
 GIVE_UP_S = 5.0
 ANSWER_BOUND_S, HEALTH_BOUND_S = 0.4, 0.3  # a client's wait (PROTOCOL); a health check's
 QUIET_S = 6.0  # for the relay to let go of what it held
-BYTES_PER_MB = 1_000_000
 
 
 @dataclass
@@ -80,15 +79,6 @@
         self.broken = [text for text, is_broken in checks.items() if is_broken]
 
 
-def memory_mb(pid: int, name: str) -> float:
-    """A figure of /proc/PID/status; 0 if the process is gone."""
-    with contextlib.suppress(OSError):
-        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith(name + ":"):
-                return int(line.split()[1]) * 1024 / BYTES_PER_MB
-    return 0.0
-
-
 class OwnLag:
     """How late this process itself was, which is not the relay's time."""
 
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -32,6 +32,7 @@
 from fakes.endpoint import Endpoint
 
 from .kills import wait_until_healthy
+from .process_memory import memory_mb
 from .processes import settings
 from .report import report
 from .restart_clients import BUSY_PAUSE_S, CROWD, RESTING_PAUSE_S, Client, idle_visitor
@@ -52,6 +53,8 @@
 SOCKETS = 128
 PORT = 7070
 DISK_MB = 3
+MEMORY_MB = 32  # the least that the platform's pages name
+MEMORY_CHECK_S = 0.05
 
 
 def loopback_address(number: int) -> str:
@@ -74,12 +77,13 @@
         # A separate address for each run: no other process can bind the port while the relay is down.
         self.address = (loopback_address(os.getpid()), PORT)
         self.accepted = asyncio.Event()
+        self.peak_mb = 0.0  # of all relay processes
         self.process: asyncio.subprocess.Process | None = None
         self.timers: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         await self._set_up()
-        watch = asyncio.ensure_future(self._watch_own_lags())
+        watches = [asyncio.ensure_future(self._watch_own_lags()), asyncio.ensure_future(self._watch_memory())]
         clients = self._start_clients()
         try:
             for step in self.plan.steps:
@@ -93,7 +97,7 @@
             await self._signal(signal.SIGTERM)
             await self._wait_for_exit()
         finally:
-            work = (*clients, *self.timers, watch)
+            work = (*clients, *self.timers, *watches)
             for task in work:
                 task.cancel()
             await asyncio.gather(*work, return_exceptions=True)
@@ -111,6 +115,12 @@
             if lag > LAG_CHECK_S:
                 self.ledger.lags.append((time.monotonic(), lag))
 
+    async def _watch_memory(self) -> None:
+        while True:
+            await asyncio.sleep(MEMORY_CHECK_S)
+            if self.process is not None and self.process.returncode is None:
+                self.peak_mb = max(self.peak_mb, memory_mb(self.process.pid, "VmHWM"))
+
     # -- the parties -------------------------------------------------------------------------------------
 
     async def _set_up(self) -> None:
@@ -161,7 +171,7 @@
             "known": self._known_list(),
             "state": str(self.folder / "state"),
             "settings": settings(0.25),
-            "limits": {"sockets": SOCKETS, "disk_mb": DISK_MB},
+            "limits": {"sockets": SOCKETS, "disk_mb": DISK_MB, "memory_mb": MEMORY_MB},
         }
         partial = self.folder / "config.tmp"
         partial.write_text(json.dumps(config))
@@ -322,6 +332,8 @@
         async with asyncio.timeout(60.0 + 20.0 * restarts):
             await soak.run()
         broken = soak.ledger.violations()
+        if soak.peak_mb > MEMORY_MB:
+            broken.append(f"peak memory of {soak.peak_mb:.1f} MB")
     except TimeoutError:
         broken = ["the run did not finish in time"]
     ledger = soak.ledger
@@ -335,6 +347,7 @@
         "excused": sum(ledger.is_excused(each) for each in ledger.unanswered),
         "rested": sum(ledger.is_excused(each) and each.idle_s >= 2.0 for each in ledger.unanswered),
         "lag_s": max((lag for _, lag in ledger.lags), default=0.0),
+        "peak_mb": soak.peak_mb,
         "broken": broken,
     }
 
@@ -379,9 +392,9 @@
         args.json,
         (
             "restarts under traffic",
-            "seed  accepted  processes   calls  notices  excused  rested  lag s  broken",
+            "seed  accepted  processes   calls  notices  excused  rested  lag s  peak MB  broken",
         ),
-        "{seed:4}{accepted:10}{processes:11}{calls:8}{notices:9}{excused:9}{rested:8}{lag_s:7.2f}{failures:8}",
+        "{seed:4}{accepted:10}{processes:11}{calls:8}{notices:9}{excused:9}{rested:8}{lag_s:7.2f}{peak_mb:9.1f}{failures:8}",
     )
     for row in rows:
         for text in row["broken"][:10]:
