--- a/benchmarks/costly_clients.py
+++ b/benchmarks/costly_clients.py
@@ -132,6 +132,13 @@
     await _ask_repeatedly(reader, writer, full)
 
 
+# Kinds in which the endpoint is the costly peer: head of its answer, and what follows it without an end.
+COSTLY_ANSWERS: dict[str, tuple[bytes, bytes]] = {
+    "endless-answer": (b"HTTP/1.1 500 X\r\nContent-Length: 3000000000\r\n\r\n", bytes(65536)),
+    "chunked-answer": (b"HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 10_000),
+    "field-answer": (b"HTTP/1.1 500 X\r\n" + b"x:\r\n" * 4000 + b"\r\n", b""),
+}
+
 SESSIONS: dict[str, tuple[int, Session]] = {  # number of concurrent clients, and what each does
     "long-body": (700, long_body),
     "half-body": (700, half_body),
@@ -143,6 +150,7 @@
     "unsound-flood": (1, unsound_flood),
     "small-flood": (1, small_flood),
     "lasting-flood": (4, lasting_flood),
+    **{kind: (8, small_flood) for kind in COSTLY_ANSWERS},
     "unread-flood": (1, unread_flood),
     "full-messages": (50, full_messages),
 }
--- a/benchmarks/costly_peers.py
+++ b/benchmarks/costly_peers.py
@@ -14,6 +14,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -32,7 +33,7 @@
 from fakes.discovery_agent import Agent
 from fakes.endpoint import Endpoint
 
-from .costly_clients import LIFE_MS, SESSIONS, run_clients
+from .costly_clients import COSTLY_ANSWERS, LIFE_MS, SESSIONS, run_clients
 from .kills import wait_until_healthy
 from .process_memory import memory_mb
 from .processes import settings
@@ -74,7 +75,7 @@
             f"{self.none} usual requests without an answer": self.none > 0,
             f"a usual answer after {self.worst_s:.2f} s": self.worst_s > ANSWER_BOUND_S,
             f"/healthz after {self.health_s:.2f} s": self.health_s > HEALTH_BOUND_S,
-            "no usual message accepted": not self.answered,
+            "no usual message accepted": not self.answered and self.kind not in COSTLY_ANSWERS,
         }
         self.broken = [text for text, is_broken in checks.items() if is_broken]
 
@@ -171,11 +172,8 @@
 
     async def set_up(self) -> None:
         """Starts the agent and the endpoint, and writes the configuration."""
-        model = Partner(Spec(service=Service(10.0, cv=0.5)), random.Random(1))
-        endpoint = Endpoint(model, ("127.0.0.1", 0))
-        await endpoint.start()
-        endpoint.start_model()
-        known = {"generation": 1, "reset": True, "instances": [entry("s-1", endpoint.listen, "ready")]}
+        listen = await self._start_endpoint()
+        known = {"generation": 1, "reset": True, "instances": [entry("s-1", listen, "ready")]}
         agent = await Agent(json.dumps(known).encode()).start()
         raw_settings = settings(0.25)
         raw_settings["limits"]["open-cap"] = self.open_cap
@@ -192,6 +190,28 @@
         }
         (self.folder / "config.json").write_text(json.dumps(config))
 
+    async def _start_endpoint(self) -> Address:
+        if self.row.kind in COSTLY_ANSWERS:
+            server = await asyncio.start_server(self._answer_costly, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()[:2]
+            return str(host), int(port)
+        model = Partner(Spec(service=Service(10.0, cv=0.5)), random.Random(1))
+        endpoint = Endpoint(model, ("127.0.0.1", 0))
+        await endpoint.start()
+        endpoint.start_model()
+        return endpoint.listen
+
+    async def _answer_costly(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head, rest = COSTLY_ANSWERS[self.row.kind]
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head)
+            while rest:
+                writer.write(rest)
+                await writer.drain()
+            await reader.read()
+        writer.close()
+
     async def start(self) -> asyncio.subprocess.Process:
         """Starts the relay; its first answer to /healthz is there on return."""
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
