Restart soak: endpoints listen on the run's own address

Cause: all runs' endpoints shared 127.0.0.1, where another process's connection had taken the port meanwhile. Change: they listen on the address in 127.0.0.0/8 that the run has for its relay.

--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -136,7 +136,8 @@
         for number in range(ENDPOINTS):
             log: Any = CallLog(self.ledger, f"s-{number}")
             model = Partner(spec, random.Random(plan.seed * 10 + number))
-            endpoint = Endpoint(model, ("127.0.0.1", 0), None, None, log)
+            # On an address of its own: no other process can take its port during an outage.
+            endpoint = Endpoint(model, (self.address[0], 0), None, None, log)
             await endpoint.start()
             endpoint.start_model()
             self.endpoints.append(endpoint)
