Client intake: the memory of unfinished requests is a module of its own

Change: InputBudget holds charges, their order and the making of room; a reader's own objects are charged too. No other change of behaviour.

--- a/message_relay/http/client_connection.py
+++ b/message_relay/http/client_connection.py
@@ -19,7 +19,6 @@
 
 import h11
 
-from ..core.memory_account import MemoryAccount
 from . import client_limits
 from .client_limits import MAX_DISCARDED_BYTES
 from .client_messages import (
@@ -29,6 +28,7 @@
     parse_plain_request,
     response_events,
 )
+from .input_budget import InputBudget
 from .parse_turns import ParseTurns
 from .request_reader import Progress, RejectedRequestError, RequestReader
 from .socket_state import is_socket_ready, pending_events
@@ -76,15 +76,9 @@
         """Parses the input that h11 has to parse."""
 
     @property
-    def input_account(self) -> MemoryAccount:
+    def input_budget(self) -> InputBudget:
         """The memory of all unfinished requests."""
 
-    def make_room(self, connection: ClientConnection, size: int) -> bool:
-        """Charge `size` bytes of a connection's unfinished request, ending older ones if necessary."""
-
-    def mark_receiving(self, connection: ClientConnection, is_receiving: bool) -> None:
-        """Note whether the connection holds memory for an unfinished request."""
-
     def add(self, connection: ClientConnection) -> None:
         """Register a new connection, on which nothing has arrived yet."""
 
@@ -110,7 +104,6 @@
     def __init__(self, group: ConnectionGroup) -> None:
         self.group = group
         self.reader: RequestReader | None = None  # of a request that `parse_plain_request` does not parse
-        self.held_bytes = 0  # charged for the unfinished request
         self.request_started_at = 0.0  # on the loop's clock; valid during a request
         self.transport: asyncio.Transport | None = None
         self.request: ClientRequest | None = None
@@ -265,7 +258,7 @@
         try:
             progress = reader.advance()
             self.request = reader.request
-            if not self._charge(reader.held_bytes):
+            if not self._hold(reader.held_bytes):
                 return False
             if progress is Progress.HAS_MORE:
                 return True
@@ -296,26 +289,21 @@
 
     # -- memory of the unfinished request ----------------------------------------------------------------
 
-    def _charge(self, held_bytes: int) -> bool:
+    def _hold(self, held_bytes: int) -> bool:
         """Charge what the unfinished request holds; without room, turn its client away and return False."""
-        added_bytes = held_bytes - self.held_bytes
-        if not self.group.make_room(self, added_bytes):
-            retry_after_s = client_limits.MEMORY_RETRY_AFTER_S
-            self._respond_and_end(
-                ClientResponse(503, "unfinished requests use the memory", retry_after_s=retry_after_s),
-                delays_end=True,
-            )
-            return False
-        self.held_bytes = held_bytes
-        self.group.mark_receiving(self, held_bytes > 0)
-        return True
+        if self.group.input_budget.hold(self, held_bytes):
+            return True
+        retry_after_s = client_limits.MEMORY_RETRY_AFTER_S
+        self._respond_and_end(
+            ClientResponse(503, "unfinished requests use the memory", retry_after_s=retry_after_s),
+            delays_end=True,
+        )
+        return False
 
     def _drop_input(self) -> None:
         self.request = None
         self.reader = None
-        self.group.input_account.release(self.held_bytes)
-        self.held_bytes = 0
-        self.group.mark_receiving(self, False)
+        self.group.input_budget.release(self)
 
     def end_slow_request(self) -> None:
         """End an unfinished request whose memory others need."""
--- a/message_relay/http/client_listener.py
+++ b/message_relay/http/client_listener.py
@@ -12,6 +12,7 @@
 from ..core.memory_plan import MAX_INPUT_BYTES
 from . import client_limits
 from .client_connection import CancelMessage, ClientConnection, RequestHandler
+from .input_budget import InputBudget
 from .listener import Listener
 from .parse_turns import ParseTurns
 
@@ -39,12 +40,12 @@
         self.cancel = cancel
         self.max_connections = max_connections
         self.crowding_threshold = crowding_threshold
-        self.input_account = input_account or MemoryAccount("input", MAX_INPUT_BYTES, time.monotonic)
+        account = input_account or MemoryAccount("input", MAX_INPUT_BYTES, time.monotonic)
+        self.input_budget = InputBudget(account, lambda: asyncio.get_running_loop().time())
         self.on_closed = on_closed  # called for each connection that is removed
         self.parse_turns = ParseTurns()
         self.read_buffer = memoryview(bytearray(client_limits.READ_BYTES))
         self.connections: set[ClientConnection] = set()
-        self.receiving: Group = {}  # hold memory for an unfinished request; longest first
         self.silent: Group = {}  # no byte received yet; oldest first
         self.idle_without_submission: Group = {}  # idle, and have submitted no message
         self.idle_submitters: Group = {}  # idle, and have submitted a message; longest idle first
@@ -118,31 +119,6 @@
         for group in (self.silent, self.idle_without_submission, self.idle_submitters, self.lingering):
             group.pop(connection, None)
 
-    # -- memory ------------------------------------------------------------------------------------------
-
-    def mark_receiving(self, connection: ClientConnection, is_receiving: bool) -> None:
-        """Note whether the connection holds memory for an unfinished request."""
-        if is_receiving:
-            self.receiving.setdefault(connection)
-        else:
-            self.receiving.pop(connection, None)
-
-    def make_room(self, connection: ClientConnection, size: int) -> bool:
-        """Charge `size` bytes of a connection's unfinished request, ending older ones if necessary.
-
-        Returns False, and charges nothing, if no other unfinished request is old enough to be ended.
-        """
-        while not self.input_account.charge(size):
-            oldest = next(iter(self.receiving), None)
-            now = asyncio.get_running_loop().time()
-            self.input_account.record_refusal()
-            if oldest is None or oldest is connection:
-                return False
-            if now - oldest.request_started_at < client_limits.MIN_RECEIVE_S:
-                return False
-            oldest.end_slow_request()
-        return True
-
     # -- capacity ----------------------------------------------------------------------------------------
 
     def _has_capacity(self) -> bool:
--- a/message_relay/http/request_reader.py
+++ b/message_relay/http/request_reader.py
@@ -27,6 +27,7 @@
 HEAD_END_BYTES = 3  # at most
 FIRST_PRINTABLE = 0x21  # h11 rejects a request line that begins with any byte below
 MAX_EVENTS_PER_PART = 64  # h11 events; one takes some 10 us
+READER_BYTES = 500  # a reader without the request
 PLAIN_REQUEST_BYTES = 2_000  # a request in the common form without its body
 PARSER_BYTES = 4_000  # an h11 connection with the request
 
@@ -64,8 +65,8 @@
     def held_bytes(self) -> int:
         """Memory that the unfinished request takes or will take."""
         if self.content_length is not None:
-            return PLAIN_REQUEST_BYTES + self.content_length
-        size = len(self.head) + (PARSER_BYTES if self.parser is not None else 0)
+            return READER_BYTES + PLAIN_REQUEST_BYTES + self.content_length
+        size = READER_BYTES + len(self.head) + (PARSER_BYTES if self.parser is not None else 0)
         size += READ_BYTES if self.has_unparsed else 0
         return size + (len(self.request.body) if self.request is not None else 0)
 
--- a/tests/http/test_request_limits.py
+++ b/tests/http/test_request_limits.py
@@ -58,7 +58,7 @@
                 await asyncio.sleep(0)
             assert await client.status() == status
             assert bool(host.journal.entries) is (status == 202)
-            await until(lambda: host.ingress.input_account.used_bytes == 0)
+            await until(lambda: host.ingress.input_budget.account.used_bytes == 0)
 
     run(work())
 
@@ -75,13 +75,13 @@
 
     async def work() -> None:
         async with RelayWithEndpoint(tmp_path) as host, AsyncExitStack() as stack:
-            account = host.ingress.input_account
+            account = host.ingress.input_budget.account
             account.limit_bytes = SHARE_BYTES
             clients = [await stack.enter_async_context(Client(host.ingress.port)) for _ in range(20)]
             for number, client in enumerate(clients):
                 client.writer.write(half(number))
             await until(lambda: account.refused_count >= 16)
-            assert account.peak_bytes <= SHARE_BYTES and len(host.ingress.receiving) == 3
+            assert account.peak_bytes <= SHARE_BYTES and len(host.ingress.input_budget.held_bytes) == 3
             async with Client(host.ingress.port) as usual:
                 assert await usual.send(message("usual")) == 202
             refused = [client for number, client in enumerate(clients) if number >= 4]
@@ -100,11 +100,11 @@
 
     async def work() -> None:
         async with RelayWithEndpoint(tmp_path) as host, AsyncExitStack() as stack:
-            host.ingress.input_account.limit_bytes = SHARE_BYTES
+            host.ingress.input_budget.account.limit_bytes = SHARE_BYTES
             stalled = [await stack.enter_async_context(Client(host.ingress.port)) for _ in range(3)]
             for number, client in enumerate(stalled):
                 client.writer.write(half(number))
-                await until(lambda expected=number + 1: len(host.ingress.receiving) == expected)  # type: ignore[misc]
+                await until(lambda expected=number + 1: len(host.ingress.input_budget.held_bytes) == expected)  # type: ignore[misc]
             async with Client(host.ingress.port) as large:
                 assert await large.send(message("large", body=b"x" * 20_000)) == 202
             assert await stalled[0].status() == 408
@@ -117,9 +117,11 @@
         async with RelayWithEndpoint(tmp_path) as host:
             async with Client(host.ingress.port) as client:
                 client.writer.write(half(1))
-                await until(lambda: host.ingress.input_account.used_bytes > 9000)
+                await until(lambda: host.ingress.input_budget.account.used_bytes > 9000)
             await until(lambda: not host.ingress.connections)
-            assert host.ingress.input_account.used_bytes == 0 and not host.ingress.receiving
+            assert (
+                host.ingress.input_budget.account.used_bytes == 0 and not host.ingress.input_budget.held_bytes
+            )
 
     run(work())
 
