--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -288,7 +288,9 @@
         self.lists.append((now, json.loads(self.agents[0].listing)))
 
     def _refuse_connections(self) -> None:
-        self.endpoints[self.rng.randrange(ENDPOINTS)]._go_down(CLOSED_MS)
+        endpoint = self.endpoints[self.rng.randrange(ENDPOINTS)]
+        if endpoint.server.is_serving():  # else its port is bound again while it is bound already
+            endpoint._go_down(CLOSED_MS)
 
     def _silence(self, seconds: float) -> None:
         now = time.monotonic()
--- a/message_relay/core/memory_plan.py
+++ b/message_relay/core/memory_plan.py
@@ -21,17 +21,17 @@
 WARM_UP_BYTES = (
     2_500_000  # growth of the program itself once it serves: lazily created objects, fragmentation
 )
-MIN_SPARE_BYTES = 2_000_000  # with less to divide, no share would be usable
+MIN_SPARE_BYTES = 1_500_000  # with less to divide, no share would be usable
 CLIENT_BYTES = 3_000  # an open client connection: socket, transport, protocol, one response
 RECEIVING_BYTES = 40_000  # a connection to an endpoint with a response that is arriving: head, read, parser
 ENDPOINT_BYTES = 2_200  # a listed endpoint, while its list is decoded
 LISTED_ENDPOINT_JSON_BYTES = 160
 MAX_LIST_BYTES = 4 << 20  # JSON of about 26,000 endpoints, which block the loop for half a second
 
-FILES_DIVISOR = 4
+FILES_DIVISOR = 5
 CLIENTS_DIVISOR = 3
-INPUT_DIVISOR = 6
-LISTS_DIVISOR = 8  # reserved; a longer list takes from the messages
+INPUT_DIVISOR = 8
+LISTS_DIVISOR = 32  # reserved; a longer list takes from the messages
 MAX_LIST_DIVISOR = 3
 RECEIVING_DIVISOR = 16
 MAX_INPUT_BYTES = 16 << 20  # some hundred full requests at the same time
