Restart soak: signals do not collect exit codes

Cause: asyncio's send_signal polls the process first, and so collects the exit code of one that has just ended; the watcher then finds no child and reports 255. Change: signals are sent with os.kill.

--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -226,8 +226,18 @@
             record.signalled_at = min(record.signalled_at, time.monotonic())
         elif number is signal.SIGKILL:
             record.killed_at = time.monotonic()
-        with contextlib.suppress(ProcessLookupError):
-            self.process.send_signal(number)
+        self._send(number)
+
+    def _send(self, number: signal.Signals) -> None:
+        """Sends a signal unless the process has ended.
+
+        Not by `send_signal` of subprocess: that collects the exit code of a process that has just ended,
+        which asyncio then reports as 255.
+        """
+        assert self.process is not None
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def _wait_for_exit(self) -> None:
         """Waits until the process has exited; kills it at the earliest time that the platform would."""
@@ -250,8 +260,7 @@
         assert self.process is not None
         self._configure(1 - self.agent)
         self.ledger.reloads.append(time.monotonic())
-        with contextlib.suppress(ProcessLookupError):
-            self.process.send_signal(signal.SIGHUP)
+        self._send(signal.SIGHUP)
 
     # -- events during service --------------------------------------------------------------------------
 
