Client intake: a complete request needs no room, and is not ended for others

Cause: the charge was given back with the response only. Change: it is given back as soon as the request is complete.

--- a/message_relay/http/client_connection.py
+++ b/message_relay/http/client_connection.py
@@ -258,15 +258,17 @@
         try:
             progress = reader.advance()
             self.request = reader.request
+            if progress is Progress.COMPLETE and self.request is not None:
+                self.group.input_budget.release(self)
+                self.transport.resume_reading()
+                self._on_request_complete(reader, self.request)
+                return False
             if not self._hold(reader.held_bytes):
                 return False
             if progress is Progress.HAS_MORE:
                 return True
             self.transport.resume_reading()
-            if progress is Progress.COMPLETE and self.request is not None:
-                self._on_request_complete(reader, self.request)
-            elif self.request is not None:
-                self._continue_if_expected(reader)
+            self._continue_if_expected(reader)
         except Exception as error:
             self._reject(error)
         return False
--- a/tests/http/test_request_limits.py
+++ b/tests/http/test_request_limits.py
@@ -10,6 +10,7 @@
 
 from message_relay.core.memory_account import MemoryAccount
 from message_relay.http import client_limits
+from message_relay.http.client_messages import ClientResponse
 from message_relay.http.parse_turns import MAX_TURN_S, ParseTurns
 from message_relay.http.request_reader import MAX_EVENTS_PER_PART, Progress, RequestReader
 
@@ -203,3 +204,29 @@
             assert await client.status() == 400 and not host.journal.entries
 
     run(work())
+
+
+def test_a_complete_request_needs_no_room_and_is_never_ended_for_others(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One that waited for its journal sync was answered 408, although its message had been accepted."""
+    monkeypatch.setattr(client_limits, "MIN_RECEIVE_S", 0.0)
+
+    async def work() -> None:
+        async with RelayWithEndpoint(tmp_path) as host, Client(host.ingress.port) as client:
+            budget = host.ingress.input_budget
+            durable = asyncio.get_running_loop().create_future()
+            response = ClientResponse(202, accepted_id="m", durable=durable)
+            monkeypatch.setattr(host.ingress, "handle", lambda request: response)
+            client.writer.write(message("m", body=b"x" * 30_000))
+            (connection,) = host.ingress.connections
+            await until(lambda: bool(connection.unsent_ids))
+            assert not budget.held_bytes and budget.account.used_bytes == 0
+            budget.account.limit_bytes = 0
+            async with Client(host.ingress.port) as other:
+                other.writer.write(chunked(1, 50))
+                await until(lambda: len(host.ingress.connections) == 2)
+                durable.set_result(None)
+                assert await other.status() == await client.status() == 202
+
+    run(work())
