Memory plan: only a process of its own measures what the program takes

Cause: compose measured the resident memory of the process that calls it, a test worker of some 190 MB after hundreds of tests; a program that embeds a relay would be refused likewise. Change: the process of the platform and of the operator's file passes its measure; compose counts the program's usual 24 MB otherwise.

--- a/message_relay/composition.py
+++ b/message_relay/composition.py
@@ -14,9 +14,10 @@
 from random import Random
 
 from .amqp.settings import AmqpSettings
-from .config import Config, ConfigError
+from .config import BASE_MEMORY_MB, Config, ConfigError
 from .core.memory_account import MemoryAccount
 from .core.memory_plan import (
+    BYTES_PER_MB,
     MAX_INPUT_BYTES,
     MAX_LIST_BYTES,
     InsufficientMemoryError,
@@ -35,7 +36,6 @@
 from .http.endpoint_client import EndpointClient
 from .http.listener import ACCEPT_BATCH
 from .memory_watch import MemoryWatch
-from .process_memory import resident_bytes
 from .structured_logging import LogEvent
 
 log = logging.getLogger(__name__)
@@ -80,15 +80,18 @@
 
 
 def compose(
-    config: Config, sockets: Mapping[str, socket.socket] | None = None, amqp: AmqpSettings | None = None
+    config: Config,
+    sockets: Mapping[str, socket.socket] | None = None,
+    amqp: AmqpSettings | None = None,
+    program_bytes: int = BASE_MEMORY_MB * BYTES_PER_MB,
 ) -> ComposedRelay:
     """Builds a relay. Raises ConfigError if the brokers cannot be used, or the memory limit is too small.
 
     `sockets`: listening sockets inherited from a service manager. `amqp`: the settings of the operator's
-    brokers.
+    brokers. `program_bytes`: the memory that the program takes; by default as in a process of its own.
     """
     max_clients = _max_clients(config)
-    memory = _plan_memory(config, max_clients)
+    memory = _plan_memory(config, max_clients, program_bytes)
     relay = Relay(config, memory)
     client = _endpoint_client(config, memory)
     max_clients = max_clients if memory is None else memory.max_clients
@@ -143,14 +146,14 @@
     return max(1, config.sockets - others)
 
 
-def _plan_memory(config: Config, max_clients: int) -> MemoryPlan | None:
+def _plan_memory(config: Config, max_clients: int, program_bytes: int) -> MemoryPlan | None:
     """Divides the memory limit, before anything is received. Raises ConfigError if it is too small."""
     if config.memory_mb is None:
         return None
     is_on_platform = config.sync_ms is None
     try:
         return plan_memory(
-            config.memory_mb, resident_bytes(), config.disk_bytes, max_clients, files_count=is_on_platform
+            config.memory_mb, program_bytes, config.disk_bytes, max_clients, files_count=is_on_platform
         )
     except InsufficientMemoryError as error:
         raise ConfigError(str(error)) from error
--- a/message_relay/relay_process.py
+++ b/message_relay/relay_process.py
@@ -12,6 +12,7 @@
 from .fleet.socket_activation import inherited_sockets
 from .fleet.systemd_notify import SystemdNotifier
 from .gc_policy import run_gc_policy
+from .process_memory import resident_bytes
 from .structured_logging import LogEvent
 
 log = logging.getLogger(__name__)
@@ -41,7 +42,7 @@
     ) -> None:
         self.signals = signals
         self.notifier = notifier
-        self.composed = compose(config, inherited_sockets(), amqp)
+        self.composed = compose(config, inherited_sockets(), amqp, resident_bytes())
         self.relay = self.composed.relay
 
     async def run(self) -> None:
--- a/tests/core/test_memory_plan.py
+++ b/tests/core/test_memory_plan.py
@@ -93,6 +93,21 @@
     assert "memory plan limit=1000000000" in caplog.text and "resident=950000000" in caplog.text
 
 
+def test_a_large_process_that_embeds_a_relay_does_not_count_as_its_program(tmp_path: Path) -> None:
+    """A test process of 190 MB was taken for the program, and refused 192 MB as too little for it."""
+
+    async def work() -> None:
+        server = await Server().start()
+        (tmp_path / "state").mkdir()
+        raw = raw_config(tmp_path / "state", server, limits={"memory_mb": 32, "sockets": 256, "disk_mb": 3})
+        (tmp_path / "config.json").write_text(json.dumps(raw))
+        parts = compose(config.load({"RELAY_CONFIG": str(tmp_path / "config.json")}))
+        assert parts.memory is not None and parts.memory.program_bytes < 27 * BYTES_PER_MB
+        await parts.relay.close()
+
+    run(work())
+
+
 def test_a_process_with_too_small_a_limit_does_not_start(tmp_path: Path) -> None:
     async def work() -> None:
         server = await Server().start()
