Memory plan: a state folder above its share still gets space to finish its messages

Need: with less memory than the process before, a folder above its new share could take no record: no attempt, no final outcome. Change: such a folder's budget is twice what it contains, limits.disk_mb at most; any other keeps its share. The test of a relay did not end within 15 s without the change and passes with it; 246 tests of core, store, reports and costly clients pass.

--- a/message_relay/core/relay.py
+++ b/message_relay/core/relay.py
@@ -12,6 +12,7 @@
 from ..decisions.rate_control import INITIAL_RATE
 from ..decisions.scheduler import DeliveryScheduler
 from ..store.destination_snapshot import MAX_FILE_BYTES, DestinationSnapshotFile
+from ..store.file_store import DirectoryFileStore
 from ..store.journal import Journal
 from ..store.lock import DirectoryLock
 from ..structured_logging import LogEvent
@@ -38,6 +39,7 @@
 log = logging.getLogger(__name__)
 
 MAINTENANCE_INTERVAL_S = 1.0
+FULL_FOLDER_FACTOR = 2  # budget of a folder above its share, as a multiple of what it contains
 STOP_POLL_S = 0.02  # interval at which a stop checks whether everything is done
 INITIAL_LIST_TIMEOUT_S = 0.5  # after the start; then the last known list is used instead of a current one
 # Times since SIGTERM.
@@ -64,10 +66,9 @@
         self.scheduler = DeliveryScheduler(config.settings, config.seed)
         self.driver = SchedulerDriver(self.scheduler, config.settings.tick_ms, self._execute)
         self.lock = DirectoryLock(config.state)
-        files_bytes = config.disk_bytes if memory is None else memory.files_bytes
         self.journal = Journal(
             config.state,
-            files_bytes - 2 * MAX_FILE_BYTES,
+            self._files_bytes() - 2 * MAX_FILE_BYTES,
             sync_ms=config.sync_ms,
             memory_bytes=None if memory is None else memory.messages_bytes,
         )
@@ -254,6 +255,20 @@
         self.journal.compact(unix_time_ms())
         self._save_snapshot()
 
+    def _files_bytes(self) -> int:
+        """Returns the budget of the state folder.
+
+        A folder that an earlier process filled beyond the present share still needs space for the final
+        outcomes of its messages, and for their compaction.
+        """
+        disk_bytes = self.config.disk_bytes
+        if self.memory is None:
+            return disk_bytes
+        used_bytes = sum(DirectoryFileStore(self.config.state).sizes().values())
+        if used_bytes <= self.memory.files_bytes:
+            return self.memory.files_bytes
+        return min(disk_bytes, FULL_FOLDER_FACTOR * used_bytes)
+
     def _limit_messages(self) -> None:
         """Gives the messages the memory that the listed endpoints leave."""
         if self.memory is not None:
--- a/tests/core/test_memory_plan.py
+++ b/tests/core/test_memory_plan.py
@@ -13,6 +13,7 @@
 from message_relay import config, memory_watch
 from message_relay.composition import compose
 from message_relay.config import ConfigError
+from message_relay.core.clock import unix_time_ms
 from message_relay.core.memory_plan import (
     BYTES_PER_MB,
     CLIENT_BYTES,
@@ -22,6 +23,8 @@
     InsufficientMemoryError,
     plan_memory,
 )
+from message_relay.store.journal import Journal
+from message_relay.store.records import JournalEntry
 
 from ..loopback import Agent, Client, Server, message, raw_config, relay, run, until
 
@@ -108,6 +111,28 @@
     run(work())
 
 
+def test_a_folder_above_its_share_still_finishes_its_messages(tmp_path: Path) -> None:
+    """With less memory than the process before, no record could be written any more."""
+
+    async def work() -> None:
+        server, agent, state = await Server().start(), await Agent().start(), tmp_path / "state"
+        state.mkdir()
+        journal, now = Journal(state, 2_900_000), unix_time_ms()
+        for number in range(35):
+            body = bytes(60_000)
+            journal.append_accepted(
+                JournalEntry(f"m{number}", "safe", "t", 7, None, now, now + 30_000, "", body)
+            )
+        journal.close()
+        limits = {"memory_mb": 32, "sockets": 256, "disk_mb": 3}
+        async with relay(state, agent, server, limits=limits) as host:
+            entries = list(host.journal.entries.values())
+            assert len(entries) == 35
+            await until(lambda: all(entry.final_state == "delivered" for entry in entries))
+
+    run(work())
+
+
 def test_a_process_with_too_small_a_limit_does_not_start(tmp_path: Path) -> None:
     async def work() -> None:
         server = await Server().start()
